--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumrouter/internal/request/ledger"
+)
+
+func key(job string, index, run int) runKey {
+	return runKey{ledger.TaskID{Job: job, Index: index}, run}
+}
+
+var small = ledger.Step{Count: 1, Need: ledger.Resources{CPU: 1000, MemMB: 100}, EstimateMS: 100}
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	r.submit("j", small)
+	r.until(func() bool { return len(f.runs("a")) == 1 })
+	must.EqOp(t, ledger.Running, r.state("j"))
+	f.finish("a", key("j", 0, 1), ledger.EndDone)
+	r.until(func() bool { return r.state("j") == ledger.Completed })
+	// The end is acknowledged, so that the server forgets it.
+	r.until(func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.servers["a"].finished) == 0
+	})
+}
+
+func TestSubmittedTwiceIsOneJob(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	r.submit("j", small)
+	r.submit("j", small)
+	r.until(func() bool { return len(f.runs("a")) == 1 })
+	f.finish("a", key("j", 0, 1), ledger.EndDone)
+	r.until(func() bool { return r.state("j") == ledger.Completed })
+	r.submit("j", small)
+	must.EqOp(t, ledger.Completed, r.state("j"))
+	must.EqOp(t, 1, len(f.starts))
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	r.submit("j", small)
+	r.until(func() bool { return len(f.runs("a")) == 1 })
+	must.EqOp(t, OK, r.do(&Call{Op: OpCancel, Host: "h", Path: "/q/j"}).Outcome)
+	r.until(func() bool { return len(f.runs("a")) == 0 })
+	must.EqOp(t, ledger.Cancelled, r.state("j"))
+}
+
+// An order without an answer may be carried out later: the run is stopped before the task starts elsewhere.
+func TestUnansweredStartIsAdoptedOrStopped(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	f.mute["a"] = true
+	r.submit("j", small)
+	r.until(func() bool { return len(f.runs("a")) == 1 })
+	f.finish("a", key("j", 0, 1), ledger.EndDone)
+	r.until(func() bool { return r.state("j") == ledger.Completed })
+	must.EqOp(t, 1, len(f.starts))
+}
+
+// A server that answers nothing keeps its runs until its leases have lapsed; a try to renew them doesn't count
+// against that for ever.
+func TestRunsOfASilentServerStartElsewhereOnceTheyLapsed(t *testing.T) {
+	f := newFakeServers("a", "b")
+	r := newRig(t, f)
+	r.submit("j", small)
+	r.until(func() bool { return len(f.runs("a"))+len(f.runs("b")) == 1 })
+	at, other := "a", "b"
+	if len(f.runs("b")) == 1 {
+		at, other = "b", "a"
+	}
+	f.mu.Lock()
+	f.silent[at] = true
+	f.mu.Unlock()
+	r.until(func() bool { return len(f.runs(other)) == 1 })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	must.Greater(t, f.servers[at].deadline, f.clock())
+}
+
+// Another incarnation at the address means that the one that was meant is gone: it gets nothing more.
+func TestServerReplacedAtItsAddressGetsNothingMore(t *testing.T) {
+	f := newFakeServers("a", "b")
+	f.elsewhere["a"] = true
+	r := newRig(t, f)
+	for _, id := range []string{"j1", "j2", "j3"} {
+		r.submit(id, small)
+	}
+	r.until(func() bool { return len(f.runs("b")) == 3 })
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	for _, id := range []string{"j1", "j2", "j3"} {
+		_, task := r.engine.ledger.Task(ledger.TaskID{Job: id})
+		must.LessEq(t, 2, task.Run)
+	}
+}
+
+// A server that has no room is left alone for a while instead of being asked again at once.
+func TestRefusalIsNotRepeatedAtOnce(t *testing.T) {
+	f := newFakeServers("a")
+	f.servers["a"].room = 1
+	r := newRig(t, f)
+	r.submit("j", ledger.Step{Count: 2, Need: ledger.Resources{CPU: 1000}})
+	r.until(func() bool { return len(f.runs("a")) == 1 })
+	first := f.runs("a")[0]
+	f.finish("a", first, ledger.EndDone)
+	r.until(func() bool { return len(f.runs("a")) == 1 && f.runs("a")[0] != first })
+	must.Less(t, 5, len(f.starts))
+}
+
+func TestNewLeaderTakesOver(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	r.submit("j", ledger.Step{Count: 2, Need: ledger.Resources{CPU: 1000}})
+	r.until(func() bool { return len(f.runs("a")) == 2 })
+	f.mu.Lock()
+	delete(f.servers["a"].running, key("j", 1, 1)) // a run of which the server knows nothing
+	f.mu.Unlock()
+	r.log.lead(2)
+	r.until(func() bool { return len(f.runs("a")) == 2 })
+	f.finish("a", key("j", 0, 1), ledger.EndDone)
+	f.finish("a", key("j", 1, 2), ledger.EndDone)
+	r.until(func() bool { return r.d.Leads() && r.state("j") == ledger.Completed })
+	must.EqOp(t, 3, len(f.starts))
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -74,7 +74,10 @@
 		h.born, h.acked, h.told, h.contacted = server.Born, 0, 0, false
 	}
 	o := HoldOrder{Fence: s.holder.Fence, AckedEnd: h.acked, WaitMS: h.waitLocked().Milliseconds()}
-	o.DeadlineMS, _ = s.grantLocked(h.worker)
+	if server.FailedCalls == 0 {
+		// A server that doesn't answer is only asked: a renewal that may have reached it would put off the lapse.
+		o.DeadlineMS, _ = s.grantLocked(h.worker)
+	}
 	s.engine.mu.Unlock()
 	if !s.mayOrder() {
 		return h.pause()
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -9,6 +9,10 @@
 	"laburnumrouter/internal/request/ledger"
 )
 
+// refusedPause is how long a server that rejected a start gets no other: about as long as a short task runs, after
+// which room that this leader doesn't know of may be free.
+const refusedPause = 500 * time.Millisecond
+
 // orderState is where the order of a run stands.
 type orderState int
 
@@ -98,14 +102,25 @@
 		// The run, or a later one, was stopped or has ended there: the next report tells.
 		s.setOrderLocked(key, orderStopped)
 		s.holdLocked(st.Worker)
+	case StartElsewhere:
+		s.incarnationGoneLocked(st.Worker, "another incarnation answers at its address")
+		s.ends.add(ledger.End{Task: st.Task, Run: st.Run, Worker: st.Worker, How: ledger.EndRefused})
 	default:
-		s.log.Info("order refused", "task", st.Task, "run", st.Run, "server", st.Worker, "answer", int(answer))
-		s.stats.refused.Inc(1)
-		if server := s.fleet.Get(st.Worker); server != nil && answer == StartUnhealthy {
-			server.Health.Failed(heard)
+		s.refusedLocked(st, answer, heard)
+	}
+}
+
+// refusedLocked closes a start that the server rejected, and leaves the server alone for a while.
+func (s *session) refusedLocked(st ledger.Start, answer StartAnswer, now time.Duration) {
+	s.log.Info("order refused", "task", st.Task, "run", st.Run, "server", st.Worker, "answer", answer)
+	s.stats.refused.Inc(1)
+	if server := s.fleet.Get(st.Worker); server != nil {
+		server.AvoidUntil = now + refusedPause
+		if answer == StartUnhealthy {
+			server.Health.Failed(now)
 		}
-		s.ends.add(ledger.End{Task: st.Task, Run: st.Run, Worker: st.Worker, How: ledger.EndRefused})
 	}
+	s.ends.add(ledger.End{Task: st.Task, Run: st.Run, Worker: st.Worker, How: ledger.EndRefused})
 }
 
 // neverSent closes a committed start whose order did not leave this process.
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -56,6 +56,15 @@
 	StartTicket
 )
 
+// String names the answer for log lines.
+func (a StartAnswer) String() string {
+	names := [...]string{"taken", "fenced", "old", "late", "no-room", "unhealthy", "invalid", "elsewhere", "ticket"}
+	if int(a) < len(names) {
+		return names[a]
+	}
+	return "unknown"
+}
+
 // StopOrder stops a run.
 type StopOrder struct {
 	Task  ledger.TaskID
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -118,6 +119,16 @@
 // transport carries the log's messages. Commands are proposed at the leader only.
 type transport struct{ *replication.Links }
 
+// Send implements replica.Transport. A member's name begins with its address, so that an instance that doesn't know
+// the membership yet can answer its leader.
+func (t transport) Send(to *laburnumv1.Member, messages []*laburnumv1.ReplicaMessage) {
+	if to.Address == "" {
+		address, _, _ := strings.Cut(to.Name, nameSeparator)
+		to = &laburnumv1.Member{Name: to.Name, Address: address}
+	}
+	t.Links.Send(to, messages)
+}
+
 // Propose implements replica.Transport.
 func (transport) Propose(context.Context, *laburnumv1.Member, []byte) ([]byte, uint64, error) {
 	return nil, 0, replica.ErrNotLeader
--- a/internal/jobcontrol/identity.go
+++ b/internal/jobcontrol/identity.go
@@ -19,6 +19,9 @@
 // identityFile holds the name under which the owner of a data folder is a member of the log.
 const identityFile = "member"
 
+// nameSeparator stands between the address and the random number in a member's name.
+const nameSeparator = "/"
+
 // identity returns the member name that belongs to the data folder. An empty folder gets a new one: a founder
 // is named by its address, any other also by a random number, so that what an earlier folder at the same
 // address promised is never taken for a promise of this one.
@@ -39,7 +42,7 @@
 		if _, err := rand.Read(b[:]); err != nil {
 			return "", false, Error.Wrap(err)
 		}
-		name += "/" + hex.EncodeToString(b[:])
+		name += nameSeparator + hex.EncodeToString(b[:])
 	}
 	return name, founder, Error.Wrap(writeSynced(s.DataDir, identityFile, []byte(name+"\n")))
 }
--- a/internal/jobcontrol/members.go
+++ b/internal/jobcontrol/members.go
@@ -14,6 +14,7 @@
 	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/process/electorate"
 	"laburnumrouter/internal/process/replica"
+	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
 
 const (
@@ -165,6 +166,11 @@
 	for _, name := range s.Active {
 		m.heard[name] = now
 	}
+	for name := range m.heard {
+		if !slices.ContainsFunc(s.Members, func(o *laburnumv1.Member) bool { return o.Name == name }) {
+			delete(m.heard, name)
+		}
+	}
 	var list []electorate.Member
 	for _, member := range s.Members {
 		if _, ok := m.heard[member.Name]; !ok {
--- a/internal/request/fleet/fleet.go
+++ b/internal/request/fleet/fleet.go
@@ -30,6 +30,8 @@
 	// FailedCalls counts calls without an answer since the last answered one; FailedAt is when the last failed.
 	FailedCalls int
 	FailedAt    time.Duration
+	// AvoidUntil is until when it gets no new work, after it has rejected some.
+	AvoidUntil time.Duration
 	// Health judges how its runs went.
 	Health Health
 }
@@ -128,7 +130,7 @@
 
 // Reachable reports whether work may be sent: the server was heard within silence, and it answers calls.
 func (s *Server) Reachable(now, silence time.Duration) bool {
-	if s.Left || s.FailedCalls > 0 {
+	if s.Left || s.FailedCalls > 0 || now < s.AvoidUntil {
 		return false
 	}
 	return now-max(s.HeardAt, s.ContactAt) <= silence
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -110,6 +110,9 @@
 		}
 		if !j.State.Final() || j.Live > 0 {
 			l.open[id] = j
+			if j.Occurrences == nil {
+				j.Occurrences = make(map[int]*Occurrence)
+			}
 		}
 		l.eachLive(j, l.addLive)
 	}
--- /dev/null
+++ b/internal/request/ledger/ledger_test.go
@@ -0,0 +1,186 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumrouter/internal/version/accepted"
+)
+
+func testConfig(version int64) *accepted.Config {
+	return &accepted.Config{
+		Version: version,
+		Queues: []accepted.Queue{
+			{Name: "checks", Host: "h", Prefix: "/checks/", Pool: "p", TimeoutMS: 1000, SlackFactor: 2, ObjectiveMS: 600, MaxAttempts: 2},
+			{Name: "other", Host: "h", Prefix: "/other/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 1},
+		},
+		Pools: []accepted.Pool{{Name: "p", Guards: true}},
+		Teams: []accepted.Team{{Name: "lab", Keys: []string{"k"}, CPU: 10_000}},
+		Raw:   []byte{byte(version)},
+	}
+}
+
+func newLedger(t *testing.T) *Ledger {
+	t.Helper()
+	l := New()
+	must.EqOp(t, Taken, l.Apply(&Command{NowMS: 1000, Config: testConfig(1)}).Config)
+	return l
+}
+
+func submit(t *testing.T, l *Ledger, id string, steps ...Step) {
+	t.Helper()
+	r := l.Apply(&Command{NowMS: 1000, Submit: &Submission{ID: id, Queue: "checks", Team: "lab", Spec: "s", Steps: steps}})
+	must.EqOp(t, Taken, r.Submit)
+}
+
+func task(job string, step, index int) TaskID { return TaskID{Job: job, Step: step, Index: index} }
+
+func start(l *Ledger, id TaskID, run int) bool {
+	return len(l.Apply(&Command{Starts: []Start{{Task: id, Run: run, Worker: "w"}}}).Started) == 1
+}
+
+func end(l *Ledger, id TaskID, run int, how How) bool {
+	return len(l.Apply(&Command{Ends: []End{{Task: id, Run: run, Worker: "w", How: how}}}).Ended) == 1
+}
+
+// reload passes the state through a snapshot, as a restart does.
+func reload(t *testing.T, l *Ledger) *Ledger {
+	t.Helper()
+	data, err := l.Snapshot()
+	must.NoError(t, err)
+	fresh := New()
+	must.NoError(t, fresh.Restore(data))
+	return fresh
+}
+
+func TestStepsInOrder(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "j", Step{Count: 2}, Step{Count: 1, After: []int{0}})
+	must.False(t, start(l, task("j", 1, 0), 1))
+	must.True(t, start(l, task("j", 0, 0), 1))
+	must.True(t, start(l, task("j", 0, 1), 1))
+	must.True(t, end(l, task("j", 0, 0), 1, EndDone))
+	must.False(t, start(l, task("j", 1, 0), 1))
+	must.True(t, end(l, task("j", 0, 1), 1, EndDone))
+	must.True(t, start(l, task("j", 1, 0), 1))
+	must.EqOp(t, Running, l.Job("j").State)
+	must.True(t, end(l, task("j", 1, 0), 1, EndDone))
+	must.EqOp(t, Completed, l.Job("j").State)
+}
+
+func TestNoSecondRun(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "j", Step{Count: 1})
+	must.True(t, start(l, task("j", 0, 0), 1))
+	must.False(t, start(l, task("j", 0, 0), 2)) // one may be alive
+	must.True(t, end(l, task("j", 0, 0), 1, EndLost))
+	must.False(t, start(l, task("j", 0, 0), 1)) // run numbers only grow
+	must.True(t, start(l, task("j", 0, 0), 2))
+	must.False(t, end(l, task("j", 0, 0), 1, EndDone)) // the lost run is void
+	must.True(t, end(l, task("j", 0, 0), 2, EndDone))
+	must.False(t, start(l, task("j", 0, 0), 3))
+}
+
+func TestAttemptsEndAJob(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "j", Step{Count: 1})
+	for run := 1; run <= 3; run++ {
+		must.True(t, start(l, task("j", 0, 0), run))
+		how := EndFailed
+		if run == 2 {
+			how = EndLapsed // no attempt
+		}
+		must.True(t, end(l, task("j", 0, 0), run, how))
+	}
+	must.EqOp(t, Failed, l.Job("j").State)
+	must.False(t, start(l, task("j", 0, 0), 4))
+}
+
+func TestLastingTasksStartAgainHoweverTheyEnd(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "j", Step{Count: 1, Lasting: true})
+	for run, how := range []How{EndFailed, EndFailed, EndFailed, EndDone, EndStopped} {
+		must.True(t, start(l, task("j", 0, 0), run+1))
+		must.True(t, end(l, task("j", 0, 0), run+1, how))
+	}
+	must.EqOp(t, Running, l.Job("j").State)
+}
+
+func TestCancel(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "j", Step{Count: 2})
+	must.True(t, start(l, task("j", 0, 0), 1))
+	must.EqOp(t, Taken, l.Apply(&Command{Cancel: "j"}).Cancel)
+	must.False(t, start(l, task("j", 0, 1), 1))
+	must.EqOp(t, 1, len(l.LiveOn("w")))
+	must.True(t, end(l, task("j", 0, 0), 1, EndStopped))
+	must.EqOp(t, 0, len(l.Open()))
+	must.EqOp(t, Cancelled, l.Job("j").State)
+}
+
+func TestCancelBeforeSubmissionKeepsTheJobFromRunning(t *testing.T) {
+	l := newLedger(t)
+	must.EqOp(t, Unknown, l.Apply(&Command{Cancel: "j"}).Cancel)
+	submit(t, l, "j", Step{Count: 1})
+	must.False(t, start(l, task("j", 0, 0), 1))
+}
+
+func TestUpperLimit(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "j", Step{Count: 3, Need: Resources{CPU: 4000}})
+	must.True(t, start(l, task("j", 0, 0), 1))
+	must.True(t, start(l, task("j", 0, 1), 1))
+	must.False(t, start(l, task("j", 0, 2), 1))
+	must.True(t, end(l, task("j", 0, 0), 1, EndDone))
+	must.True(t, start(l, task("j", 0, 2), 1))
+}
+
+func TestGangIsTakenWhole(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "j", Step{Count: 2, Gang: true, Need: Resources{CPU: 4000}})
+	whole := []Start{{Task: task("j", 0, 0), Run: 1, Worker: "w"}, {Task: task("j", 0, 1), Run: 1, Worker: "w"}}
+	must.EqOp(t, 0, len(l.Apply(&Command{Starts: whole[:1]}).Started))
+	must.EqOp(t, 2, len(l.Apply(&Command{Starts: whole}).Started))
+	must.True(t, end(l, task("j", 0, 1), 1, EndDone))
+	must.EqOp(t, Completed, l.Job("j").State)
+	must.EqOp(t, 0, len(l.Workers()))
+}
+
+func TestConfigurationVersions(t *testing.T) {
+	l := newLedger(t)
+	must.EqOp(t, Taken, l.Apply(&Command{Config: testConfig(3)}).Config)
+	must.EqOp(t, Taken, l.Apply(&Command{Config: testConfig(3)}).Config)
+	must.EqOp(t, Superseded, l.Apply(&Command{Config: testConfig(2)}).Config)
+	other := testConfig(3)
+	other.Raw = []byte("other")
+	must.EqOp(t, Conflict, l.Apply(&Command{Config: other}).Config)
+	must.Eq(t, []byte{3}, l.Config.Raw)
+}
+
+// A job that had not begun when the snapshot was taken begins after a restart.
+func TestSnapshotKeepsEverything(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "idle", Step{Count: 1, Need: Resources{CPU: 1000}})
+	submit(t, l, "begun", Step{Count: 2, Need: Resources{CPU: 1000}})
+	must.True(t, start(l, task("begun", 0, 1), 1))
+	l = reload(t, l)
+	must.EqOp(t, 1, l.Pending("checks"))
+	must.EqOp(t, Resources{CPU: 1000}, l.Usage("lab"))
+	must.EqOp(t, Resources{CPU: 1000}, l.Load("w"))
+	must.True(t, start(l, task("idle", 0, 0), 1))
+	must.True(t, end(l, task("begun", 0, 1), 1, EndDone))
+	must.EqOp(t, Running, l.Job("begun").State)
+	must.EqOp(t, 0, l.Pending("checks"))
+}
+
+func TestFinishedJobsAreForgottenAfterTheRetention(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "j", Step{Count: 1})
+	must.True(t, start(l, task("j", 0, 0), 1))
+	must.True(t, end(l, task("j", 0, 0), 1, EndDone))
+	l.Apply(&Command{NowMS: 1000 + retentionMS - 1})
+	must.NotNil(t, l.Job("j"))
+	l.Apply(&Command{NowMS: 1000 + retentionMS})
+	must.Nil(t, l.Job("j"))
+}
