The leader is found where no seed leads; no starts before a server's clock is known

Meanwhile the planner started tasks on servers whose clocks were unknown and took each start back, 85 log entries a second.

Ruled out by a trial with dumps of all goroutines and of the log's progress: a deadlock, a stuck commit, a lost authority.

Change: a search also asks whom the answers name; servers without a clock reading get no starts, and a new leader holds every server that it inherits once, which reads its clock and raises its fence.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -115,9 +115,18 @@
 		return true
 	}
 	server := s.fleet.Get(h.worker)
-	return server != nil && !server.Left && server.FailedCalls > 0 && server.HeardAt > server.FailedAt
+	if server == nil || server.Left {
+		return false
+	}
+	if server.FailedCalls > 0 {
+		return server.HeardAt > server.FailedAt // it announces itself, so it may answer again
+	}
+	return !server.Contacted && s.inheritedLocked(server)
 }
 
+// inheritedLocked reports whether a server was known to an earlier leader and hasn't announced itself to this one.
+func (s *session) inheritedLocked(server *fleet.Server) bool { return server.Seq == 0 }
+
 // waitLocked returns how long the server may keep the answer back.
 func (h *holder) waitLocked() time.Duration {
 	s := h.session
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -102,6 +102,7 @@
 	now := boottime.Now()
 	for _, known := range s.engine.ledger.KnownServers() {
 		s.fleet.Adopt(known, now)
+		s.holdLocked(known.ID) // reads its clock and raises its fence
 	}
 	for _, id := range s.engine.ledger.Workers() {
 		s.holdLocked(id)
@@ -111,7 +112,7 @@
 	s.run(s.ends.run)
 	s.run(s.planLoop)
 	s.run(s.upkeepLoop)
-	s.log.Info("leadership begins", "servers", len(s.fleet.All()), "open_jobs", len(s.engine.ledger.Open()))
+	s.log.Info("leadership begins")
 	return s
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -233,29 +233,11 @@
 	return c.leader, nil
 }
 
-// search asks all known instances who leads and believes the first that says so of itself.
+// search asks all known instances, and those that they name, who leads, and believes the first that says so of itself.
 func (c *Client) search(finding chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
 	defer cancel()
-	targets := c.known()
-	answers := make(chan string, len(targets))
-	for _, target := range targets {
-		go func() {
-			where, err := c.ask(ctx, target)
-			if err != nil || !where.Leads {
-				answers <- ""
-				return
-			}
-			c.learn(where)
-			answers <- target
-		}()
-	}
-	found := ""
-	for range targets {
-		if found = <-answers; found != "" {
-			break
-		}
-	}
+	found := c.askAll(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -273,6 +255,53 @@
 	close(finding)
 }
 
+// answer is what one instance said.
+type answer struct {
+	from  string
+	where *Whereabouts
+}
+
+// askAll returns the address of the instance that leads, or "".
+func (c *Client) askAll(ctx context.Context) string {
+	answers := make(chan answer)
+	asked := make(map[string]bool)
+	open := 0
+	ask := func(targets ...string) {
+		for _, target := range targets {
+			if target == "" || asked[target] {
+				continue
+			}
+			asked[target] = true
+			open++
+			go func() {
+				where, err := c.ask(ctx, target)
+				if err != nil {
+					where = &Whereabouts{}
+				}
+				select {
+				case answers <- answer{target, where}:
+				case <-ctx.Done():
+				}
+			}()
+		}
+	}
+	ask(c.known()...)
+	for ; open > 0; open-- {
+		select {
+		case a := <-answers:
+			c.learn(a.where)
+			if a.where.Leads {
+				return a.from
+			}
+			ask(a.where.Leader)
+			ask(a.where.Members...)
+		case <-ctx.Done():
+			return ""
+		}
+	}
+	return ""
+}
+
 // known returns every address that may be a control instance's.
 func (c *Client) known() []string {
 	c.mu.Lock()
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -67,7 +67,8 @@
 func newPlanner(in *Input) *planner {
 	p := &planner{Input: in, rooms: make(map[string][]*room), used: make(map[string]ledger.Resources)}
 	for id, s := range in.Fleet.All() {
-		if s.Draining || in.Reserved[id] || !s.Reachable(in.Now, silence) {
+		// Without a reading of its clock no lease can be granted.
+		if s.Draining || in.Reserved[id] || !s.Clock.Known() || !s.Reachable(in.Now, silence) {
 			continue
 		}
 		r := &room{server: s, free: s.Capacity.Minus(in.Ledger.Load(id)), slow: s.Health.Slow(in.Now)}
