Machines follow demand between pools

Change: forecast notices turns and their order, pools turns need into moves (standby first, then what is spare, then loans from pools whose turn may still come), dispatch/pools carries them out; only empty machines move. Upkeep takes empty machines first and prepares busy ones only as the wave's time asks. The platform's list is read again after changes, not by the clock.

--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -38,6 +38,7 @@
 		return
 	}
 	result, err := s.propose(&ledger.Command{Starts: starts})
+	defer s.unplan(starts)
 	if err != nil {
 		s.log.Warn("starts not committed", "starts", len(starts), "error", err)
 		s.forget(starts)
@@ -63,10 +64,22 @@
 	s.stats.plan.Record(time.Since(began))
 	for _, st := range starts {
 		s.orders[runKey{st.Task, st.Run}] = &order{state: orderPlanned, at: now}
+		s.planned[st.Worker]++
 	}
 	return starts
 }
 
+// unplan notes that starts are in the ledger, or never will be as far as this leader knows.
+func (s *session) unplan(starts []ledger.Start) {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	for _, st := range starts {
+		if s.planned[st.Worker]--; s.planned[st.Worker] <= 0 {
+			delete(s.planned, st.Worker)
+		}
+	}
+}
+
 func (s *session) forget(starts []ledger.Start) { s.forgetExcept(starts, nil) }
 
 func (s *session) forgetExcept(starts, taken []ledger.Start) {
--- /dev/null
+++ b/internal/dispatch/pools.go
@@ -0,0 +1,280 @@
+package dispatch
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"laburnumrouter/internal/process/boottime"
+	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/pools"
+	"laburnumrouter/internal/version/accepted"
+)
+
+const (
+	// poolsEvery is the time between looks at the pools.
+	poolsEvery = 150 * time.Millisecond
+	// arriving is how long a machine that was moved counts for its new pool before the platform's list shows it there:
+	// migrate_s (1.5 s) and the time until its server has announced itself.
+	arriving = 2500 * time.Millisecond
+	// settle is how long after a change the platform's list is read again: migrate_s (1.5 s) and a little.
+	settle = 1700 * time.Millisecond
+	// viewAge is the oldest that the list may be without a known change.
+	viewAge = 10 * time.Second
+	// lateCall is how long an order for a machine may still be carried out that was not answered (applied_late: 12 s).
+	lateCall = 13 * time.Second
+	// lendShare is the part of its first size that a pool keeps while others lack machines and its own turn may come at any
+	// time; it is enough for a turn's first second, in which machines come back.
+	lendShare = 0.6
+	// coldFloor is the least number of machines of a pool of which no turn is expected: a large task finds room at once.
+	coldFloor = 2
+	// moveAtOnce bounds the calls that are under way at once; the platform takes duty_per_s (64) a second.
+	moveAtOnce = 12
+)
+
+// poolLoop moves machines between pools.
+func (s *session) poolLoop() {
+	if s.machines == nil {
+		return
+	}
+	ticker := time.NewTicker(poolsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if boottime.Now() < s.startedAt+s.holderPause() || !s.mayOrder() {
+			continue
+		}
+		s.movePools()
+	}
+}
+
+// movePools makes one plan and carries it out.
+func (s *session) movePools() {
+	if s.viewStale() && !s.readMachines(s.view) {
+		return
+	}
+	moves := s.planPools()
+	var group sync.WaitGroup
+	slots := make(chan struct{}, moveAtOnce)
+	for _, m := range moves {
+		slots <- struct{}{}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			s.move(m)
+			<-slots
+		}()
+	}
+	group.Wait()
+}
+
+// viewStale reports whether the platform's list is to be read again: it was never read or long ago, or a machine
+// was moved or taken down, or a server appeared, long enough ago for the list to show what became of it.
+func (s *session) viewStale() bool {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	now, asOf := boottime.Now(), s.view.asOf()
+	return asOf == 0 || now-asOf > viewAge || s.unseenSince > 0 && now-s.unseenSince > settle
+}
+
+// changedLocked notes that the platform's list no longer shows how things are.
+func (s *session) changedLocked() {
+	if s.unseenSince == 0 {
+		s.unseenSince = boottime.Now()
+	}
+}
+
+// planPools plans and reserves the machines that are to move.
+func (s *session) planPools() []pools.Move {
+	now := boottime.Now()
+	machines := s.view.machines()
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	index := s.engine.ledger.Index()
+	if index == nil || len(machines) == 0 {
+		return nil
+	}
+	var cpu int64
+	var list []pools.Machine
+	for _, m := range machines {
+		if at, ok := s.movedAt[m.Name]; ok && m.Pool != s.movedTo[m.Name] {
+			if now-at < arriving || now-at < lateCall && s.moveOpen[m.Name] {
+				m.Pool, m.State = s.movedTo[m.Name], MachineMoving
+			}
+		}
+		cpu = max(cpu, s.serverCPULocked(m.Server))
+		list = append(list, pools.Machine{Name: m.Name, Pool: m.Pool, Movable: s.movableLocked(m, now)})
+	}
+	s.machineCPU = max(cpu, s.machineCPU)
+	s.startForecastLocked(index.Config().Pools)
+	demand := s.demandLocked(index.Config().Pools)
+	moves := s.pools.Plan(now, demand, list, s.machineCPU)
+	for _, m := range moves {
+		if server := s.view.get(m.Machine).Server; server != "" {
+			s.reserved[server] = true
+		}
+	}
+	return moves
+}
+
+func (s *session) serverCPULocked(id string) int64 {
+	if server := s.fleet.Get(id); server != nil {
+		return server.Capacity.CPU
+	}
+	return 0
+}
+
+// movableLocked reports whether a machine may leave its pool: it is up or off, nothing runs on it or is ordered for
+// it, and no upkeep is prepared.
+func (s *session) movableLocked(m Machine, now time.Duration) bool {
+	if m.State != MachineUp && m.State != MachineDown || s.reservedFor[m.Name] != "" {
+		return false
+	}
+	if s.movedAt[m.Name] > s.view.asOf() || s.upkeepTaken[m.Name] > s.view.asOf() {
+		return false // the list doesn't show yet what became of it
+	}
+	if s.moveOpen[m.Name] && now-s.movedAt[m.Name] < lateCall {
+		return false // an order without an answer may still be carried out
+	}
+	if m.Server == "" {
+		return true
+	}
+	server := s.fleet.Get(m.Server)
+	if server == nil || server.Draining || s.reserved[m.Server] {
+		return false
+	}
+	return len(s.engine.ledger.LiveOn(m.Server)) == 0 && s.planned[m.Server] == 0
+}
+
+// startForecastLocked tells the forecast the usual sizes of pools, and at first what has arrived before this leader.
+func (s *session) startForecastLocked(list []accepted.Pool) {
+	if s.forecastOn || s.machineCPU == 0 {
+		return
+	}
+	s.forecastOn = true
+	for _, p := range list {
+		if !p.Standby {
+			s.forecast.SetUsual(p.Name, int64(s.engine.ledger.Size(p.Name))*s.machineCPU)
+		}
+	}
+	var jobs []*ledger.Job
+	for _, j := range s.engine.ledger.Jobs {
+		if j.Work > 0 {
+			jobs = append(jobs, j)
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *ledger.Job) int { return cmp.Compare(a.AcceptedMS, b.AcceptedMS) })
+	for _, j := range jobs {
+		s.arrivedLocked(j, j.AcceptedMS)
+	}
+}
+
+// arrivedLocked tells the forecast of a job that was accepted at a moment.
+func (s *session) arrivedLocked(j *ledger.Job, atMS int64) {
+	index := s.engine.ledger.Index()
+	if !s.forecastOn || j == nil || j.Work == 0 || j.AcceptedMS < atMS {
+		return
+	}
+	if q := index.Queue(j.Queue); q != nil {
+		s.forecast.Arrive(q.Pool, atMS, j.Work)
+	}
+}
+
+// demandLocked returns what each pool is asked for and is likely to be asked for soon.
+func (s *session) demandLocked(list []accepted.Pool) []pools.Pool {
+	at := make(map[string]int, len(list))
+	demand := make([]pools.Pool, len(list))
+	lasting := make([]int64, len(list))
+	for i, p := range list {
+		at[p.Name] = i
+		demand[i] = pools.Pool{Name: p.Name, Standby: p.Standby}
+	}
+	wall := time.Now().UnixMilli()
+	index := s.engine.ledger.Index()
+	for _, j := range s.engine.ledger.Open() {
+		q := index.Queue(j.Queue)
+		if q == nil || j.State.Final() {
+			continue
+		}
+		if i, ok := at[q.Pool]; ok {
+			now, stays := schedulable(j, wall)
+			demand[i].Need += now + stays
+			lasting[i] += stays
+		}
+	}
+	look := s.forecast.Look(wall)
+	for i := range demand {
+		d := &demand[i]
+		if d.Standby {
+			continue
+		}
+		o := look[d.Name]
+		d.Need = max(d.Need, o.Rate+lasting[i])
+		d.Floor, d.Least = coldFloor, coldFloor
+		if size := s.engine.ledger.Size(d.Name); o.Open || !s.forecastOn {
+			d.Floor, d.Least = size, max(coldFloor, int(lendShare*float64(size)))
+		}
+	}
+	return demand
+}
+
+// schedulable returns the thousandths of a core that a job would use now if there were room: by tasks that end, and by
+// tasks that last.
+func schedulable(j *ledger.Job, wallMS int64) (now, stays int64) {
+	j.EachDue(wallMS, func(o *ledger.Occurrence, step int) {
+		count := j.Steps[step].Count
+		if o != nil {
+			count -= o.Steps[step].Done
+		}
+		cpu := int64(count) * j.Steps[step].Charge().CPU
+		if j.Steps[step].Lasting {
+			stays += cpu
+		} else {
+			now += cpu
+		}
+	})
+	return now, stays
+}
+
+// move takes one machine to its new pool.
+func (s *session) move(m pools.Move) {
+	server := s.view.get(m.Machine).Server
+	if !s.mayOrder() {
+		s.unreserve(server)
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, machineTimeout)
+	defer cancel()
+	answer, err := s.machines.Move(ctx, s.holder, m.Machine, m.To)
+	s.stats.machineCalls.Inc(1)
+	s.log.Info("machine moves", "machine", m.Machine, "server", server, "from", m.From, "to", m.To, "answer", answer, "error", err)
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	switch {
+	case err != nil:
+		s.moveOpen[m.Machine] = true
+	case answer == MachineTaken:
+		delete(s.moveOpen, m.Machine)
+	default:
+		delete(s.reserved, server)
+		s.changedLocked()
+		return
+	}
+	s.movedAt[m.Machine], s.movedTo[m.Machine] = boottime.Now(), m.To
+	s.changedLocked()
+	if old := s.fleet.Get(server); old != nil && err == nil {
+		old.Left = true
+	}
+}
+
+func (s *session) unreserve(server string) {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	delete(s.reserved, server)
+}
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -173,6 +173,15 @@
 	MachineThrottled
 )
 
+// String names the answer for log lines.
+func (a MachineAnswer) String() string {
+	names := [...]string{"taken", "fenced", "busy", "not-in-wave", "refused", "throttled"}
+	if int(a) < len(names) {
+		return names[a]
+	}
+	return "unknown"
+}
+
 // Holder names who gives an order for a machine.
 type Holder struct {
 	Name  string
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -12,8 +12,10 @@
 	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/request/fleet"
+	"laburnumrouter/internal/request/forecast"
 	"laburnumrouter/internal/request/lease"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/pools"
 )
 
 // Log is what a session needs of the replicated log.
@@ -70,13 +72,28 @@
 	// reservedFor names the server for which a machine was reserved, upkeepTaken is when its upkeep was taken.
 	reservedFor map[string]string
 	upkeepTaken map[string]time.Duration
-
-	ends   *endQueue
-	wake   chan struct{}
-	ctx    context.Context
-	cancel context.CancelFunc
-	group  sync.WaitGroup
-	closed atomic.Bool
+	// planned counts the starts on a server that are planned and not yet committed.
+	planned map[string]int
+	// movedAt, movedTo and moveOpen tell when a machine was last moved, where to, and whether that call got no answer.
+	movedAt  map[string]time.Duration
+	movedTo  map[string]string
+	moveOpen map[string]bool
+	// machineCPU is the largest server's size in thousandths of a core.
+	machineCPU int64
+	forecast   forecast.Forecast
+	// forecastOn is set once the forecast knows the pools.
+	forecastOn bool
+
+	view *fleetView
+	// unseenSince is when the first change came that the view doesn't show; 0 if it shows all.
+	unseenSince time.Duration
+	pools       pools.Planner
+	ends        *endQueue
+	wake        chan struct{}
+	ctx         context.Context
+	cancel      context.CancelFunc
+	group       sync.WaitGroup
+	closed      atomic.Bool
 }
 
 // runKey names a run.
@@ -95,6 +112,8 @@
 		fleet:     fleet.NewTable(), orders: make(map[runKey]*order), holders: make(map[string]*holder),
 		reserved: make(map[string]bool), paces: make(map[runKey]int),
 		reservedFor: make(map[string]string), upkeepTaken: make(map[string]time.Duration),
+		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
+		moveOpen: make(map[string]bool), view: &fleetView{},
 		wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	s.ends = newEndQueue(s)
@@ -112,6 +131,7 @@
 	s.run(s.ends.run)
 	s.run(s.planLoop)
 	s.run(s.upkeepLoop)
+	s.run(s.poolLoop)
 	s.log.Info("leadership begins")
 	return s
 }
@@ -174,6 +194,9 @@
 		delete(s.orders, runKey{e.Task, e.Run})
 		delete(s.paces, runKey{e.Task, e.Run})
 	}
+	if c.Submit != nil && r.Submit == ledger.Taken {
+		s.arrivedLocked(s.engine.ledger.Job(c.Submit.ID), c.NowMS)
+	}
 	for _, st := range r.Started {
 		if s.orders[runKey{st.Task, st.Run}] == nil {
 			// Its commit took longer than was waited for; no order left.
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -12,38 +12,23 @@
 const (
 	// upkeepEvery is the time between looks at the waves.
 	upkeepEvery = 200 * time.Millisecond
-	// machineListEvery is the time between readings of the platform's list while a wave runs; an upkeep takes
-	// 2 s (maintenance_s), and each reading has its price.
-	machineListEvery = 1500 * time.Millisecond
-	// machineTimeout bounds a call to the platform, which may be slow.
-	machineTimeout = 2 * time.Second
-	// holderPause is how long a new leader leaves machines alone: two holders may not take turns within lease_ms
-	// (3 s) of the users' bounds.
-	holderPause = 4 * time.Second
 )
 
-// fleetView is what the platform last said of the machines.
-type fleetView struct {
-	readAt time.Duration
-	byName map[string]Machine
-}
-
 // upkeepLoop carries out waves.
 func (s *session) upkeepLoop() {
 	ticker := time.NewTicker(upkeepEvery)
 	defer ticker.Stop()
-	view := &fleetView{}
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if s.machines == nil || boottime.Now() < s.startedAt+holderPause || !s.mayOrder() {
+		if s.machines == nil || boottime.Now() < s.startedAt+s.holderPause() || !s.mayOrder() {
 			continue
 		}
 		for _, number := range s.openWaves() {
-			s.advanceWave(number, view)
+			s.advanceWave(number)
 		}
 	}
 }
@@ -61,63 +46,41 @@
 }
 
 // advanceWave does what is next for a wave.
-func (s *session) advanceWave(number int64, view *fleetView) {
-	if boottime.Now()-view.readAt >= machineListEvery && !s.readMachines(view) {
+func (s *session) advanceWave(number int64) {
+	if s.viewStale() && !s.readMachines(s.view) {
 		return
 	}
-	marks := s.returned(number, view)
+	byName, readAt := s.view.look()
+	marks := s.returned(number, byName, readAt)
 	if len(marks) > 0 {
 		if _, err := s.propose(&ledger.Command{Upkeep: marks}); err != nil {
 			s.log.Warn("upkeep not noted", "wave", number, "error", err)
 			return
 		}
 	}
-	for _, m := range s.decideWave(number, view) {
-		s.orderUpkeep(number, m, view)
+	for _, m := range s.decideWave(number, byName) {
+		s.orderUpkeep(number, m, byName[m].Server)
 	}
 }
 
-// readMachines reads the platform's whole list.
-func (s *session) readMachines(view *fleetView) bool {
-	view.readAt = boottime.Now()
-	byName := make(map[string]Machine)
-	for page := ""; ; {
-		ctx, cancel := context.WithTimeout(s.ctx, machineTimeout)
-		list, next, err := s.machines.List(ctx, page)
-		cancel()
-		if err != nil {
-			s.log.Warn("platform's list of machines can't be read", "error", err, "age", boottime.Now()-view.readAt)
-			return false
-		}
-		for _, m := range list {
-			byName[m.Name] = m
-		}
-		if next == "" {
-			break
-		}
-		page = next
-	}
-	view.byName = byName
-	return true
-}
-
 // returned lists the machines of a wave whose upkeep is over: the platform says that they are up after an
 // order that was taken, or it no longer knows them.
-func (s *session) returned(number int64, view *fleetView) []ledger.UpkeepMark {
+func (s *session) returned(number int64, byName map[string]Machine, readAt time.Duration) []ledger.UpkeepMark {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	w := s.engine.ledger.Wave(number)
 	var marks []ledger.UpkeepMark
 	for _, name := range w.Machines {
-		m, known := view.byName[name]
+		m, known := byName[name]
 		switch {
 		case w.Phases[name] == ledger.UpkeepOver:
 		case !known:
 			s.log.Info("machine of a wave no longer exists", "wave", number, "machine", name)
 			marks = append(marks, ledger.UpkeepMark{Wave: number, Machine: name, Phase: ledger.UpkeepOver})
-		case w.Phases[name] == ledger.UpkeepOrdered && m.State == MachineUp && s.upkeepTaken[name] > 0 && view.readAt > s.upkeepTaken[name]:
+		case w.Phases[name] == ledger.UpkeepOrdered && m.State == MachineUp && s.upkeepTaken[name] > 0 && readAt > s.upkeepTaken[name]:
 			s.log.Info("machine is back from its upkeep", "wave", number, "machine", name, "server", m.Server)
 			delete(s.reserved, s.reservedFor[name])
+			delete(s.reservedFor, name)
 			marks = append(marks, ledger.UpkeepMark{Wave: number, Machine: name, Phase: ledger.UpkeepOver})
 		}
 	}
@@ -125,14 +88,14 @@
 }
 
 // decideWave reserves machines, stops lasting tasks on them and returns those that are to be taken down.
-func (s *session) decideWave(number int64, view *fleetView) []string {
+func (s *session) decideWave(number int64, byName map[string]Machine) []string {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	w := s.engine.ledger.Wave(number)
 	var due []upkeep.Machine
 	var again []string
 	for _, name := range w.Machines {
-		m, known := view.byName[name]
+		m, known := byName[name]
 		if !known || w.Phases[name] == ledger.UpkeepOver {
 			continue
 		}
@@ -145,10 +108,12 @@
 		}
 		due = append(due, s.machineLocked(m))
 	}
-	d := upkeep.Next(w, due)
+	d := upkeep.Next(w, time.Now().UnixMilli(), due)
 	for _, name := range d.Reserve {
-		server := view.byName[name].Server
-		s.reserved[server] = true
+		server := byName[name].Server
+		if server != "" {
+			s.reserved[server] = true
+		}
 		s.reservedFor[name] = server
 	}
 	for _, name := range w.Machines {
@@ -221,14 +186,13 @@
 }
 
 // orderUpkeep takes a machine down. The order is noted before it leaves.
-func (s *session) orderUpkeep(number int64, name string, view *fleetView) {
-	server := view.byName[name].Server
+func (s *session) orderUpkeep(number int64, name, server string) {
 	s.engine.mu.Lock()
 	s.reserved[server], s.reservedFor[name] = true, server
-	runs := len(s.engine.ledger.LiveOn(server))
+	busy := server != "" && (len(s.engine.ledger.LiveOn(server)) > 0 || s.planned[server] > 0)
 	s.engine.mu.Unlock()
-	if runs > 0 {
-		return // a start was committed meanwhile
+	if busy {
+		return // a start was planned meanwhile
 	}
 	mark := ledger.UpkeepMark{Wave: number, Machine: name, Phase: ledger.UpkeepOrdered}
 	if _, err := s.propose(&ledger.Command{Upkeep: []ledger.UpkeepMark{mark}}); err != nil {
@@ -242,7 +206,7 @@
 	defer cancel()
 	answer, err := s.machines.Upkeep(ctx, s.holder, name, number)
 	s.stats.machineCalls.Inc(1)
-	s.log.Info("upkeep ordered", "wave", number, "machine", name, "server", server, "answer", int(answer), "error", err)
+	s.log.Info("upkeep ordered", "wave", number, "machine", name, "server", server, "answer", answer, "error", err)
 	if err != nil {
 		return
 	}
@@ -250,6 +214,7 @@
 	case MachineTaken:
 		s.engine.mu.Lock()
 		s.upkeepTaken[name] = boottime.Now()
+		s.changedLocked()
 		if old := s.fleet.Get(server); old != nil {
 			old.Left = true
 		}
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -41,6 +41,11 @@
 	for _, m := range c.Upkeep {
 		l.applyUpkeep(m)
 	}
+	for pool, n := range c.Sizes {
+		if _, known := l.Sizes[pool]; !known {
+			l.Sizes[pool] = n
+		}
+	}
 	l.expire()
 	return r
 }
@@ -74,7 +79,7 @@
 	if q == nil || (!q.Open && l.index.Team(s.Team) == nil) {
 		return Unserved
 	}
-	j := &Job{Submission: *s, State: Queued, AcceptedMS: l.ClockMS, Occurrences: make(map[int]*Occurrence)}
+	j := &Job{Submission: *s, State: Queued, AcceptedMS: l.ClockMS, Occurrences: make(map[int]*Occurrence), Work: s.work()}
 	l.Jobs[s.ID] = j
 	l.open[s.ID] = j
 	l.waiting[s.Queue]++
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -18,6 +18,8 @@
 	Gone   []Incarnation `json:",omitempty"`
 	Wave   *WaveOrder    `json:",omitempty"`
 	Upkeep []UpkeepMark  `json:",omitempty"`
+	// Sizes are numbers of machines that pools have before any was moved; the first one of a pool counts.
+	Sizes map[string]int `json:",omitempty"`
 }
 
 // How tells how a run ended.
--- a/internal/request/ledger/job.go
+++ b/internal/request/ledger/job.go
@@ -247,6 +247,23 @@
 	Occurrences map[int]*Occurrence `json:",omitempty"`
 	// Ended counts occurrences that are done.
 	Ended int `json:",omitempty"`
+	// Work is what the job asks for at once by its submitter's estimates, in thousandths of a core times milliseconds; 0 for
+	// scheduled jobs. It is kept when the steps are dropped.
+	Work int64 `json:",omitempty"`
+}
+
+// work adds up what a submission asks for; lasting tasks are no work that ends.
+func (s *Submission) work() int64 {
+	if s.Times > 0 {
+		return 0
+	}
+	var sum int64
+	for i := range s.Steps {
+		if step := &s.Steps[i]; !step.Lasting {
+			sum += int64(step.Count) * step.Charge().CPU * step.EstimateMS
+		}
+	}
+	return sum
 }
 
 // occurrences returns the number of occurrences of the job.
@@ -278,3 +295,21 @@
 	}
 	return true
 }
+
+// EachDue calls f for each step of each due occurrence whose turn has come and that is not done. The occurrence is
+// nil if nothing of it has begun.
+func (j *Job) EachDue(wallMS int64, f func(o *Occurrence, step int)) {
+	for k := range j.occurrences() {
+		if j.DueMS(k) > wallMS {
+			return
+		}
+		o := j.Occurrences[k]
+		for s := range j.Steps {
+			switch {
+			case o == nil && len(j.Steps[s].After) > 0, o != nil && !j.ready(o, s), o != nil && o.Steps[s].Done == j.Steps[s].Count:
+			default:
+				f(o, s)
+			}
+		}
+	}
+}
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -45,6 +45,8 @@
 	Jobs    map[string]*Job
 	Servers map[string]Server `json:",omitempty"`
 	Waves   map[int64]*Wave   `json:",omitempty"`
+	// Sizes are the numbers of machines that the pools had first.
+	Sizes map[string]int `json:",omitempty"`
 	// ClockMS is the highest time of day that a command carried.
 	ClockMS int64
 }
@@ -68,7 +70,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	l := &Ledger{contents: contents{Jobs: make(map[string]*Job), Servers: make(map[string]Server), Waves: make(map[int64]*Wave)}}
+	l := &Ledger{contents: contents{Jobs: make(map[string]*Job), Servers: make(map[string]Server), Waves: make(map[int64]*Wave), Sizes: make(map[string]int)}}
 	l.reindex()
 	return l
 }
@@ -195,6 +197,9 @@
 // KnownServers returns the backend servers that are known, by ID; the caller doesn't change the map.
 func (l *Ledger) KnownServers() map[string]Server { return l.Servers }
 
+// Size returns the number of machines that a pool had first; 0 if it isn't known.
+func (l *Ledger) Size(pool string) int { return l.Sizes[pool] }
+
 // Wave returns a wave, or nil.
 func (l *Ledger) Wave(number int64) *Wave { return l.Waves[number] }
 
--- /dev/null
+++ b/internal/request/pools/pools.go
@@ -0,0 +1,160 @@
+// Package pools decides which machines change their pool: into pools whose work needs more than they hold, and out
+// of pools that hold more than they need. It is pure.
+package pools
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// fillable is the part of a pool's processors that tasks of usual sizes can fill: tasks take up to a third of a
+	// machine, so the rest of each machine stays empty.
+	fillable = 0.85
+	// holdFor is how long a pool keeps the size that it last needed. A machine that is switched off and on again
+	// costs about as much as it does in 4 s of standing idle (prices moved, server_s and cloud_call of the users' sites).
+	holdFor = 3 * time.Second
+)
+
+// Machine is a machine as the leader sees it.
+type Machine struct {
+	Name, Pool string
+	// Movable is set if nothing runs on it, nothing is ordered for it and no upkeep is near.
+	Movable bool
+}
+
+// Pool is a pool and what it is asked for.
+type Pool struct {
+	Name string
+	// Standby pools hold machines that are off.
+	Standby bool
+	// Need is the number of thousandths of a core that would run everything that waits or runs, and what is likely to
+	// come before a machine that is ordered now can work.
+	Need int64
+	// Floor is the least number of machines while others need none, Least while they do.
+	Floor, Least int
+}
+
+// Move takes a machine to another pool.
+type Move struct {
+	Machine, From, To string
+}
+
+// Planner remembers what pools needed of late. The zero value is ready to use.
+type Planner struct {
+	peaks map[string][]peak
+}
+
+type peak struct {
+	at       time.Duration
+	machines int
+}
+
+// Plan returns the moves that hold now. machineCPU is the size of a machine in thousandths of a core.
+func (p *Planner) Plan(now time.Duration, list []Pool, machines []Machine, machineCPU int64) []Move {
+	if machineCPU <= 0 {
+		return nil
+	}
+	size := make(map[string]int)
+	for _, m := range machines {
+		size[m.Pool]++
+	}
+	d := deal{missing: make(map[string]int), spare: make(map[string]int), loan: make(map[string]int), pools: list}
+	for _, pool := range list {
+		if pool.Standby {
+			d.standby = pool.Name
+			d.spare[pool.Name] = size[pool.Name]
+			continue
+		}
+		want := machinesFor(pool.Need, machineCPU)
+		kept := p.hold(pool.Name, now, want)
+		d.missing[pool.Name] = max(0, want-size[pool.Name])
+		d.spare[pool.Name] = max(0, size[pool.Name]-max(kept, pool.Floor))
+		d.loan[pool.Name] = max(0, size[pool.Name]-max(kept, pool.Least))
+	}
+	return d.assign(machines)
+}
+
+// machinesFor returns how many machines hold an amount of work.
+func machinesFor(cpu, machineCPU int64) int {
+	return int(math.Ceil(float64(cpu) / (float64(machineCPU) * fillable)))
+}
+
+// hold returns the largest number of machines that a pool needed within holdFor.
+func (p *Planner) hold(pool string, now time.Duration, want int) int {
+	if p.peaks == nil {
+		p.peaks = make(map[string][]peak)
+	}
+	recent := slices.DeleteFunc(p.peaks[pool], func(k peak) bool { return now-k.at > holdFor || k.machines <= want })
+	recent = append(recent, peak{now, want})
+	p.peaks[pool] = recent
+	return recent[0].machines
+}
+
+// deal is one distribution of machines.
+type deal struct {
+	pools   []Pool
+	standby string
+	// missing counts the machines that a pool lacks, spare those that it doesn't need, loan those that it can do without
+	// while another lacks some.
+	missing, spare, loan map[string]int
+	moves                []Move
+}
+
+// assign gives machines that are off or spare to the pools that lack most, lends others, and switches off the rest.
+func (d *deal) assign(machines []Machine) []Move {
+	slices.SortFunc(machines, func(a, b Machine) int { return strings.Compare(a.Name, b.Name) })
+	free := make(map[string][]string)
+	for _, m := range machines {
+		if m.Movable {
+			free[m.Pool] = append(free[m.Pool], m.Name)
+		}
+	}
+	slices.SortStableFunc(d.pools, func(a, b Pool) int { return cmp.Compare(d.missing[b.Name], d.missing[a.Name]) })
+	for _, from := range []map[string]int{d.spare, d.loan} {
+		for _, pool := range d.pools {
+			for d.missing[pool.Name] > 0 {
+				donor := d.donor(from, free, pool.Name)
+				if donor == "" {
+					break
+				}
+				d.take(free, donor, pool.Name)
+				d.missing[pool.Name]--
+			}
+		}
+	}
+	if d.standby == "" {
+		return d.moves
+	}
+	for _, pool := range d.pools {
+		for !pool.Standby && d.spare[pool.Name] > 0 && len(free[pool.Name]) > 0 {
+			d.take(free, pool.Name, d.standby)
+		}
+	}
+	return d.moves
+}
+
+// take moves the first free machine of a pool.
+func (d *deal) take(free map[string][]string, from, to string) {
+	d.moves = append(d.moves, Move{Machine: free[from][0], From: from, To: to})
+	free[from] = free[from][1:]
+	d.spare[from]--
+	d.loan[from]--
+}
+
+// donor returns the pool that can give most, or "".
+func (d *deal) donor(can map[string]int, free map[string][]string, to string) string {
+	best := ""
+	for _, pool := range d.pools {
+		if pool.Name == to || can[pool.Name] <= 0 || len(free[pool.Name]) == 0 {
+			continue
+		}
+		if best == "" || can[pool.Name] > can[best] {
+			best = pool.Name
+		}
+	}
+	return best
+}
--- a/internal/request/upkeep/upkeep.go
+++ b/internal/request/upkeep/upkeep.go
@@ -9,9 +9,16 @@
 	"laburnumrouter/internal/request/ledger"
 )
 
-// prepareFactor is how many machines are kept free of new work for each that may be down, so that the next is
-// empty when one comes back. Twice the bound lets one machine drain while another has its upkeep.
-const prepareFactor = 2
+const (
+	// cycleMS is about how long a machine takes from its order until the platform's list shows it back: maintenance_s
+	// (2 s), the time between readings and that of a busy moment.
+	cycleMS = 4500
+	// reserveMS is the part of a wave's time that is kept for what goes wrong: a leader that changes in the middle
+	// leaves machines alone for 4 s, and an unanswered order takes as long again.
+	reserveMS = 9000
+	// drainMS is how long before its turn a busy machine gets no new work: the longest usual task runs 4 s.
+	drainMS = 4000
+)
 
 // Machine is a machine of the wave as the leader sees it.
 type Machine struct {
@@ -23,6 +30,8 @@
 	Runs, Lasting, Stuck int
 	// BusyMS is how long its short runs are likely to take.
 	BusyMS int64
+	// Needed is set if its pool needs it now although nothing runs on it.
+	Needed bool
 	// Reserved is set if the machine is being prepared.
 	Reserved bool
 }
@@ -35,14 +44,15 @@
 	Reserve []string
 }
 
-// Next decides for one wave. Machines that aren't due are left out by the caller.
-func Next(w *ledger.Wave, due []Machine) Decision {
-	slices.SortFunc(due, func(a, b Machine) int { return compare(a, b) })
+// Next decides for one wave at a time of day. Machines that aren't due are left out by the caller. Machines that hold
+// nothing go first; busy ones are prepared only as far as the wave needs them to end in time.
+func Next(w *ledger.Wave, nowMS int64, due []Machine) Decision {
+	slices.SortFunc(due, compare)
 	free := w.Bound - w.Down()
 	var d Decision
 	reserved := 0
 	for _, m := range due {
-		if free > 0 && m.Up && m.Runs == 0 {
+		if free > 0 && m.Up && m.Runs == 0 && !m.Needed {
 			d.Order = append(d.Order, m.Name)
 			free--
 			continue
@@ -51,8 +61,9 @@
 			reserved++
 		}
 	}
+	wanted := needed(w, nowMS, len(due)-len(d.Order))
 	for _, m := range due {
-		if reserved >= prepareFactor*w.Bound {
+		if reserved >= wanted {
 			break
 		}
 		if m.Up && !m.Reserved && !slices.Contains(d.Order, m.Name) {
@@ -63,6 +74,17 @@
 	return d
 }
 
+// needed returns how many machines must be prepared or down at once for the rest of a wave to end in time.
+func needed(w *ledger.Wave, nowMS int64, rest int) int {
+	left := w.StartedMS + w.DurationMS - nowMS - reserveMS
+	if left <= cycleMS+drainMS {
+		return w.Bound
+	}
+	perSlot := left / (cycleMS + drainMS)
+	slots := (int64(rest) + perSlot - 1) / perSlot
+	return int(min(int64(w.Bound), max(0, slots)))
+}
+
 // compare puts machines first that are prepared already, that hold nothing, and whose runs end soon.
 func compare(a, b Machine) int {
 	return cmp.Or(
