A wave waits for machines that the platform's list lacks

Change: only the answer to an order tells that a machine no longer exists; the order is sent once the list has lacked it for 6 s. Test: TestWaveWaitsForAMachineThatTheListLacks.

Ruled out: a wrong state of the machine; later readings show it up.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -226,6 +226,13 @@
 		Name: "c1", Address: "127.0.0.1:1", Engine: engine, Replica: r.log, Servers: servers, Log: hclog.NewNullLogger(),
 		Scope: tally.NoopScope, ElectionTime: time.Hour,
 	})
+	r.start()
+	return r
+}
+
+// start makes the dispatcher lead with a configuration, and announces all servers.
+func (r *rig) start() {
+	r.t.Helper()
 	r.log.lead(1)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -233,17 +240,16 @@
 		defer close(done)
 		_ = r.d.Run(ctx)
 	}()
-	t.Cleanup(func() {
+	r.t.Cleanup(func() {
 		cancel()
 		<-done
 	})
 	r.until(r.d.Leads)
-	must.EqOp(t, OK, r.do(&Call{Op: OpPutConfig, Config: rigConfig()}).Outcome)
-	for id := range servers.servers {
+	must.EqOp(r.t, OK, r.do(&Call{Op: OpPutConfig, Config: rigConfig()}).Outcome)
+	for id := range r.servers.servers {
 		r.announce(id, 1)
 	}
 	go r.beat(ctx)
-	return r
 }
 
 // beat announces every server every second, as it would itself.
--- /dev/null
+++ b/internal/dispatch/machines_test.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+	"github.com/uber-go/tally/v4"
+
+	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/pools"
+)
+
+// fakeMachines is the platform's interface to machines. An upkeep is over at once.
+type fakeMachines struct {
+	mu     sync.Mutex
+	list   []Machine
+	hidden map[string]bool // machines that the list lacks
+	gone   map[string]bool // machines that don't exist
+	orders []string
+}
+
+func (f *fakeMachines) List(context.Context, string) ([]Machine, string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []Machine
+	for _, m := range f.list {
+		if !f.hidden[m.Name] && !f.gone[m.Name] {
+			list = append(list, m)
+		}
+	}
+	return list, "", nil
+}
+
+func (f *fakeMachines) order(name, what string) MachineAnswer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, what+" "+name)
+	if f.gone[name] {
+		return MachineRefused
+	}
+	return MachineTaken
+}
+
+func (f *fakeMachines) Move(_ context.Context, _ Holder, machine, pool string) (MachineAnswer, error) {
+	return f.order(machine, "move to "+pool), nil
+}
+
+func (f *fakeMachines) Upkeep(_ context.Context, _ Holder, machine string, _ int64) (MachineAnswer, error) {
+	return f.order(machine, "upkeep"), nil
+}
+
+func (f *fakeMachines) ordered() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string(nil), f.orders...)
+}
+
+func newMachineRig(t *testing.T, m *fakeMachines) *rig {
+	t.Helper()
+	engine := NewEngine(hclog.NewNullLogger())
+	f := newFakeServers("a", "b")
+	r := &rig{t: t, engine: engine, log: &fakeLog{engine: engine}, servers: f}
+	r.d = New(Options{
+		Name: "c1", Engine: engine, Replica: r.log, Servers: f, Machines: m, Log: hclog.NewNullLogger(),
+		Scope: tally.NoopScope, ElectionTime: 1 << 40,
+	})
+	r.start()
+	return r
+}
+
+// A wave isn't completed while a machine may exist that had no upkeep, even if the platform's list lacks it.
+func TestWaveWaitsForAMachineThatTheListLacks(t *testing.T) {
+	m := &fakeMachines{
+		list:   []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}, {Name: "m2", Pool: "p", State: MachineUp, Server: "b"}},
+		hidden: map[string]bool{"m2": true}, gone: make(map[string]bool),
+	}
+	r := newMachineRig(t, m)
+	wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1", "m2"}, DurationMS: 60_000, Bound: 1}
+	must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
+	r.until(func() bool {
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		return r.engine.ledger.Wave(1).Phases["m1"] == ledger.UpkeepOver
+	})
+	must.False(t, r.do(&Call{Op: OpWaveState, Wave: wave}).WaveCompleted)
+	m.mu.Lock()
+	m.gone["m2"] = true
+	m.mu.Unlock()
+	r.until(func() bool { return r.do(&Call{Op: OpWaveState, Wave: wave}).WaveCompleted })
+	must.Eq(t, []string{"upkeep m1", "upkeep m2"}, m.ordered())
+}
+
+// Only machines on which nothing runs change their pool.
+func TestBusyMachinesStay(t *testing.T) {
+	m := &fakeMachines{
+		list: []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}}, hidden: map[string]bool{}, gone: map[string]bool{},
+	}
+	r := newMachineRig(t, m)
+	for i := range 4 {
+		r.submit(fmt.Sprint("j", i), small)
+	}
+	r.until(func() bool { return len(r.servers.runs("a"))+len(r.servers.runs("b")) == 4 })
+	s := r.d.session.Load()
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	for _, id := range []string{"a", "b"} {
+		must.EqOp(t, len(s.engine.ledger.LiveOn(id)) == 0, s.movableLocked(Machine{Name: "m", State: MachineUp, Server: id}, 0))
+	}
+	must.Eq(t, []pools.Move(nil), s.pools.Plan(0, nil, nil, 0))
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -72,6 +72,8 @@
 	// reservedFor names the server for which a machine was reserved, upkeepTaken is when its upkeep was taken.
 	reservedFor map[string]string
 	upkeepTaken map[string]time.Duration
+	// missing is since when the platform's list has lacked a machine of a wave.
+	missing map[string]time.Duration
 	// planned counts the starts on a server that are planned and not yet committed.
 	planned map[string]int
 	// movedAt, movedTo and moveOpen tell when a machine was last moved, where to, and whether that call got no answer.
@@ -111,7 +113,7 @@
 		startedAt: boottime.Now(),
 		fleet:     fleet.NewTable(), orders: make(map[runKey]*order), holders: make(map[string]*holder),
 		reserved: make(map[string]bool), paces: make(map[runKey]int),
-		reservedFor: make(map[string]string), upkeepTaken: make(map[string]time.Duration),
+		reservedFor: make(map[string]string), upkeepTaken: make(map[string]time.Duration), missing: make(map[string]time.Duration),
 		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
 		moveOpen: make(map[string]bool), view: &fleetView{},
 		wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// missingFor is how long the platform's list must have lacked a machine: two upkeeps or moves.
+	missingFor = 6 * time.Second
 	// upkeepEvery is the time between looks at the waves.
 	upkeepEvery = 200 * time.Millisecond
 )
@@ -63,8 +65,8 @@
 	}
 }
 
-// returned lists the machines of a wave whose upkeep is over: the platform says that they are up after an
-// order that was taken, or it no longer knows them.
+// returned lists the machines of a wave whose upkeep is over: the platform says that they are up after an order that
+// was taken.
 func (s *session) returned(number int64, byName map[string]Machine, readAt time.Duration) []ledger.UpkeepMark {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
@@ -75,8 +77,7 @@
 		switch {
 		case w.Phases[name] == ledger.UpkeepOver:
 		case !known:
-			s.log.Info("machine of a wave no longer exists", "wave", number, "machine", name)
-			marks = append(marks, ledger.UpkeepMark{Wave: number, Machine: name, Phase: ledger.UpkeepOver})
+			// A list may lack a machine for a while. Only the answer to an order tells that it no longer exists.
 		case w.Phases[name] == ledger.UpkeepOrdered && m.State == MachineUp && s.upkeepTaken[name] > 0 && readAt > s.upkeepTaken[name]:
 			s.log.Info("machine is back from its upkeep", "wave", number, "machine", name, "server", m.Server)
 			delete(s.reserved, s.reservedFor[name])
@@ -96,9 +97,16 @@
 	var again []string
 	for _, name := range w.Machines {
 		m, known := byName[name]
-		if !known || w.Phases[name] == ledger.UpkeepOver {
+		if w.Phases[name] == ledger.UpkeepOver {
+			continue
+		}
+		if !known {
+			if s.missingLocked(name) {
+				again = append(again, name)
+			}
 			continue
 		}
+		delete(s.missing, name)
 		if w.Phases[name] == ledger.UpkeepOrdered {
 			if s.upkeepTaken[name] == 0 {
 				again = append(again, name) // ordered, by this leader or an earlier one, without an answer
@@ -124,6 +132,22 @@
 	return append(again, d.Order...)
 }
 
+// missingLocked reports whether the platform's list has lacked a machine for so long that an order is to tell whether
+// it still exists.
+func (s *session) missingLocked(name string) bool {
+	now := boottime.Now()
+	since, ok := s.missing[name]
+	if !ok {
+		s.missing[name] = now
+		return false
+	}
+	if now-since < missingFor {
+		return false
+	}
+	s.missing[name] = now
+	return true
+}
+
 // machineLocked describes a machine for the decision.
 func (s *session) machineLocked(m Machine) upkeep.Machine {
 	d := upkeep.Machine{Name: m.Name, Up: m.State == MachineUp, Reserved: s.reservedFor[m.Name] != "" && s.reserved[m.Server]}
@@ -188,7 +212,10 @@
 // orderUpkeep takes a machine down. The order is noted before it leaves.
 func (s *session) orderUpkeep(number int64, name, server string) {
 	s.engine.mu.Lock()
-	s.reserved[server], s.reservedFor[name] = true, server
+	if server != "" {
+		s.reserved[server] = true
+	}
+	s.reservedFor[name] = server
 	busy := server != "" && (len(s.engine.ledger.LiveOn(server)) > 0 || s.planned[server] > 0)
 	s.engine.mu.Unlock()
 	if busy {
