Work goes before expectation: idle machines of an ending turn serve the next; busy machines have upkeep late

In the first turn the wave had reserved a third of the hot pool's servers. The platform's list was read too late after an upkeep.

Change: real work is supplied before expected work, also from what others expect; pools that may be next are brought to their usual size before the turn; upkeep takes empty machines and prepares busy ones only when the wave's time demands it; the list is read again as soon as it can show a change.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -210,7 +210,7 @@
 		held.Pool != server.Pool || held.Address != server.Address)
 	announced := server.Server
 	if change == fleet.Appeared || change == fleet.Leaving {
-		s.changedLocked()
+		s.rereadLocked(0)
 		s.log.Info("backend server announced", "server", announced.ID, "pool", announced.Pool, "address", announced.Address,
 			"data_centre", announced.DataCentre, "born", announced.Born, "draining", announced.Draining)
 	}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -63,7 +63,7 @@
 func (s *session) readMachines(view *fleetView) bool {
 	asked := boottime.Now()
 	s.engine.mu.Lock()
-	s.unseenSince = 0 // a change that comes while the list is read may be missing from it
+	s.rereadAt = 0 // a change that comes while the list is read may be missing from it
 	s.engine.mu.Unlock()
 	var list []Machine
 	for page := ""; ; {
@@ -74,7 +74,7 @@
 		if err != nil {
 			s.log.Warn("platform's list of machines can't be read", "error", err)
 			s.engine.mu.Lock()
-			s.changedLocked()
+			s.rereadLocked(viewGap)
 			s.engine.mu.Unlock()
 			return false
 		}
@@ -85,8 +85,15 @@
 		page = next
 	}
 	byName := make(map[string]Machine, len(list))
+	pending := false
 	for _, m := range list {
 		byName[m.Name] = m
+		pending = pending || m.State == MachineMoving || m.State == MachineUpkeep
+	}
+	if pending {
+		s.engine.mu.Lock()
+		s.rereadLocked(viewGap)
+		s.engine.mu.Unlock()
 	}
 	view.mu.Lock()
 	view.list, view.byName, view.readAt = list, byName, asked
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -19,8 +19,10 @@
 	// arriving is how long a machine that was moved counts for its new pool before the platform's list shows it there:
 	// migrate_s (1.5 s) and the time until its server has announced itself.
 	arriving = 2500 * time.Millisecond
-	// settle is how long after a change the platform's list is read again: migrate_s (1.5 s) and a little.
+	// settle is how long after a move or an upkeep the platform's list is read again: migrate_s (1.5 s) and a little.
 	settle = 1700 * time.Millisecond
+	// viewGap is the least time between readings of the list, also of a machine that is slow to come back; each has its price.
+	viewGap = 600 * time.Millisecond
 	// viewAge is the oldest that the list may be without a known change.
 	viewAge = 10 * time.Second
 	// lateCall is how long an order for a machine may still be carried out that was not answered (applied_late: 12 s).
@@ -74,19 +76,24 @@
 	group.Wait()
 }
 
-// viewStale reports whether the platform's list is to be read again: it was never read or long ago, or a machine
-// was moved or taken down, or a server appeared, long enough ago for the list to show what became of it.
+// viewStale reports whether the platform's list is to be read again.
 func (s *session) viewStale() bool {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	now, asOf := boottime.Now(), s.view.asOf()
-	return asOf == 0 || now-asOf > viewAge || s.unseenSince > 0 && now-s.unseenSince > settle
+	switch {
+	case asOf == 0 || now-asOf > viewAge:
+		return true
+	case s.rereadAt == 0 || now-asOf < viewGap:
+		return false
+	}
+	return now >= s.rereadAt
 }
 
-// changedLocked notes that the platform's list no longer shows how things are.
-func (s *session) changedLocked() {
-	if s.unseenSince == 0 {
-		s.unseenSince = boottime.Now()
+// rereadLocked asks for a new reading of the platform's list after a while.
+func (s *session) rereadLocked(after time.Duration) {
+	if at := boottime.Now() + after; s.rereadAt == 0 || at < s.rereadAt {
+		s.rereadAt = at
 	}
 }
 
@@ -215,7 +222,9 @@
 			continue
 		}
 		o := look[d.Name]
-		d.Need = max(d.Need, o.Rate+lasting[i])
+		if o.Rate > 0 {
+			d.Expected = o.Rate + lasting[i]
+		}
 		d.Floor, d.Least = coldFloor, coldFloor
 		if size := s.engine.ledger.Size(d.Name); o.Open || !s.forecastOn {
 			d.Floor, d.Least = size, max(coldFloor, int(lendShare*float64(size)))
@@ -263,11 +272,11 @@
 		delete(s.moveOpen, m.Machine)
 	default:
 		delete(s.reserved, server)
-		s.changedLocked()
+		s.rereadLocked(viewGap)
 		return
 	}
 	s.movedAt[m.Machine], s.movedTo[m.Machine] = boottime.Now(), m.To
-	s.changedLocked()
+	s.rereadLocked(settle)
 	if old := s.fleet.Get(server); old != nil && err == nil {
 		old.Left = true
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -87,15 +87,15 @@
 	forecastOn bool
 
 	view *fleetView
-	// unseenSince is when the first change came that the view doesn't show; 0 if it shows all.
-	unseenSince time.Duration
-	pools       pools.Planner
-	ends        *endQueue
-	wake        chan struct{}
-	ctx         context.Context
-	cancel      context.CancelFunc
-	group       sync.WaitGroup
-	closed      atomic.Bool
+	// rereadAt is when the view is to be read again; 0 if it shows all that is known to have changed.
+	rereadAt time.Duration
+	pools    pools.Planner
+	ends     *endQueue
+	wake     chan struct{}
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+	closed   atomic.Bool
 }
 
 // runKey names a run.
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -150,7 +150,7 @@
 
 // machineLocked describes a machine for the decision.
 func (s *session) machineLocked(m Machine) upkeep.Machine {
-	d := upkeep.Machine{Name: m.Name, Up: m.State == MachineUp, Reserved: s.reservedFor[m.Name] != "" && s.reserved[m.Server]}
+	d := upkeep.Machine{Busy: s.forecast.Hot(m.Pool), Name: m.Name, Up: m.State == MachineUp, Reserved: s.reservedFor[m.Name] != "" && s.reserved[m.Server]}
 	for id, t := range s.engine.ledger.LiveOn(m.Server) {
 		step := &s.engine.ledger.Job(id.Job).Steps[id.Step]
 		d.Runs++
@@ -241,7 +241,7 @@
 	case MachineTaken:
 		s.engine.mu.Lock()
 		s.upkeepTaken[name] = boottime.Now()
-		s.changedLocked()
+		s.rereadLocked(settle)
 		if old := s.fleet.Get(server); old != nil {
 			old.Left = true
 		}
--- a/internal/request/forecast/forecast.go
+++ b/internal/request/forecast/forecast.go
@@ -105,6 +105,9 @@
 	return nil
 }
 
+// Hot reports whether a pool's turn is under way.
+func (f *Forecast) Hot(pool string) bool { return f.current(pool) != nil }
+
 // update begins and ends turns.
 func (f *Forecast) update(now int64) {
 	for pool, list := range f.recent {
@@ -232,20 +235,27 @@
 	return int64(firstTurn * float64(usual))
 }
 
-// expect fills in the pool whose turn comes next, if that is known and it is near.
+// expect fills in the pool whose turn comes next, once that is near. While several may be next, each is to have
+// its usual size.
 func (f *Forecast) expect(look map[string]Outlook, now int64) {
 	pool, known := f.next()
 	step := f.step()
 	start := f.turns[len(f.turns)-1].start + step
-	if !known || step == 0 || look[pool].Hot || now < start-lead || now > start+patience {
+	if step == 0 || now < start-lead || now > start+patience {
 		return
 	}
-	o := look[pool]
-	o.Rate = f.lastRate(pool, now)
-	if o.Rate == 0 {
-		o.Rate = int64(firstTurn * float64(f.usual[pool]))
+	for p, o := range look {
+		switch {
+		case o.Hot:
+		case p == pool:
+			if o.Rate = f.lastRate(p, now); o.Rate == 0 {
+				o.Rate = int64(firstTurn * float64(f.usual[p]))
+			}
+		case !known && o.Open:
+			o.Rate = f.usual[p]
+		}
+		look[p] = o
 	}
-	look[pool] = o
 }
 
 // lastRate returns what a pool asked in its last complete turn, with headroom; 0 if it had none.
--- a/internal/request/forecast/forecast_test.go
+++ b/internal/request/forecast/forecast_test.go
@@ -35,6 +35,15 @@
 	return f
 }
 
+// While it isn't known whose turn is next, every pool that it may be is to have its usual size when it begins.
+func TestPoolsThatMayBeNextAreReady(t *testing.T) {
+	look := play(8000).Look(8000)
+	for _, p := range []string{"c", "d"} {
+		must.Eq(t, Outlook{Open: true, Rate: usual}, look[p])
+	}
+	must.Eq(t, Outlook{}, look["a"])
+}
+
 func TestAnyPoolMayHaveTheFirstTurn(t *testing.T) {
 	f := play(0)
 	for _, o := range f.Look(0) {
@@ -52,7 +61,7 @@
 		open     []string // pools whose turn may come at any time
 	}{
 		{"first turn", 3000, "a", "", nil, []string{"b", "c", "d"}},
-		{"second turn", 7000, "b", "", []string{"a"}, []string{"c", "d"}},
+		{"second turn, early", 5800, "b", "", []string{"a"}, []string{"c", "d"}},
 		{"third turn, the fourth is the only one left", 12000, "c", "d", []string{"a", "b"}, nil},
 		{"fourth turn, early", 14500, "d", "", []string{"a", "b", "c"}, nil},
 		{"fourth turn, the first is longest ago", 16500, "d", "a", []string{"b", "c"}, nil},
--- a/internal/request/pools/pools.go
+++ b/internal/request/pools/pools.go
@@ -14,6 +14,8 @@
 	// fillable is the part of a pool's processors that tasks of usual sizes can fill: tasks take up to a third of a
 	// machine, so the rest of each machine stays empty.
 	fillable = 0.85
+	// margin is the number of machines that a pool keeps beyond what its work needs when it gives to others.
+	margin = 1
 	// holdFor is how long a pool keeps the size that it last needed. A machine that is switched off and on again
 	// costs about as much as it does in 4 s of standing idle (prices moved, server_s and cloud_call of the users' sites).
 	holdFor = 3 * time.Second
@@ -31,9 +33,9 @@
 	Name string
 	// Standby pools hold machines that are off.
 	Standby bool
-	// Need is the number of thousandths of a core that would run everything that waits or runs, and what is likely to
-	// come before a machine that is ordered now can work.
-	Need int64
+	// Need is the number of thousandths of a core that would run everything that waits or runs, Expected the same for
+	// what is likely to come before a machine that is ordered now can work.
+	Need, Expected int64
 	// Floor is the least number of machines while others need none, Least while they do.
 	Floor, Least int
 }
@@ -62,16 +64,22 @@
 	for _, m := range machines {
 		size[m.Pool]++
 	}
-	d := deal{missing: make(map[string]int), spare: make(map[string]int), loan: make(map[string]int), pools: list}
+	d := deal{
+		pools: list, lacking: make(map[string]int), missing: make(map[string]int),
+		spare: make(map[string]int), loan: make(map[string]int), excess: make(map[string]int),
+	}
 	for _, pool := range list {
 		if pool.Standby {
 			d.standby = pool.Name
 			d.spare[pool.Name] = size[pool.Name]
 			continue
 		}
-		want := machinesFor(pool.Need, machineCPU)
+		need := machinesFor(pool.Need, machineCPU)
+		want := max(need, machinesFor(pool.Expected, machineCPU))
 		kept := p.hold(pool.Name, now, want)
+		d.lacking[pool.Name] = max(0, need-size[pool.Name])
 		d.missing[pool.Name] = max(0, want-size[pool.Name])
+		d.excess[pool.Name] = max(0, size[pool.Name]-max(need+margin, pool.Least))
 		d.spare[pool.Name] = max(0, size[pool.Name]-max(kept, pool.Floor))
 		d.loan[pool.Name] = max(0, size[pool.Name]-max(kept, pool.Least))
 	}
@@ -98,10 +106,12 @@
 type deal struct {
 	pools   []Pool
 	standby string
-	// missing counts the machines that a pool lacks, spare those that it doesn't need, loan those that it can do without
-	// while another lacks some.
-	missing, spare, loan map[string]int
-	moves                []Move
+	// lacking counts the machines that a pool lacks for the work that it has, missing those that it is likely to lack.
+	lacking, missing map[string]int
+	// spare counts the machines that a pool doesn't need, loan those that it can do without while another is likely to
+	// lack some, excess those that it can do without while another lacks some.
+	spare, loan, excess map[string]int
+	moves               []Move
 }
 
 // assign gives machines that are off or spare to the pools that lack most, lends others, and switches off the rest.
@@ -113,19 +123,8 @@
 			free[m.Pool] = append(free[m.Pool], m.Name)
 		}
 	}
-	slices.SortStableFunc(d.pools, func(a, b Pool) int { return cmp.Compare(d.missing[b.Name], d.missing[a.Name]) })
-	for _, from := range []map[string]int{d.spare, d.loan} {
-		for _, pool := range d.pools {
-			for d.missing[pool.Name] > 0 {
-				donor := d.donor(from, free, pool.Name)
-				if donor == "" {
-					break
-				}
-				d.take(free, donor, pool.Name)
-				d.missing[pool.Name]--
-			}
-		}
-	}
+	d.supply(d.lacking, free, d.spare, d.loan, d.excess)
+	d.supply(d.missing, free, d.spare, d.loan)
 	if d.standby == "" {
 		return d.moves
 	}
@@ -137,12 +136,31 @@
 	return d.moves
 }
 
+// supply gives machines to the pools that need most, from each of the stocks in turn.
+func (d *deal) supply(needs map[string]int, free map[string][]string, stocks ...map[string]int) {
+	slices.SortStableFunc(d.pools, func(a, b Pool) int { return cmp.Compare(needs[b.Name], needs[a.Name]) })
+	for _, stock := range stocks {
+		for _, pool := range d.pools {
+			for needs[pool.Name] > 0 {
+				donor := d.donor(stock, free, pool.Name)
+				if donor == "" {
+					break
+				}
+				d.take(free, donor, pool.Name)
+			}
+		}
+	}
+}
+
 // take moves the first free machine of a pool.
 func (d *deal) take(free map[string][]string, from, to string) {
 	d.moves = append(d.moves, Move{Machine: free[from][0], From: from, To: to})
 	free[from] = free[from][1:]
-	d.spare[from]--
-	d.loan[from]--
+	for _, stock := range []map[string]int{d.spare, d.loan, d.excess} {
+		stock[from]--
+	}
+	d.lacking[to]--
+	d.missing[to]--
 }
 
 // donor returns the pool that can give most, or "".
--- a/internal/request/upkeep/upkeep.go
+++ b/internal/request/upkeep/upkeep.go
@@ -11,13 +11,13 @@
 
 const (
 	// cycleMS is about how long a machine takes from its order until the platform's list shows it back: maintenance_s
-	// (2 s), the time between readings and that of a busy moment.
-	cycleMS = 4500
+	// (2 s) and the time between readings.
+	cycleMS = 3200
+	// drainMS is how long a busy machine takes to be empty: most tasks run a second or two.
+	drainMS = 2500
 	// reserveMS is the part of a wave's time that is kept for what goes wrong: a leader that changes in the middle
-	// leaves machines alone for 4 s, and an unanswered order takes as long again.
-	reserveMS = 9000
-	// drainMS is how long before its turn a busy machine gets no new work: the longest usual task runs 4 s.
-	drainMS = 4000
+	// leaves machines alone for a while, and an unanswered order takes as long again.
+	reserveMS = 8000
 )
 
 // Machine is a machine of the wave as the leader sees it.
@@ -30,6 +30,8 @@
 	Runs, Lasting, Stuck int
 	// BusyMS is how long its short runs are likely to take.
 	BusyMS int64
+	// Busy is set if its pool is asked for much now.
+	Busy bool
 	// Needed is set if its pool needs it now although nothing runs on it.
 	Needed bool
 	// Reserved is set if the machine is being prepared.
@@ -61,7 +63,10 @@
 			reserved++
 		}
 	}
-	wanted := needed(w, nowMS, len(due)-len(d.Order))
+	wanted := 0
+	if pressed(w, nowMS, len(due)-len(d.Order)) {
+		wanted = w.Bound
+	}
 	for _, m := range due {
 		if reserved >= wanted {
 			break
@@ -74,21 +79,18 @@
 	return d
 }
 
-// needed returns how many machines must be prepared or down at once for the rest of a wave to end in time.
-func needed(w *ledger.Wave, nowMS int64, rest int) int {
-	left := w.StartedMS + w.DurationMS - nowMS - reserveMS
-	if left <= cycleMS+drainMS {
-		return w.Bound
-	}
-	perSlot := left / (cycleMS + drainMS)
-	slots := (int64(rest) + perSlot - 1) / perSlot
-	return int(min(int64(w.Bound), max(0, slots)))
+// pressed reports whether busy machines must be prepared now for the rest of a wave to end in time. Until then only
+// machines go that hold nothing, as pools come to need less.
+func pressed(w *ledger.Wave, nowMS int64, rest int) bool {
+	rounds := int64((rest + w.Bound - 1) / max(1, w.Bound))
+	return nowMS+rounds*(cycleMS+drainMS)+reserveMS >= w.StartedMS+w.DurationMS
 }
 
 // compare puts machines first that are prepared already, that hold nothing, and whose runs end soon.
 func compare(a, b Machine) int {
 	return cmp.Or(
 		cmp.Compare(order(!a.Reserved), order(!b.Reserved)),
+		cmp.Compare(order(a.Busy), order(b.Busy)),
 		cmp.Compare(a.Stuck, b.Stuck),
 		cmp.Compare(a.Lasting, b.Lasting),
 		cmp.Compare(a.BusyMS, b.BusyMS),
--- /dev/null
+++ b/internal/request/upkeep/upkeep_test.go
@@ -0,0 +1,49 @@
+package upkeep
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumrouter/internal/request/ledger"
+)
+
+func wave(bound int, down ...string) *ledger.Wave {
+	w := &ledger.Wave{
+		WaveOrder: ledger.WaveOrder{Number: 1, DurationMS: 30_000, Bound: bound}, Phases: make(map[string]ledger.UpkeepPhase),
+	}
+	for _, name := range down {
+		w.Phases[name] = ledger.UpkeepOrdered
+	}
+	return w
+}
+
+func TestNext(t *testing.T) {
+	idle := Machine{Name: "idle", Up: true}
+	busy := Machine{Name: "busy", Up: true, Runs: 3, BusyMS: 900}
+	lasting := Machine{Name: "lasting", Up: true, Runs: 1, Lasting: 1}
+	hot := Machine{Name: "hot", Up: true, Runs: 1, Busy: true}
+	drained := Machine{Name: "drained", Up: true, Reserved: true}
+	cases := []struct {
+		name    string
+		wave    *ledger.Wave
+		nowMS   int64
+		due     []Machine
+		order   []string
+		reserve []string
+	}{
+		{"empty machines go at once", wave(2), 0, []Machine{busy, idle}, []string{"idle"}, nil},
+		{"never more than the bound", wave(1, "other"), 0, []Machine{idle}, nil, nil},
+		{"a prepared machine goes first", wave(1), 0, []Machine{idle, drained}, []string{"drained"}, nil},
+		{"busy ones wait while there is time", wave(2), 5_000, []Machine{busy, lasting}, nil, nil},
+		{"busy ones are prepared in time", wave(2), 17_000, []Machine{hot, lasting, busy}, nil, []string{"busy", "lasting"}},
+		{"machines that are off or moving wait", wave(2), 0, []Machine{{Name: "moving"}}, nil, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := Next(c.wave, c.nowMS, c.due)
+			must.Eq(t, c.order, d.Order)
+			must.Eq(t, c.reserve, d.Reserve)
+		})
+	}
+}
