Machines that are down are left alone; pools keep servers for lasting tasks that stay apart

Ruled out: a race between planner and mover; the start was committed after the server had announced itself and before the list showed it.

Change: without a server in the list only machines of a pool that is off are moved or taken down; a busy answer leaves a machine alone for 1.5 s; a pool keeps one server more than lasting tasks need apart.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -272,7 +272,7 @@
 		Queues: []accepted.Queue{{
 			Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, ObjectiveMS: 600, SlackFactor: 2, MaxAttempts: 3, Open: true,
 		}},
-		Pools: []accepted.Pool{{Name: "p", Guards: true}},
+		Pools: []accepted.Pool{{Name: "p", Guards: true}, {Name: "off", Guards: true, Standby: true}},
 	}
 }
 
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -112,3 +112,28 @@
 	}
 	must.Eq(t, []pools.Move(nil), s.pools.Plan(0, nil, nil, 0))
 }
+
+// A machine without a server in a pool that is on may come back at any moment, with tasks before the list shows it.
+func TestMachineThatIsDownIsLeftAlone(t *testing.T) {
+	r := newMachineRig(t, &fakeMachines{})
+	s := r.d.session.Load()
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	must.False(t, s.movableLocked(Machine{Name: "m", Pool: "p", State: MachineUp}, 0))
+	must.False(t, s.movableLocked(Machine{Name: "m", Pool: "off", State: MachineDown}, 0))
+	must.True(t, s.movableLocked(Machine{Name: "m", Pool: "off", State: MachineUp}, 0))
+}
+
+// A pool keeps as many machines as lasting tasks need that may not share one, and one more.
+func TestPoolKeepsServersForTasksApart(t *testing.T) {
+	r := newMachineRig(t, &fakeMachines{})
+	r.submit("j", ledger.Step{Count: 5, Spread: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+	s := r.d.session.Load()
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	for _, p := range s.demandLocked(s.engine.ledger.Index().Config().Pools) {
+		if p.Name == "p" {
+			must.EqOp(t, 6, p.Least)
+		}
+	}
+}
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -30,6 +30,11 @@
 	// lendShare is the part of its first size that a pool keeps while others lack machines and its own turn may come at any
 	// time; it is enough for a turn's first second, in which machines come back.
 	lendShare = 0.6
+	// apartSpare is the number of servers beyond those on which lasting tasks must stay apart, so that one can be lost
+	// or have its upkeep.
+	apartSpare = 1
+	// busyPause is how long a machine that the platform called busy is left alone: about the time of a move.
+	busyPause = 1500 * time.Millisecond
 	// coldFloor is the least number of machines of a pool of which no turn is expected: a large task finds room at once.
 	coldFloor = 2
 	// moveAtOnce bounds the calls that are under way at once; the platform takes duty_per_s (64) a second.
@@ -137,10 +142,21 @@
 	return 0
 }
 
+// upLocked reports whether an order for a machine can hold: it is up, and its server is known unless its pool is off.
+// A machine that is about to come back may have tasks before the list shows its server.
+func (s *session) upLocked(m Machine) bool {
+	if m.State != MachineUp {
+		return false
+	}
+	pool := s.engine.ledger.Index().Pool(m.Pool)
+	return m.Server != "" || pool != nil && pool.Standby
+}
+
 // movableLocked reports whether a machine may leave its pool: it is up or off, nothing runs on it or is ordered for
 // it, and no upkeep is prepared.
 func (s *session) movableLocked(m Machine, now time.Duration) bool {
-	if m.State != MachineUp && m.State != MachineDown || s.reservedFor[m.Name] != "" {
+	_, upkeep := s.reservedFor[m.Name]
+	if !s.upLocked(m) || upkeep || now < s.avoidMove[m.Name] {
 		return false
 	}
 	if s.movedAt[m.Name] > s.view.asOf() || s.upkeepTaken[m.Name] > s.view.asOf() {
@@ -150,7 +166,7 @@
 		return false // an order without an answer may still be carried out
 	}
 	if m.Server == "" {
-		return true
+		return true // it is off
 	}
 	server := s.fleet.Get(m.Server)
 	if server == nil || server.Draining || s.reserved[m.Server] {
@@ -198,6 +214,7 @@
 	at := make(map[string]int, len(list))
 	demand := make([]pools.Pool, len(list))
 	lasting := make([]int64, len(list))
+	apart := make([]int, len(list))
 	for i, p := range list {
 		at[p.Name] = i
 		demand[i] = pools.Pool{Name: p.Name, Standby: p.Standby}
@@ -213,6 +230,7 @@
 			now, stays := schedulable(j, wall)
 			demand[i].Need += now + stays
 			lasting[i] += stays
+			apart[i] = max(apart[i], serversApart(j))
 		}
 	}
 	look := s.forecast.Look(wall)
@@ -225,14 +243,25 @@
 		if o.Rate > 0 {
 			d.Expected = o.Rate + lasting[i]
 		}
-		d.Floor, d.Least = coldFloor, coldFloor
+		least := max(coldFloor, apart[i]+apartSpare)
+		d.Floor, d.Least = least, least
 		if size := s.engine.ledger.Size(d.Name); o.Open || !s.forecastOn {
-			d.Floor, d.Least = size, max(coldFloor, int(lendShare*float64(size)))
+			d.Floor, d.Least = max(least, size), max(least, int(lendShare*float64(size)))
 		}
 	}
 	return demand
 }
 
+// serversApart returns how many servers a job's lasting tasks need at least because few may share one.
+func serversApart(j *ledger.Job) (n int) {
+	for i := range j.Steps {
+		if step := &j.Steps[i]; step.Lasting && step.Spread > 0 {
+			n = max(n, (step.Count+step.Spread-1)/step.Spread)
+		}
+	}
+	return n
+}
+
 // schedulable returns the thousandths of a core that a job would use now if there were room: by tasks that end, and by
 // tasks that last.
 func schedulable(j *ledger.Job, wallMS int64) (now, stays int64) {
@@ -272,6 +301,7 @@
 		delete(s.moveOpen, m.Machine)
 	default:
 		delete(s.reserved, server)
+		s.avoidMove[m.Machine] = boottime.Now() + busyPause
 		s.rereadLocked(viewGap)
 		return
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -80,6 +80,8 @@
 	movedAt  map[string]time.Duration
 	movedTo  map[string]string
 	moveOpen map[string]bool
+	// avoidMove is until when a machine is left alone that the platform called busy.
+	avoidMove map[string]time.Duration
 	// machineCPU is the largest server's size in thousandths of a core.
 	machineCPU int64
 	forecast   forecast.Forecast
@@ -115,7 +117,7 @@
 		reserved: make(map[string]bool), paces: make(map[runKey]int),
 		reservedFor: make(map[string]string), upkeepTaken: make(map[string]time.Duration), missing: make(map[string]time.Duration),
 		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
-		moveOpen: make(map[string]bool), view: &fleetView{},
+		moveOpen: make(map[string]bool), avoidMove: make(map[string]time.Duration), view: &fleetView{},
 		wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	s.ends = newEndQueue(s)
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -108,7 +108,7 @@
 		}
 		delete(s.missing, name)
 		if w.Phases[name] == ledger.UpkeepOrdered {
-			if s.upkeepTaken[name] == 0 {
+			if s.upkeepTaken[name] == 0 && s.upLocked(m) {
 				again = append(again, name) // ordered, by this leader or an earlier one, without an answer
 				s.reserved[m.Server], s.reservedFor[name] = true, m.Server
 			}
@@ -150,7 +150,7 @@
 
 // machineLocked describes a machine for the decision.
 func (s *session) machineLocked(m Machine) upkeep.Machine {
-	d := upkeep.Machine{Busy: s.forecast.Hot(m.Pool), Name: m.Name, Up: m.State == MachineUp, Reserved: s.reservedFor[m.Name] != "" && s.reserved[m.Server]}
+	d := upkeep.Machine{Busy: s.forecast.Hot(m.Pool), Name: m.Name, Up: s.upLocked(m), Reserved: s.reservedFor[m.Name] != "" && s.reserved[m.Server]}
 	for id, t := range s.engine.ledger.LiveOn(m.Server) {
 		step := &s.engine.ledger.Job(id.Job).Steps[id.Step]
 		d.Runs++
