Machines rest for their holder's lease instead of for a fixed time after each change of the leader

Change: orders for machines are committed with the leader's term; a new leader leaves alone only machines that another ordered within machine_lease (lease_ms of the platform).

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -35,6 +35,8 @@
 	Scope    tally.Scope
 	// ElectionTime is the least time for which replicas that hear a leader elect no other.
 	ElectionTime time.Duration
+	// MachineLease is how long a machine belongs to the holder that last ordered it (lease_ms of the users' bounds).
+	MachineLease time.Duration
 }
 
 // Dispatcher serves calls while its instance leads.
@@ -47,6 +49,7 @@
 	log           hclog.Logger
 	stats         *stats
 	authority     *authority
+	machineLease  time.Duration
 	session       atomic.Pointer[session]
 }
 
@@ -54,7 +57,7 @@
 func New(o Options) *Dispatcher {
 	return &Dispatcher{
 		name: o.Name, address: o.Address, engine: o.Engine, replica: o.Replica, servers: o.Servers, machines: o.Machines,
-		log: o.Log, stats: newStats(o.Scope), authority: newAuthority(o.ElectionTime),
+		log: o.Log, stats: newStats(o.Scope), authority: newAuthority(o.ElectionTime), machineLease: o.MachineLease,
 	}
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/request/ledger"
 )
 
@@ -15,13 +17,16 @@
 
 	mu     sync.Mutex
 	ledger *ledger.Ledger
+	// ordered is when this instance saw the last order of a machine committed; since is when it began to see.
+	ordered map[string]time.Duration
+	since   time.Duration
 	// changed is called under mu after each command.
 	changed func(*ledger.Command, *ledger.Result)
 }
 
 // NewEngine returns an engine with an empty ledger.
 func NewEngine(log hclog.Logger) *Engine {
-	return &Engine{log: log, ledger: ledger.New()}
+	return &Engine{log: log, ledger: ledger.New(), ordered: make(map[string]time.Duration), since: boottime.Now()}
 }
 
 // Apply implements replica.StateMachine.
@@ -35,6 +40,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	result := e.ledger.Apply(&c)
+	e.noteOrdersLocked(&c)
 	if e.changed != nil {
 		e.changed(&c, result)
 	}
@@ -45,6 +51,22 @@
 	return encoded
 }
 
+// noteOrdersLocked remembers when machines were ordered.
+func (e *Engine) noteOrdersLocked(c *ledger.Command) {
+	now := boottime.Now()
+	for _, m := range c.Upkeep {
+		e.ordered[m.Machine] = now
+	}
+	for _, m := range c.Moves {
+		e.ordered[m.Machine] = now
+	}
+}
+
+// quietLocked returns how long a machine has not been ordered for certain.
+func (e *Engine) quietLocked(machine string) time.Duration {
+	return boottime.Now() - max(e.ordered[machine], e.since)
+}
+
 // Snapshot implements replica.StateMachine.
 func (e *Engine) Snapshot() ([]byte, error) {
 	e.mu.Lock()
@@ -56,6 +78,8 @@
 func (e *Engine) Restore(_ uint64, data []byte) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	// Orders that the snapshot covers may have been given just now.
+	e.since = boottime.Now()
 	return e.ledger.Restore(data)
 }
 
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -12,17 +12,14 @@
 const (
 	// machineTimeout bounds a call to the platform, which may be slow.
 	machineTimeout = 2 * time.Second
-	// takeOver is how long a new leader leaves machines alone: two holders may not take turns within lease_ms
-	// (3 s) of the users' bounds.
-	takeOver = 4 * time.Second
+	// leaseSlack is added to the lease of a machine's holder, for clocks that differ and orders on their way.
+	leaseSlack = 500 * time.Millisecond
 )
 
-// holderPause returns how long this leader leaves machines alone. The leader of the first term has no predecessor.
-func (s *session) holderPause() time.Duration {
-	if s.holder.Fence <= 1 {
-		return 0
-	}
-	return takeOver
+// mayTakeLocked reports whether this leader may order a machine: no other has ordered it within the holder's lease.
+func (s *session) mayTakeLocked(machine string) bool {
+	by := s.engine.ledger.OrderedBy(machine)
+	return by == 0 || by == s.holder.Fence || s.engine.quietLocked(machine) >= s.machineLease+leaseSlack
 }
 
 // fleetView is what the platform last said of the machines. It is safe for concurrent use.
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
@@ -137,3 +138,42 @@
 		}
 	}
 }
+
+// A machine that an earlier leader has just ordered is left alone until that leader's lease on it has passed.
+func TestMachineOfAnEarlierLeaderRests(t *testing.T) {
+	r := newMachineRig(t, &fakeMachines{})
+	s := r.d.session.Load()
+	_, err := s.propose(&ledger.Command{By: s.holder.Fence, Moves: []ledger.MachineMove{{Machine: "m", Pool: "off"}}})
+	must.NoError(t, err)
+	at := func(term uint64, lease time.Duration) bool {
+		s.engine.mu.Lock()
+		defer s.engine.mu.Unlock()
+		other := &session{engine: s.engine, holder: Holder{Fence: term}, machineLease: lease}
+		return other.mayTakeLocked("m")
+	}
+	must.True(t, at(s.holder.Fence, time.Hour))
+	must.False(t, at(s.holder.Fence+1, time.Hour))
+	must.True(t, at(s.holder.Fence+1, -leaseSlack)) // the lease has passed
+}
+
+// Maintenance takes no more tasks of a lasting step than it may miss.
+func TestUpkeepTakesNoMoreThanAStepMayMiss(t *testing.T) {
+	r := newMachineRig(t, &fakeMachines{})
+	r.submit("j", ledger.Step{Count: 3, MayMiss: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+	task := func(i int) ledger.TaskID { return ledger.TaskID{Job: "j", Index: i} }
+	s := r.d.session.Load()
+	may := func(i int) bool {
+		s.engine.mu.Lock()
+		defer s.engine.mu.Unlock()
+		_, t := s.engine.ledger.Task(task(i))
+		return t != nil && s.mayStopLocked(task(i), t)
+	}
+	r.until(func() bool { return may(0) && may(1) && may(2) })
+	s.engine.mu.Lock()
+	_, first := s.engine.ledger.Task(task(0))
+	s.orders[runKey{task(0), first.Run}].stopping = true
+	s.engine.mu.Unlock()
+	must.False(t, may(1))
+	must.False(t, may(2))
+	must.True(t, may(0))
+}
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -54,7 +54,7 @@
 			return
 		case <-ticker.C:
 		}
-		if boottime.Now() < s.startedAt+s.holderPause() || !s.mayOrder() {
+		if !s.mayOrder() {
 			continue
 		}
 		s.movePools()
@@ -67,6 +67,9 @@
 		return
 	}
 	moves := s.planPools()
+	if len(moves) == 0 || !s.noteMoves(moves) {
+		return
+	}
 	var group sync.WaitGroup
 	slots := make(chan struct{}, moveAtOnce)
 	for _, m := range moves {
@@ -81,6 +84,23 @@
 	group.Wait()
 }
 
+// noteMoves commits what is about to be ordered, so that the next leader knows.
+func (s *session) noteMoves(moves []pools.Move) bool {
+	c := &ledger.Command{By: s.holder.Fence}
+	for _, m := range moves {
+		c.Moves = append(c.Moves, ledger.MachineMove{Machine: m.Machine, Pool: m.To})
+	}
+	_, err := s.propose(c)
+	if err == nil {
+		return true
+	}
+	s.log.Warn("moves not committed", "moves", len(moves), "error", err)
+	for _, m := range moves {
+		s.unreserve(s.view.get(m.Machine).Server)
+	}
+	return false
+}
+
 // viewStale reports whether the platform's list is to be read again.
 func (s *session) viewStale() bool {
 	s.engine.mu.Lock()
@@ -156,7 +176,7 @@
 // it, and no upkeep is prepared.
 func (s *session) movableLocked(m Machine, now time.Duration) bool {
 	_, upkeep := s.reservedFor[m.Name]
-	if !s.upLocked(m) || upkeep || now < s.avoidMove[m.Name] {
+	if !s.upLocked(m) || !s.mayTakeLocked(m.Name) || upkeep || now < s.avoidMove[m.Name] {
 		return false
 	}
 	if s.movedAt[m.Name] > s.view.asOf() || s.upkeepTaken[m.Name] > s.view.asOf() {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -61,6 +61,8 @@
 	holder    Holder
 	stats     *stats
 	startedAt time.Duration
+	// machineLease is how long a machine belongs to the holder that last ordered it.
+	machineLease time.Duration
 
 	// Under engine.mu.
 	fleet   *fleet.Table
@@ -112,8 +114,8 @@
 	s := &session{
 		engine: d.engine, log: d.log.With("term", term), replica: d.replica, servers: d.servers, machines: d.machines,
 		authority: d.authority, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
-		startedAt: boottime.Now(),
-		fleet:     fleet.NewTable(), orders: make(map[runKey]*order), holders: make(map[string]*holder),
+		startedAt: boottime.Now(), machineLease: d.machineLease,
+		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holders: make(map[string]*holder),
 		reserved: make(map[string]bool), paces: make(map[runKey]int),
 		reservedFor: make(map[string]string), upkeepTaken: make(map[string]time.Duration), missing: make(map[string]time.Duration),
 		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -26,7 +26,7 @@
 			return
 		case <-ticker.C:
 		}
-		if s.machines == nil || boottime.Now() < s.startedAt+s.holderPause() || !s.mayOrder() {
+		if s.machines == nil || !s.mayOrder() {
 			continue
 		}
 		for _, number := range s.openWaves() {
@@ -108,7 +108,7 @@
 		}
 		delete(s.missing, name)
 		if w.Phases[name] == ledger.UpkeepOrdered {
-			if s.upkeepTaken[name] == 0 && s.upLocked(m) {
+			if s.upkeepTaken[name] == 0 && s.upLocked(m) && s.mayTakeLocked(name) {
 				again = append(again, name) // ordered, by this leader or an earlier one, without an answer
 				s.reserved[m.Server], s.reservedFor[name] = true, m.Server
 			}
@@ -150,7 +150,7 @@
 
 // machineLocked describes a machine for the decision.
 func (s *session) machineLocked(m Machine) upkeep.Machine {
-	d := upkeep.Machine{Busy: s.forecast.Hot(m.Pool), Name: m.Name, Up: s.upLocked(m), Reserved: s.reservedFor[m.Name] != "" && s.reserved[m.Server]}
+	d := upkeep.Machine{Busy: s.forecast.Hot(m.Pool), Name: m.Name, Up: s.upLocked(m) && s.mayTakeLocked(m.Name), Reserved: s.reservedFor[m.Name] != "" && s.reserved[m.Server]}
 	for id, t := range s.engine.ledger.LiveOn(m.Server) {
 		step := &s.engine.ledger.Job(id.Job).Steps[id.Step]
 		d.Runs++
@@ -222,7 +222,7 @@
 		return // a start was planned meanwhile
 	}
 	mark := ledger.UpkeepMark{Wave: number, Machine: name, Phase: ledger.UpkeepOrdered}
-	if _, err := s.propose(&ledger.Command{Upkeep: []ledger.UpkeepMark{mark}}); err != nil {
+	if _, err := s.propose(&ledger.Command{Upkeep: []ledger.UpkeepMark{mark}, By: s.holder.Fence}); err != nil {
 		s.log.Warn("upkeep not noted", "wave", number, "machine", name, "error", err)
 		return
 	}
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -93,6 +93,7 @@
 	d := dispatch.New(dispatch.Options{
 		Name: s.Name, Address: s.Listen, Engine: engine, Replica: node, Servers: ports.Servers, Machines: ports.Machines,
 		Log: log.Named("dispatch"), Scope: registry.Scope(), ElectionTime: tick * electionTicks,
+		MachineLease: s.MachineLease.Std(),
 	})
 	c := &control{settings: s, log: log, node: node, dispatcher: d, metrics: registry, ports: ports}
 	c.client = leader.NewClient(seeds, d, log.Named("leader"))
--- a/internal/jobcontrol/settings.go
+++ b/internal/jobcontrol/settings.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"strconv"
+	"time"
 
 	"laburnumrouter/internal/process/settings"
 )
@@ -25,13 +26,18 @@
 	MemoryMB int64 `toml:"memory_mb"`
 	// Machines is the address of the platform's interface to machines, as IP:port; empty without one.
 	Machines string `toml:"machines"`
+	// MachineLease is how long a machine belongs to the holder that last ordered it. Default 3s.
+	MachineLease settings.Duration `toml:"machine_lease"`
 	// MetricsListen is the address for metrics, as IP:port; empty serves none.
 	MetricsListen string `toml:"metrics_listen"`
 }
 
+// defaultMachineLease is lease_ms of the users' bounds.
+const defaultMachineLease = 3 * time.Second
+
 // DefaultSettings returns the defaults.
 func DefaultSettings() *Settings {
-	return &Settings{Node: settings.DefaultNode(), Losses: 1}
+	return &Settings{Node: settings.DefaultNode(), Losses: 1, MachineLease: settings.Duration(defaultMachineLease)}
 }
 
 // Check implements settings.Checker.
@@ -49,6 +55,9 @@
 	if s.Losses < 0 {
 		f.Add("losses", "must not be negative")
 	}
+	if s.MachineLease <= 0 {
+		f.Add("machine_lease", "must be positive")
+	}
 	if s.MemoryMB < 0 {
 		f.Add("memory_mb", "must not be negative")
 	}
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -40,6 +40,12 @@
 	}
 	for _, m := range c.Upkeep {
 		l.applyUpkeep(m)
+		if m.Phase == UpkeepOrdered {
+			l.Orders[m.Machine] = c.By
+		}
+	}
+	for _, m := range c.Moves {
+		l.Orders[m.Machine] = c.By
 	}
 	for pool, n := range c.Sizes {
 		if _, known := l.Sizes[pool]; !known {
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -18,6 +18,10 @@
 	Gone   []Incarnation `json:",omitempty"`
 	Wave   *WaveOrder    `json:",omitempty"`
 	Upkeep []UpkeepMark  `json:",omitempty"`
+	// Moves are machines that are about to be ordered to another pool.
+	Moves []MachineMove `json:",omitempty"`
+	// By is the term of the leader that orders Upkeep and Moves.
+	By uint64 `json:",omitempty"`
 	// Sizes are numbers of machines that pools have before any was moved; the first one of a pool counts.
 	Sizes map[string]int `json:",omitempty"`
 }
@@ -113,6 +117,11 @@
 	Phase   UpkeepPhase
 }
 
+// MachineMove orders a machine to a pool.
+type MachineMove struct {
+	Machine, Pool string
+}
+
 // Verdict tells what became of a part of a command.
 type Verdict string
 
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -45,6 +45,8 @@
 	Jobs    map[string]*Job
 	Servers map[string]Server `json:",omitempty"`
 	Waves   map[int64]*Wave   `json:",omitempty"`
+	// Orders holds, by machine, the term of the leader that last ordered it.
+	Orders map[string]uint64 `json:",omitempty"`
 	// Sizes are the numbers of machines that the pools had first.
 	Sizes map[string]int `json:",omitempty"`
 	// ClockMS is the highest time of day that a command carried.
@@ -70,7 +72,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	l := &Ledger{contents: contents{Jobs: make(map[string]*Job), Servers: make(map[string]Server), Waves: make(map[int64]*Wave), Sizes: make(map[string]int)}}
+	l := &Ledger{contents: contents{Jobs: make(map[string]*Job), Servers: make(map[string]Server), Waves: make(map[int64]*Wave), Sizes: make(map[string]int), Orders: make(map[string]uint64)}}
 	l.reindex()
 	return l
 }
@@ -200,6 +202,9 @@
 // Size returns the number of machines that a pool had first; 0 if it isn't known.
 func (l *Ledger) Size(pool string) int { return l.Sizes[pool] }
 
+// OrderedBy returns the term of the leader that last ordered a machine; 0 if none did.
+func (l *Ledger) OrderedBy(machine string) uint64 { return l.Orders[machine] }
+
 // Wave returns a wave, or nil.
 func (l *Ledger) Wave(number int64) *Wave { return l.Waves[number] }
 
