Upkeep moves lasting tasks only where there is room, and pools are supplied beyond it

One task was stopped to empty its server and found no place; the step may miss one, so no other could be stopped, the reserved servers never emptied, and the task waited 11 s.

Change: a lasting task is stopped for upkeep only if another server has room for it; machines in or near upkeep don't count for their pool, and a pool gets the servers that it must have like those that its work needs.

--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -58,9 +58,7 @@
 	now := boottime.Now()
 	s.evacuateLocked(now)
 	began := time.Now()
-	starts := schedule.Plan(&schedule.Input{
-		Now: now, WallMS: time.Now().UnixMilli(), Ledger: s.engine.ledger, Fleet: s.fleet, Reserved: s.reserved,
-	})
+	starts := schedule.Plan(s.planInputLocked())
 	s.stats.plan.Record(time.Since(began))
 	for _, st := range starts {
 		s.orders[runKey{st.Task, st.Run}] = &order{state: orderPlanned, at: now}
@@ -69,6 +67,13 @@
 	return starts
 }
 
+// planInputLocked is what plans are made from now.
+func (s *session) planInputLocked() *schedule.Input {
+	return &schedule.Input{
+		Now: boottime.Now(), WallMS: time.Now().UnixMilli(), Ledger: s.engine.ledger, Fleet: s.fleet, Reserved: s.reserved,
+	}
+}
+
 // unplan notes that starts are in the ledger, or never will be as far as this leader knows.
 func (s *session) unplan(starts []ledger.Start) {
 	s.engine.mu.Lock()
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -140,6 +140,9 @@
 				m.Pool, m.State = s.movedTo[m.Name], MachineMoving
 			}
 		}
+		if _, leaves := s.reservedFor[m.Name]; leaves {
+			m.Pool = "" // it is lost to its pool until it is back from its upkeep
+		}
 		cpu = max(cpu, s.serverCPULocked(m.Server))
 		list = append(list, pools.Machine{Name: m.Name, Pool: m.Pool, Movable: s.movableLocked(m, now)})
 	}
@@ -266,7 +269,7 @@
 		least := max(coldFloor, apart[i]+apartSpare)
 		d.Floor, d.Least = least, least
 		if size := s.engine.ledger.Size(d.Name); o.Open || !s.forecastOn {
-			d.Floor, d.Least = max(least, size), max(least, int(lendShare*float64(size)))
+			d.Floor, d.Least = max(least, size), max(least, min(size-1, int(lendShare*float64(size))))
 		}
 	}
 	return demand
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -6,6 +6,7 @@
 
 	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/schedule"
 	"laburnumrouter/internal/request/upkeep"
 )
 
@@ -124,9 +125,10 @@
 		}
 		s.reservedFor[name] = server
 	}
+	rooms := schedule.NewRooms(s.planInputLocked())
 	for _, name := range w.Machines {
 		if s.upkeepTaken[name] == 0 && w.Phases[name] != ledger.UpkeepOver {
-			s.vacateLocked(s.reservedFor[name])
+			s.vacateLocked(s.reservedFor[name], rooms)
 		}
 	}
 	return append(again, d.Order...)
@@ -166,13 +168,14 @@
 	return d
 }
 
-// vacateLocked stops lasting tasks on a reserved server as far as their steps may miss them.
-func (s *session) vacateLocked(server string) {
+// vacateLocked stops lasting tasks on a reserved server as far as their steps may miss them and another server has room.
+func (s *session) vacateLocked(server string, rooms *schedule.Rooms) {
 	if server == "" || !s.reserved[server] {
 		return
 	}
 	for id, t := range s.engine.ledger.LiveOn(server) {
-		if s.engine.ledger.Job(id.Job).Steps[id.Step].Lasting && s.settledLocked(id, t) && s.mayStopLocked(id, t) {
+		lasting := s.engine.ledger.Job(id.Job).Steps[id.Step].Lasting
+		if lasting && s.settledLocked(id, t) && s.mayStopLocked(id, t) && rooms.Take(id) {
 			s.stopLocked(id, t, "its machine has upkeep")
 		}
 	}
--- a/internal/request/pools/pools.go
+++ b/internal/request/pools/pools.go
@@ -36,7 +36,7 @@
 	// Need is the number of thousandths of a core that would run everything that waits or runs, Expected the same for
 	// what is likely to come before a machine that is ordered now can work.
 	Need, Expected int64
-	// Floor is the least number of machines while others need none, Least while they do.
+	// Least is the number of machines that the pool must have, Floor what it keeps while others need none.
 	Floor, Least int
 }
 
@@ -74,12 +74,12 @@
 			d.spare[pool.Name] = size[pool.Name]
 			continue
 		}
-		need := machinesFor(pool.Need, machineCPU)
+		need := max(machinesFor(pool.Need, machineCPU), pool.Least)
 		want := max(need, machinesFor(pool.Expected, machineCPU))
 		kept := p.hold(pool.Name, now, want)
 		d.lacking[pool.Name] = max(0, need-size[pool.Name])
 		d.missing[pool.Name] = max(0, want-size[pool.Name])
-		d.excess[pool.Name] = max(0, size[pool.Name]-max(need+margin, pool.Least))
+		d.excess[pool.Name] = max(0, size[pool.Name]-need-margin)
 		d.spare[pool.Name] = max(0, size[pool.Name]-max(kept, pool.Floor))
 		d.loan[pool.Name] = max(0, size[pool.Name]-max(kept, pool.Least))
 	}
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -46,6 +46,31 @@
 	return p.starts
 }
 
+// Rooms tells whether tasks that run now could run on another server as well.
+type Rooms struct{ planner *planner }
+
+// NewRooms looks at what is free.
+func NewRooms(in *Input) *Rooms { return &Rooms{newPlanner(in)} }
+
+// Take reports whether another server has room for a task, and takes that room for the task.
+func (r *Rooms) Take(id ledger.TaskID) bool {
+	j, t := r.planner.Ledger.Task(id)
+	q := r.planner.Ledger.Index().Queue(j.Queue)
+	if t == nil || q == nil {
+		return false
+	}
+	c := candidate{job: j, k: id.K, step: id.Step, pool: q.Pool}
+	on := spreadOf(c)
+	// The task's own server is no other one.
+	on[t.Worker] = max(on[t.Worker], j.Steps[id.Step].Spread)
+	room := r.planner.choose(c, on)
+	if room == nil || room.server.ID == t.Worker {
+		return false
+	}
+	room.free = room.free.Minus(j.Steps[id.Step].Charge())
+	return true
+}
+
 // planner carries one plan as it grows.
 type planner struct {
 	*Input
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -206,3 +206,23 @@
 		must.EqOp(t, 4, n)
 	}
 }
+
+// A task that must stay apart from its like can only move to a server that has none of them.
+func TestRoomsForTasksApart(t *testing.T) {
+	w := newWorld(t)
+	for _, id := range []string{"a", "b"} {
+		w.server(id, "p", nil)
+	}
+	step := tasks(2, 100)
+	step.Spread, step.Lasting = 1, true
+	w.submit("j", step)
+	w.ledger.Apply(&ledger.Command{Starts: w.plan(startMS)})
+	in := &Input{Now: w.now, WallMS: startMS, Ledger: w.ledger, Fleet: w.fleet}
+	id := ledger.TaskID{Job: "j"}
+	must.False(t, NewRooms(in).Take(id))
+	w.server("c", "p", nil)
+	rooms := NewRooms(in)
+	must.True(t, rooms.Take(id))
+	in.Reserved = map[string]bool{"c": true}
+	must.False(t, NewRooms(in).Take(id))
+}
