Pools follow the work that is there; the forecast counts before a turn and early in it

A hot pool held 30% more than ran, because the mean of a turn with headroom was kept beside the work that is there, and for 3 s after; waves of 170 machines were late because each upkeep was committed and called for by itself.

Change: after a turn's first 2.5 s only work that waits or runs counts, with a tenth of growth; sizes are held for 1.5 s; no spare server for tasks apart (pools count without machines in upkeep); upkeeps of one look share a log entry and are called for at once.

--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"laburnumrouter/internal/process/boottime"
@@ -30,15 +29,12 @@
 	// lendShare is the part of its first size that a pool keeps while others lack machines and its own turn may come at any
 	// time; it is enough for a turn's first second, in which machines come back.
 	lendShare = 0.6
-	// apartSpare is the number of servers beyond those on which lasting tasks must stay apart, so that one can be lost
-	// or have its upkeep.
-	apartSpare = 1
 	// busyPause is how long a machine that the platform called busy is left alone: about the time of a move.
 	busyPause = 1500 * time.Millisecond
 	// coldFloor is the least number of machines of a pool of which no turn is expected: a large task finds room at once.
 	coldFloor = 2
-	// moveAtOnce bounds the calls that are under way at once; the platform takes duty_per_s (64) a second.
-	moveAtOnce = 12
+	// callsAtOnce bounds the calls to the platform that are under way at once; it takes duty_per_s (64) a second.
+	callsAtOnce = 12
 )
 
 // poolLoop moves machines between pools.
@@ -70,18 +66,7 @@
 	if len(moves) == 0 || !s.noteMoves(moves) {
 		return
 	}
-	var group sync.WaitGroup
-	slots := make(chan struct{}, moveAtOnce)
-	for _, m := range moves {
-		slots <- struct{}{}
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			s.move(m)
-			<-slots
-		}()
-	}
-	group.Wait()
+	inParallel(moves, s.move)
 }
 
 // noteMoves commits what is about to be ordered, so that the next leader knows.
@@ -266,7 +251,7 @@
 		if o.Rate > 0 {
 			d.Expected = o.Rate + lasting[i]
 		}
-		least := max(coldFloor, apart[i]+apartSpare)
+		least := max(coldFloor, apart[i])
 		d.Floor, d.Least = least, least
 		if size := s.engine.ledger.Size(d.Name); o.Open || !s.forecastOn {
 			d.Floor, d.Least = max(least, size), max(least, min(size-1, int(lendShare*float64(size))))
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"laburnumrouter/internal/process/boottime"
@@ -61,9 +62,7 @@
 			return
 		}
 	}
-	for _, m := range s.decideWave(number, byName) {
-		s.orderUpkeep(number, m, byName[m].Server)
-	}
+	s.orderUpkeeps(number, s.decideWave(number, byName), byName)
 }
 
 // returned lists the machines of a wave whose upkeep is over: the platform says that they are up after an order that
@@ -212,47 +211,79 @@
 	return server != nil && server.FailedCalls == 0
 }
 
-// orderUpkeep takes a machine down. The order is noted before it leaves.
-func (s *session) orderUpkeep(number int64, name, server string) {
-	s.engine.mu.Lock()
-	if server != "" {
-		s.reserved[server] = true
+// orderUpkeeps takes machines down. The orders are noted, all in one entry of the log, before they leave.
+func (s *session) orderUpkeeps(number int64, names []string, byName map[string]Machine) {
+	c := &ledger.Command{By: s.holder.Fence}
+	for _, name := range s.reserveEmpty(names, byName) {
+		c.Upkeep = append(c.Upkeep, ledger.UpkeepMark{Wave: number, Machine: name, Phase: ledger.UpkeepOrdered})
 	}
-	s.reservedFor[name] = server
-	busy := server != "" && (len(s.engine.ledger.LiveOn(server)) > 0 || s.planned[server] > 0)
-	s.engine.mu.Unlock()
-	if busy {
-		return // a start was planned meanwhile
+	if len(c.Upkeep) == 0 {
+		return
 	}
-	mark := ledger.UpkeepMark{Wave: number, Machine: name, Phase: ledger.UpkeepOrdered}
-	if _, err := s.propose(&ledger.Command{Upkeep: []ledger.UpkeepMark{mark}, By: s.holder.Fence}); err != nil {
-		s.log.Warn("upkeep not noted", "wave", number, "machine", name, "error", err)
+	if _, err := s.propose(c); err != nil {
+		s.log.Warn("upkeep not noted", "wave", number, "machines", len(c.Upkeep), "error", err)
 		return
 	}
+	inParallel(c.Upkeep, func(m ledger.UpkeepMark) { s.orderUpkeep(m, byName[m.Machine].Server) })
+}
+
+// reserveEmpty reserves the machines of a list on which nothing runs or is about to, and returns them.
+func (s *session) reserveEmpty(names []string, byName map[string]Machine) (empty []string) {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	for _, name := range names {
+		server := byName[name].Server
+		s.reservedFor[name] = server
+		if server != "" {
+			s.reserved[server] = true
+		}
+		if server == "" || len(s.engine.ledger.LiveOn(server)) == 0 && s.planned[server] == 0 {
+			empty = append(empty, name)
+		}
+	}
+	return empty
+}
+
+// orderUpkeep takes one machine down.
+func (s *session) orderUpkeep(m ledger.UpkeepMark, server string) {
 	if !s.mayOrder() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, machineTimeout)
 	defer cancel()
-	answer, err := s.machines.Upkeep(ctx, s.holder, name, number)
+	answer, err := s.machines.Upkeep(ctx, s.holder, m.Machine, m.Wave)
 	s.stats.machineCalls.Inc(1)
-	s.log.Info("upkeep ordered", "wave", number, "machine", name, "server", server, "answer", answer, "error", err)
+	s.log.Info("upkeep ordered", "wave", m.Wave, "machine", m.Machine, "server", server, "answer", answer, "error", err)
 	if err != nil {
 		return
 	}
 	switch answer {
 	case MachineTaken:
 		s.engine.mu.Lock()
-		s.upkeepTaken[name] = boottime.Now()
+		s.upkeepTaken[m.Machine] = boottime.Now()
 		s.rereadLocked(settle)
 		if old := s.fleet.Get(server); old != nil {
 			old.Left = true
 		}
 		s.engine.mu.Unlock()
 	case MachineNotInWave, MachineRefused:
-		mark.Phase = ledger.UpkeepOver
-		if _, err := s.propose(&ledger.Command{Upkeep: []ledger.UpkeepMark{mark}}); err != nil {
-			s.log.Warn("upkeep not noted", "wave", number, "machine", name, "error", err)
+		m.Phase = ledger.UpkeepOver
+		if _, err := s.propose(&ledger.Command{Upkeep: []ledger.UpkeepMark{m}}); err != nil {
+			s.log.Warn("upkeep not noted", "wave", m.Wave, "machine", m.Machine, "error", err)
 		}
 	}
 }
+
+// inParallel calls f for each element, some at a time, and waits for all.
+func inParallel[T any](list []T, f func(T)) {
+	var group sync.WaitGroup
+	slots := make(chan struct{}, callsAtOnce)
+	for _, element := range list {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			f(element)
+		})
+	}
+	group.Wait()
+}
--- a/internal/request/forecast/forecast.go
+++ b/internal/request/forecast/forecast.go
@@ -18,8 +18,9 @@
 	// coldShare is the part of its usual capacity below which a pool's turn is over; it is lower than hotShare, so that
 	// one turn isn't taken for two.
 	coldShare = 0.2
-	// young is how long a turn's own rate is not yet relied on alone.
-	young = 1500
+	// young is how long after a turn's start the work that is there doesn't show yet what the turn asks for: jobs of several
+	// steps take 2 to 4 s.
+	young = 2500
 	// lead is how long before its expected turn a pool is to have its machines: a move takes 1.5 s (migrate_s), and the
 	// new server has to announce itself.
 	lead = 2500
@@ -28,15 +29,14 @@
 	// firstTurn is how much of its usual capacity a pool is taken to need when its first turn begins. The users' queues
 	// then ask for more than their pools hold, 1.3 to 2.2 times as much.
 	firstTurn = 1.7
-	// headroom is added to what a pool asked in its last turn, for arrivals that come in clusters.
-	headroom = 1.2
 	// keepTurns bounds the turns that are remembered.
 	keepTurns = 32
 )
 
 // Outlook is what is expected of a pool.
 type Outlook struct {
-	// Rate is the demand in thousandths of a core that is to be ready for now; 0 if no turn is under way or expected soon.
+	// Rate is the demand in thousandths of a core that is to be ready for because it is about to come: a turn is expected
+	// soon or has just begun. Later in a turn the work that is there tells more, and Rate is 0.
 	Rate int64
 	// Open is set if the pool's turn may come at any time: none was seen yet.
 	Open bool
@@ -227,7 +227,7 @@
 // turnRate returns what a turn that goes on is likely to ask for.
 func (f *Forecast) turnRate(t *turn, usual, now int64) int64 {
 	if now-t.start >= young {
-		return int64(headroom * float64(t.rate(now)))
+		return 0
 	}
 	if rate := f.lastRate(t.pool, now); rate > 0 {
 		return rate
@@ -258,11 +258,11 @@
 	}
 }
 
-// lastRate returns what a pool asked in its last complete turn, with headroom; 0 if it had none.
+// lastRate returns what a pool asked in its last complete turn; 0 if it had none.
 func (f *Forecast) lastRate(pool string, now int64) int64 {
 	for i := range slices.Backward(f.turns) {
 		if f.turns[i].pool == pool && f.turns[i].end != 0 {
-			return int64(headroom * float64(f.turns[i].rate(now)))
+			return f.turns[i].rate(now)
 		}
 	}
 	return 0
--- a/internal/request/pools/pools.go
+++ b/internal/request/pools/pools.go
@@ -11,14 +11,16 @@
 )
 
 const (
-	// fillable is the part of a pool's processors that tasks of usual sizes can fill: tasks take up to a third of a
-	// machine, so the rest of each machine stays empty.
-	fillable = 0.85
+	// fillable is the part of a pool's processors that tasks of usual sizes can fill: a task takes a twentieth to a third of a
+	// machine, so some of each machine stays empty.
+	fillable = 0.9
+	// growth is how much more work than now a pool is prepared for: what comes while a machine that is ordered now moves.
+	growth = 1.1
 	// margin is the number of machines that a pool keeps beyond what its work needs when it gives to others.
 	margin = 1
-	// holdFor is how long a pool keeps the size that it last needed. A machine that is switched off and on again
-	// costs about as much as it does in 4 s of standing idle (prices moved, server_s and cloud_call of the users' sites).
-	holdFor = 3 * time.Second
+	// holdFor is how long a pool keeps the size that it last needed: about a task's run time, after which the work that
+	// came with the last peak is done.
+	holdFor = 1500 * time.Millisecond
 )
 
 // Machine is a machine as the leader sees it.
@@ -74,7 +76,7 @@
 			d.spare[pool.Name] = size[pool.Name]
 			continue
 		}
-		need := max(machinesFor(pool.Need, machineCPU), pool.Least)
+		need := max(machinesFor(int64(growth*float64(pool.Need)), machineCPU), pool.Least)
 		want := max(need, machinesFor(pool.Expected, machineCPU))
 		kept := p.hold(pool.Name, now, want)
 		d.lacking[pool.Name] = max(0, need-size[pool.Name])
