Log: placements and ends of jobs, through a writer that never blocks; a new leader shrinks no pool at first

Cause: where a task went and why it waited was on record only in the ledger; a full pipe would have held up the process.

For the first 1.5 s a planner lets pools keep what they have (TestNewPlannerShrinksNothing).

Tried and reverted: upkeep leaves idle machines of hot pools alone while there is time.

--- a/cmd/laburnum-control/main.go
+++ b/cmd/laburnum-control/main.go
@@ -36,7 +36,9 @@
 func jobPorts(s *jobcontrol.Settings) jobcontrol.Ports {
 	ports := jobcontrol.Ports{
 		Servers: platform.NewServers(),
-		Public:  func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler { return platform.Control(do) },
+		Public: func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
+			return platform.Control(do)
+		},
 	}
 	if s.Machines != "" {
 		ports.Machines = platform.NewMachines(s.Machines)
--- a/cmd/laburnum-entry/main.go
+++ b/cmd/laburnum-entry/main.go
@@ -44,9 +44,11 @@
 		}
 	}()
 	return jobentry.Ports{
-		Callers: func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler { return platform.Callers(do) },
-		Ready:   platform.Ready,
-		Reload:  reload,
+		Callers: func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
+			return platform.Callers(do)
+		},
+		Ready:  platform.Ready,
+		Reload: reload,
 		ReloadSeeds: func() ([]string, error) {
 			fresh := jobentry.DefaultSettings()
 			err := settings.Load(p.SettingsPath, fresh)
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -44,12 +44,41 @@
 		s.forget(starts)
 		return
 	}
+	s.logStarts(result.Started)
 	s.launch(result.Started)
 	if len(result.Started) < len(starts) {
 		s.forgetExcept(starts, result.Started)
 	}
 }
 
+// logStarts writes a line for each step of which tasks were placed: where, how long the job has waited, and how many runs
+// of the step's tasks there were before.
+func (s *session) logStarts(starts []ledger.Start) {
+	now := time.Now().UnixMilli()
+	for len(starts) > 0 {
+		first := starts[0].Task
+		n, again := 0, 0
+		var servers []string
+		for n < len(starts) && sameStep(starts[n].Task, first) {
+			servers = append(servers, starts[n].Worker)
+			if starts[n].Run > 1 {
+				again++
+			}
+			n++
+		}
+		s.engine.mu.Lock()
+		j := s.engine.ledger.Job(first.Job)
+		waited := now - max(j.AcceptedMS, j.DueMS(first.K))
+		queue := j.Queue
+		s.engine.mu.Unlock()
+		s.log.Info("tasks placed", "job", first.Job, "queue", queue, "occurrence", first.K, "step", first.Step, "tasks", n,
+			"again", again, "servers", servers, "since_due_ms", waited)
+		starts = starts[n:]
+	}
+}
+
+func sameStep(a, b ledger.TaskID) bool { return a.Job == b.Job && a.K == b.K && a.Step == b.Step }
+
 // makePlan returns starts, whose orders are noted before they are committed: a run that is live without a
 // note is taken for an inherited one.
 func (s *session) makePlan() []ledger.Start {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -210,13 +210,13 @@
 		}
 	}
 	if c.Cancel != "" || len(r.Ended) > 0 {
-		s.stopFinalLocked(c, r)
+		s.finishedLocked(c, r)
 	}
 	s.notify()
 }
 
-// stopFinalLocked stops what still runs of jobs that have just become final.
-func (s *session) stopFinalLocked(c *ledger.Command, r *ledger.Result) {
+// finishedLocked logs jobs that have just become final, and stops what still runs of them.
+func (s *session) finishedLocked(c *ledger.Command, r *ledger.Result) {
 	ids := make(map[string]bool)
 	if c.Cancel != "" {
 		ids[c.Cancel] = true
@@ -225,7 +225,14 @@
 		ids[e.Task.Job] = true
 	}
 	for id := range ids {
-		if j := s.engine.ledger.Job(id); j != nil && j.State.Final() && j.Live > 0 {
+		j := s.engine.ledger.Job(id)
+		if j == nil || !j.State.Final() {
+			continue
+		}
+		if j.FinishedMS == s.engine.ledger.ClockMS {
+			s.log.Info("job finished", "job", id, "queue", j.Queue, "team", j.Team, "state", j.State, "took_ms", j.FinishedMS-j.AcceptedMS)
+		}
+		if j.Live > 0 {
 			s.stopJobLocked(j)
 		}
 	}
--- a/internal/process/logging/logging.go
+++ b/internal/process/logging/logging.go
@@ -7,13 +7,15 @@
 	"github.com/hashicorp/go-hclog"
 )
 
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // New returns a logger that writes lines at or above level to w.
 func New(w io.Writer, program, node, level string) hclog.Logger {
 	l := hclog.New(&hclog.LoggerOptions{
 		Name:       program,
 		Level:      hclog.LevelFromString(level),
 		Output:     w,
-		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+		TimeFormat: timeFormat,
 	})
 	return l.With("node", node)
 }
--- a/internal/process/program/program.go
+++ b/internal/process/program/program.go
@@ -77,16 +77,19 @@
 	}
 	ctx, cancel := server.SignalContext()
 	defer cancel()
-	out := os.Stderr
+	file := os.Stderr
 	if mode.Node.Log.Stdout {
-		out = os.Stdout
+		file = os.Stdout
 	}
+	out := logging.NewBounded(file)
 	log := logging.New(out, name, mode.Node.Name, mode.Node.Log.Level)
+	code := ExitOK
 	if err := mode.Run(&Process{Context: ctx, Log: log, SettingsPath: cli.Settings}); err != nil {
 		log.Error("stopped on an error", "error", err)
-		os.Exit(ExitFailed)
+		code = ExitFailed
 	}
-	os.Exit(ExitOK)
+	out.Close()
+	os.Exit(code)
 }
 
 func fail(name string, code int, err error) {
--- a/internal/request/pools/pools.go
+++ b/internal/request/pools/pools.go
@@ -50,6 +50,9 @@
 // Planner remembers what pools needed of late. The zero value is ready to use.
 type Planner struct {
 	peaks map[string][]peak
+	// since is when the first plan was made, if begun is set.
+	since time.Duration
+	begun bool
 }
 
 type peak struct {
@@ -62,6 +65,9 @@
 	if machineCPU <= 0 {
 		return nil
 	}
+	if !p.begun {
+		p.since, p.begun = now, true
+	}
 	size := make(map[string]int)
 	for _, m := range machines {
 		size[m.Pool]++
@@ -79,6 +85,10 @@
 		need := max(machinesFor(int64(growth*float64(pool.Need)), machineCPU), pool.Least)
 		want := max(need, machinesFor(pool.Expected, machineCPU))
 		kept := p.hold(pool.Name, now, want)
+		if now-p.since < holdFor {
+			// Nothing is known yet of what the pool needed just before, under an earlier leader.
+			kept = max(kept, size[pool.Name])
+		}
 		d.lacking[pool.Name] = max(0, need-size[pool.Name])
 		d.missing[pool.Name] = max(0, want-size[pool.Name])
 		d.excess[pool.Name] = max(0, size[pool.Name]-need-margin)
--- a/internal/request/pools/pools_test.go
+++ b/internal/request/pools/pools_test.go
@@ -44,7 +44,7 @@
 
 // A pool whose own turn may come lends some machines, but only while another lacks them.
 func TestLoans(t *testing.T) {
-	var p Planner
+	p := Planner{begun: true, since: -holdFor}
 	list := []Pool{{Name: "hot", Need: 20 * core32}, {Name: "idle", Floor: 9, Least: 5}}
 	moves := p.Plan(0, list, fleet(map[string]int{"hot": 8, "idle": 9}), core32)
 	must.EqOp(t, 4, count(moves, "idle", "hot"))
@@ -63,12 +63,21 @@
 }
 
 func TestBusyMachinesStay(t *testing.T) {
-	var p Planner
+	p := Planner{begun: true, since: -holdFor}
 	list := []Pool{{Name: "off", Standby: true}, {Name: "cold", Floor: 1}}
 	moves := p.Plan(0, list, fleet(map[string]int{"cold": 3}, "cold00", "cold01"), core32)
 	must.Eq(t, []Move{{Machine: "cold02", From: "cold", To: "off"}}, moves)
 }
 
+// A new leader doesn't know what pools needed a moment ago and lets them keep what they have for a while.
+func TestNewPlannerShrinksNothing(t *testing.T) {
+	var p Planner
+	list := []Pool{{Name: "off", Standby: true}, {Name: "a"}}
+	machines := fleet(map[string]int{"a": 6})
+	must.EqOp(t, 0, len(p.Plan(0, list, machines, core32)))
+	must.EqOp(t, 6, len(p.Plan(holdFor, list, machines, core32)))
+}
+
 // What a pool needed a moment ago it keeps for a while.
 func TestShrinksLate(t *testing.T) {
 	var p Planner
--- a/internal/request/upkeep/upkeep.go
+++ b/internal/request/upkeep/upkeep.go
@@ -32,8 +32,6 @@
 	BusyMS int64
 	// Busy is set if its pool is asked for much now.
 	Busy bool
-	// Needed is set if its pool needs it now although nothing runs on it.
-	Needed bool
 	// Reserved is set if the machine is being prepared.
 	Reserved bool
 }
@@ -54,7 +52,7 @@
 	var d Decision
 	reserved := 0
 	for _, m := range due {
-		if free > 0 && m.Up && m.Runs == 0 && !m.Needed {
+		if free > 0 && m.Up && m.Runs == 0 {
 			d.Order = append(d.Order, m.Name)
 			free--
 			continue
