The fate of an unanswered order is asked for at once

Ruled out: the stop itself (answered in 10 ms) and the planner (it placed the task 70 ms after the end was committed).

Change: calls to servers are given 400 ms; an unanswered or stopped order ends the hold under way, and the next one waits for nothing. Test: TestFateOfAnUnansweredOrderIsAskedAtOnce.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -130,3 +130,22 @@
 	r.until(func() bool { return r.d.Leads() && r.state("j") == ledger.Completed })
 	must.EqOp(t, 3, len(f.starts))
 }
+
+// The fate of an order without an answer is asked for at once, not when the hold under way ends: the hold that
+// follows waits for nothing.
+func TestFateOfAnUnansweredOrderIsAskedAtOnce(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	r.submit("running", small)
+	r.until(func() bool { return len(f.runs("a")) == 1 })
+	r.until(func() bool { return f.waits() }) // a hold waits for its end
+	f.mu.Lock()
+	f.mute["a"] = true
+	began := len(f.holds)
+	f.mu.Unlock()
+	r.submit("unanswered", small)
+	r.until(func() bool { return len(f.runs("a")) == 2 })
+	r.until(func() bool { return f.lastHoldAfter(began) })
+	f.finish("a", key("unanswered", 0, 1), ledger.EndDone)
+	r.until(func() bool { return r.state("unanswered") == ledger.Completed })
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -309,3 +309,17 @@
 	r.t.Helper()
 	must.Wait(r.t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(30*time.Second), wait.Gap(2*time.Millisecond)))
 }
+
+// waits reports whether the newest hold was asked to wait.
+func (f *fakeServers) waits() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.holds) > 0 && f.holds[len(f.holds)-1].WaitMS == holdWait.Milliseconds()
+}
+
+// lastHoldAfter reports whether a hold with a short wait came after the first ones.
+func (f *fakeServers) lastHoldAfter(n int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.holds[n:], func(o HoldOrder) bool { return o.WaitMS == settleWait.Milliseconds() })
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -12,7 +12,7 @@
 
 const (
 	// holdRetry is the pause after a hold that failed.
-	holdRetry = 250 * time.Millisecond
+	holdRetry = 100 * time.Millisecond
 	// settleWait is how long a hold waits while the fate of an order is open.
 	settleWait = 100 * time.Millisecond
 	// holdGap is the least time between holds of one server: ends that come close together are listed by one.
@@ -26,6 +26,9 @@
 	born    int64
 	// acked is the number of the newest end that is committed; told is the newest that the server was told.
 	acked, told int64
+	// cancel ends the call under way early; interrupted tells the call's maker that this was done. Both under engine.mu.
+	cancel      context.CancelFunc
+	interrupted bool
 	// contacted is set once the server has answered with this leader's fencing token.
 	contacted bool
 }
@@ -78,12 +81,13 @@
 		// A server that doesn't answer is only asked: a renewal that may have reached it would put off the lapse.
 		o.DeadlineMS, _ = s.grantLocked(h.worker)
 	}
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout+time.Duration(o.WaitMS)*time.Millisecond)
+	defer cancel()
+	h.cancel, h.interrupted = cancel, false
 	s.engine.mu.Unlock()
 	if !s.mayOrder() {
 		return h.pause()
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout+time.Duration(o.WaitMS)*time.Millisecond)
-	defer cancel()
 	asked := boottime.Now()
 	report, err := s.servers.Hold(ctx, to, o)
 	heard := boottime.Now()
@@ -91,14 +95,28 @@
 		return false
 	}
 	if err != nil {
-		h.failed(err)
-		return h.pause()
+		return h.wasInterrupted() || h.failed(err)
 	}
 	h.told = o.AckedEnd
 	h.take(report, asked, heard)
 	return true
 }
 
+// interruptLocked makes the holder of a server ask again at once, for an order whose fate is open.
+func (s *session) interruptLocked(worker string) {
+	if h := s.holders[worker]; h != nil && h.cancel != nil && !h.interrupted {
+		h.interrupted = true
+		h.cancel()
+	}
+}
+
+// wasInterrupted reports whether the call that ended without an answer was ended by this process.
+func (h *holder) wasInterrupted() bool {
+	h.session.engine.mu.Lock()
+	defer h.session.engine.mu.Unlock()
+	return h.interrupted
+}
+
 func (h *holder) pause() bool {
 	select {
 	case <-h.session.ctx.Done():
@@ -143,8 +161,13 @@
 	return holdWait
 }
 
-// failed notes a hold without an answer.
-func (h *holder) failed(err error) {
+// failed notes a hold without an answer and pauses. It reports whether another is to be made.
+func (h *holder) failed(err error) bool {
+	h.noteFailure(err)
+	return h.pause()
+}
+
+func (h *holder) noteFailure(err error) {
 	s := h.session
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -141,6 +141,7 @@
 	}
 	s.setOrderLocked(runKey{st.Task, st.Run}, orderUnanswered)
 	s.holdLocked(st.Worker)
+	s.interruptLocked(st.Worker)
 }
 
 // setOrderLocked moves an order on; one whose run has been closed is left out.
@@ -167,7 +168,7 @@
 	// stopTries bounds how often a stop is sent before the lease is left to lapse.
 	stopTries = 5
 	// stopPause is the time between tries of a stop.
-	stopPause = 300 * time.Millisecond
+	stopPause = 200 * time.Millisecond
 )
 
 // stopLocked stops a live run. Its end is listed by the server.
@@ -234,6 +235,7 @@
 		server.Answered(boottime.Now())
 		if o.state != orderTaken {
 			s.setOrderLocked(runKey{id, run}, orderStopped)
+			s.interruptLocked(worker)
 		}
 		return true
 	case errors.Is(err, ErrElsewhere):
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -34,8 +34,9 @@
 	inheritSlack = 1500 * time.Millisecond
 	// holdWait is how long a server may keep a hold open when nothing ends. Leases are renewed as often.
 	holdWait = time.Second
-	// callTimeout bounds a call to a server besides what it is asked to wait; servers answer within some ms.
-	callTimeout = time.Second
+	// callTimeout bounds a call to a server besides what it is asked to wait. Servers answer within some ms; a lost packet is
+	// sent again after 200 ms.
+	callTimeout = 400 * time.Millisecond
 	// proposeTimeout bounds the wait for a commit; a commit takes two syncs of 9 ms and a round trip.
 	proposeTimeout = 3 * time.Second
 	// planPause is the least time between plans, so that what ends together is planned together.
