A lost folder's member leaves instead of its successor; servers that are gone are forgotten

Ruled out: a refused promotion (each was committed).

Change: of two members at one address the one heard less is the lost one, voter or not; servers without runs that were silent for 30 s are dropped from the log. Tests: the case in TestNext (electorate), TestSilentServersAreForgotten.

--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -177,3 +177,28 @@
 	must.False(t, may(2))
 	must.True(t, may(0))
 }
+
+// The log forgets servers that are gone, but none that holds runs or was heard of late.
+func TestSilentServersAreForgotten(t *testing.T) {
+	r := newMachineRig(t, &fakeMachines{})
+	r.submit("j", small)
+	r.until(func() bool { return len(r.servers.runs("a"))+len(r.servers.runs("b")) == 1 })
+	busy, idle := "a", "b"
+	if len(r.servers.runs("b")) == 1 {
+		busy, idle = "b", "a"
+	}
+	s := r.d.session.Load()
+	s.engine.mu.Lock()
+	for _, id := range []string{busy, idle} {
+		server := s.fleet.Get(id)
+		server.HeardAt, server.ContactAt = server.HeardAt-time.Hour, server.ContactAt-time.Hour
+	}
+	s.engine.mu.Unlock()
+	r.until(func() bool {
+		s.engine.mu.Lock()
+		defer s.engine.mu.Unlock()
+		_, known := s.engine.ledger.KnownServers()[idle]
+		_, kept := s.engine.ledger.KnownServers()[busy]
+		return !known && kept
+	})
+}
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -29,6 +29,9 @@
 	// lendShare is the part of its first size that a pool keeps while others lack machines and its own turn may come at any
 	// time; it is enough for a turn's first second, in which machines come back.
 	lendShare = 0.6
+	// forgetServer is how long a server without runs must be silent before it is dropped: longer than an announcement may
+	// be under way (12 s), so that a late one of a server that left doesn't make it look new.
+	forgetServer = 30 * time.Second
 	// busyPause is how long a machine that the platform called busy is left alone: about the time of a move.
 	busyPause = 1500 * time.Millisecond
 	// coldFloor is the least number of machines of a pool of which no turn is expected: a large task finds room at once.
@@ -37,11 +40,8 @@
 	callsAtOnce = 12
 )
 
-// poolLoop moves machines between pools.
+// poolLoop moves machines between pools and drops servers that are gone.
 func (s *session) poolLoop() {
-	if s.machines == nil {
-		return
-	}
 	ticker := time.NewTicker(poolsEvery)
 	defer ticker.Stop()
 	for {
@@ -53,8 +53,41 @@
 		if !s.mayOrder() {
 			continue
 		}
-		s.movePools()
+		s.forgetServers()
+		if s.machines != nil {
+			s.movePools()
+		}
+	}
+}
+
+// forgetServers drops servers that were neither heard nor reached for long and hold nothing, so that the log's state stays
+// as large as the fleet.
+func (s *session) forgetServers() {
+	s.engine.mu.Lock()
+	now := boottime.Now()
+	var gone []ledger.Incarnation
+	for id, server := range s.fleet.All() {
+		if now-max(server.HeardAt, server.ContactAt) > forgetServer && len(s.engine.ledger.LiveOn(id)) == 0 && s.planned[id] == 0 {
+			gone = append(gone, ledger.Incarnation{ID: id, Born: server.Born})
+		}
+	}
+	s.engine.mu.Unlock()
+	if len(gone) == 0 {
+		return
+	}
+	if _, err := s.propose(&ledger.Command{Gone: gone}); err != nil {
+		s.log.Warn("silent servers not dropped yet", "servers", len(gone), "error", err)
+		return
+	}
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	for _, g := range gone {
+		if server := s.fleet.Get(g.ID); server != nil && server.Born == g.Born && now-server.HeardAt > forgetServer {
+			s.fleet.Remove(g.ID)
+			delete(s.reserved, g.ID)
+		}
 	}
+	s.log.Info("silent servers dropped", "servers", len(gone))
 }
 
 // movePools makes one plan and carries it out.
--- a/internal/process/electorate/electorate.go
+++ b/internal/process/electorate/electorate.go
@@ -82,7 +82,7 @@
 // lost reports whether a member's data folder is gone: another one joined from its address.
 func lost(m Member, members []Member) bool {
 	return slices.ContainsFunc(members, func(o Member) bool {
-		return o.Name != m.Name && o.Address == m.Address && o.Learner && m.Silent > o.Silent
+		return o.Name != m.Name && o.Address == m.Address && m.Silent > o.Silent
 	})
 }
 
--- a/internal/process/electorate/electorate_test.go
+++ b/internal/process/electorate/electorate_test.go
@@ -34,6 +34,8 @@
 		{"a short silence is borne", append(whole[:2:2], voter("c", time.Second), learner("d", 0)), nil, Action{}},
 		{"a lost folder is replaced at once", append(whole[:2:2], voter("c", time.Second), replaced), nil, Action{Promote: "c/1"}},
 		{"the dead one leaves", append(whole[:2:2], voter("c", deadAfter), voter("d", 0)), nil, Action{Remove: "c"}},
+		{"a lost folder's member leaves, not its successor", append(whole[:2:2], voter("c", time.Second), Member{Name: "c/1", Address: "c"}),
+			nil, Action{Remove: "c"}},
 		{"one too many", append(whole[:3:3], voter("d", 0)), nil, Action{Remove: "d"}},
 		{"a learner that is gone is forgotten", append(whole[:3:3], learner("d", forgetAfter)), nil, Action{Remove: "d"}},
 	}
