--- a/internal/jobcontrol/settings.go
+++ b/internal/jobcontrol/settings.go
@@ -43,6 +43,9 @@
 // Check implements settings.Checker.
 func (s *Settings) Check(f *settings.Faults) {
 	s.Node.Check(f)
+	if s.TLS != (settings.TLS{}) {
+		f.Add("tls", "is not supported in this mode")
+	}
 	if s.DataDir == "" {
 		f.Add("data_dir", "is needed")
 	}
--- a/internal/jobentry/settings.go
+++ b/internal/jobentry/settings.go
@@ -26,6 +26,9 @@
 // Check implements settings.Checker.
 func (s *Settings) Check(f *settings.Faults) {
 	s.Node.Check(f)
+	if s.TLS != (settings.TLS{}) {
+		f.Add("tls", "is not supported in this mode")
+	}
 	settings.CheckAddress(f, "ready_listen", s.ReadyListen)
 	if len(s.Seeds) == 0 {
 		f.Add("seeds", "at least one control instance is needed")
--- a/test/examples/examples_test.go
+++ b/test/examples/examples_test.go
@@ -12,6 +12,8 @@
 
 	"laburnumrouter/internal/control"
 	"laburnumrouter/internal/entry"
+	"laburnumrouter/internal/jobcontrol"
+	"laburnumrouter/internal/jobentry"
 	"laburnumrouter/internal/process/settings"
 	"laburnumrouter/internal/standin"
 )
@@ -22,6 +24,9 @@
 		"examples/entry.toml":   entry.DefaultSettings(),
 		"examples/control.toml": control.DefaultSettings(),
 		"examples/standin.toml": standin.DefaultSettings(),
+
+		"examples/jobs-entry.toml":   jobentry.DefaultSettings(),
+		"examples/jobs-control.toml": jobcontrol.DefaultSettings(),
 	} {
 		must.NoError(t, settings.Load(path, s))
 		text, err := os.ReadFile(path)
