A server that failed to answer and holds nothing is asked again

Lasting tasks that must stay apart found no place for 12 s and more.

Ruled out: reservations for upkeep, and moves (the pools had their machines).

Change: an announcement of a server that failed to answer makes the leader ask it. Test: TestIdleServerThatFailedIsAskedAgain, red before. An unused field found by the linter is gone.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -149,3 +149,23 @@
 	f.finish("a", key("unanswered", 0, 1), ledger.EndDone)
 	r.until(func() bool { return r.state("unanswered") == ledger.Completed })
 }
+
+// A server that failed to answer and holds nothing is asked again when it announces itself, and gets work again.
+func TestIdleServerThatFailedIsAskedAgain(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	f.mu.Lock()
+	f.silent["a"] = true
+	f.mu.Unlock()
+	r.submit("j", small)
+	r.until(func() bool { // its order was not answered, its lease lapsed, and nobody holds it any more
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		return len(r.engine.ledger.LiveOn("a")) == 0 && r.d.session.Load().fleet.Get("a").FailedCalls > 0 &&
+			r.d.session.Load().holders["a"] == nil
+	})
+	f.mu.Lock()
+	f.silent["a"] = false
+	f.mu.Unlock()
+	r.until(func() bool { return len(f.runs("a")) == 1 })
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -207,6 +207,9 @@
 	}
 	if change != fleet.Stale {
 		server.Clock.Observe(c.Server.ClockMS, now, now)
+		if server.FailedCalls > 0 {
+			s.holdLocked(c.Server.ID) // it may answer again
+		}
 	}
 	held, known := s.engine.ledger.KnownServers()[c.Server.ID]
 	commit := change != fleet.Stale && (!known || held.Born != server.Born || held.Draining != server.Draining ||
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -127,8 +127,7 @@
 // rank orders candidates; lower comes first.
 type rank struct {
 	// band separates lasting tasks, jobs that can still meet their objective, and late ones.
-	band     int
-	priority int
+	band int
 	// by orders within a band: the time left before the job must have started, or for late jobs the work left.
 	by int64
 	id string
