Silent links are given up; bounds of requests follow the configuration; planned stops tested

The entry that takes a handed request now says so at once with an interim answer; without one within a second the outcome is unknown, the entry is left alone, and one request a second tries it again.

Also: header and body bounds come from the configuration in force (entries learn them from the leader); a listener that fails later ends the entry; a call in progress at a stopping control instance and requests at a stopping entry get whole answers, each with a test; keys without and with withdrawal tested; the unused operation join is gone.

--- a/internal/connection/backend/backend.go
+++ b/internal/connection/backend/backend.go
@@ -30,7 +30,10 @@
 	MaxConnsPerServer int           // default 64
 	ConnectTimeout    time.Duration // default 2s
 	ProgressTimeout   time.Duration // longest silence within a body, default 10s
-	IdleTimeout       time.Duration // longest time unused, default 30s
+	// FirstWordTimeout is the longest wait for the first answer, interim or not; 0 for no limit. It is for servers that
+	// send an interim answer as soon as they have a request.
+	FirstWordTimeout time.Duration
+	IdleTimeout      time.Duration // longest time unused, default 30s
 	// TLS returns the settings towards a host; nil for plain TCP.
 	TLS func(host string) *tls.Config
 }
--- a/internal/connection/backend/conn.go
+++ b/internal/connection/backend/conn.go
@@ -84,6 +84,14 @@
 	return c.stream.Read(p)
 }
 
+// firstWordBy returns when the first answer to a request that is sent now must have come; zero for no limit.
+func (c *conn) firstWordBy() time.Time {
+	if c.pool.options.FirstWordTimeout == 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(c.pool.options.FirstWordTimeout)
+}
+
 // sent reports whether a byte of the present request was handed to the stream.
 func (c *conn) sent() bool { return c.written.Load() > c.before }
 
--- a/internal/connection/backend/exchange.go
+++ b/internal/connection/backend/exchange.go
@@ -36,7 +36,7 @@
 func (e *exchange) run(req *http.Request) (*http.Response, error) {
 	c := e.conn
 	c.headLeft = maxHeadBytes
-	if err := c.stream.SetReadDeadline(time.Time{}); err != nil {
+	if err := c.stream.SetReadDeadline(c.firstWordBy()); err != nil {
 		return nil, err
 	}
 	if req.Body == nil || req.Body == http.NoBody {
@@ -84,6 +84,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := e.conn.stream.SetReadDeadline(time.Time{}); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= firstFinalStatus {
 			return resp, nil
 		}
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -20,7 +20,6 @@
 	OpLeave     Op = "leave"
 	OpStartWave Op = "start-wave"
 	OpWaveState Op = "wave-state"
-	OpJoin      Op = "join"
 )
 
 // Call is a request to the leader. The fields that an operation doesn't name stay empty.
@@ -40,15 +39,6 @@
 	Server *ledger.Server `json:",omitempty"`
 	// Wave is that of start-wave; of wave-state only its number counts.
 	Wave *ledger.WaveOrder `json:",omitempty"`
-	// Member is the control instance of join.
-	Member *Member `json:",omitempty"`
-}
-
-// Member is a control instance.
-type Member struct {
-	Name string
-	// Address is where other processes of the system reach it.
-	Address string
 }
 
 // Outcome is what became of a Call.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -6,6 +6,7 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/version/accepted"
 )
 
 func key(job string, index, run int) runKey {
@@ -169,3 +170,34 @@
 	f.mu.Unlock()
 	r.until(func() bool { return len(f.runs("a")) == 1 })
 }
+
+// What isn't allowed by the configuration in force is refused and never runs; a withdrawn key is void from the
+// acknowledgement on.
+func TestOnlyKeysInForceAreServed(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	config := func(version int64, keys ...string) *Call {
+		c := rigConfig()
+		c.Version = version
+		c.Queues[0].Open = false
+		c.Teams = []accepted.Team{{Name: "t", Keys: keys}}
+		return &Call{Op: OpPutConfig, Config: c}
+	}
+	submit := func(id, key string) Outcome {
+		job := &ledger.Submission{Spec: "s", Steps: []ledger.Step{small}}
+		return r.do(&Call{Op: OpSubmit, Host: "h", Path: "/q/" + id, Key: key, Job: job}).Outcome
+	}
+	must.EqOp(t, OK, r.do(config(2, "old", "new")).Outcome)
+	must.EqOp(t, OK, submit("j1", "old"))
+	must.EqOp(t, NoKey, submit("j2", ""))
+	must.EqOp(t, NoKey, submit("j3", "never"))
+	must.EqOp(t, NoQueue, r.do(&Call{Op: OpSubmit, Host: "other", Path: "/q/j4", Key: "old", Job: &ledger.Submission{}}).Outcome)
+	must.EqOp(t, OK, r.do(config(3, "new")).Outcome)
+	must.EqOp(t, NoKey, submit("j5", "old"))
+	must.EqOp(t, NoKey, r.do(&Call{Op: OpState, Host: "h", Path: "/q/j1", Key: "old"}).Outcome)
+	must.EqOp(t, OK, submit("j6", "new"))
+	must.EqOp(t, OK, r.do(config(2, "old", "new")).Outcome) // an older change that arrives again brings nothing back
+	must.EqOp(t, NoKey, submit("j7", "old"))
+	r.until(func() bool { return len(f.runs("a")) == 2 })
+	must.EqOp(t, 2, len(f.starts))
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -14,6 +14,7 @@
 	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/request/fleet"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/version/accepted"
 )
 
 // Replica is what a Dispatcher needs of the replicated log.
@@ -122,6 +123,16 @@
 // Leads reports whether this instance leads beyond doubt.
 func (d *Dispatcher) Leads() bool { return d.leading() != nil }
 
+// Limits returns the bounds of callers' requests in the configuration that is applied here; zero without one.
+func (d *Dispatcher) Limits() accepted.Limits {
+	d.engine.mu.Lock()
+	defer d.engine.mu.Unlock()
+	if index := d.engine.ledger.Index(); index != nil {
+		return index.Config().Limits
+	}
+	return accepted.Limits{}
+}
+
 // ErrNotLeader is returned where this instance does not lead: nothing was done.
 var ErrNotLeader = Error.New("this instance does not lead")
 
@@ -159,7 +170,7 @@
 	switch c.Op {
 	case OpSubmit, OpCancel:
 		s.log.Info("request decided", "op", c.Op, "request", c.RequestID, "path", c.Path, "outcome", r.Outcome, "reason", r.Reason)
-	case OpPutConfig, OpStartWave, OpLeave, OpJoin:
+	case OpPutConfig, OpStartWave, OpLeave:
 		s.log.Info("order decided", "op", c.Op, "request", c.RequestID, "outcome", r.Outcome, "reason", r.Reason)
 	case OpState:
 		if r.Outcome != OK {
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -32,10 +32,12 @@
 	mu     sync.Mutex
 	pauses map[hopKey]time.Time
 	down   map[string]time.Time // by entry
+	// silent holds the entries that did not answer; one request a pause tries whether they do again.
+	silent map[string]bool
 }
 
 func newHopTable(own string, entries []settings.Peer) *hopTable {
-	h := &hopTable{entries: make(map[string][]settings.Peer), pauses: make(map[hopKey]time.Time), down: make(map[string]time.Time)}
+	h := &hopTable{entries: make(map[string][]settings.Peer), pauses: make(map[hopKey]time.Time), down: make(map[string]time.Time), silent: make(map[string]bool)}
 	for _, p := range entries {
 		if p.DataCentre != own {
 			h.entries[p.DataCentre] = append(h.entries[p.DataCentre], p)
@@ -60,6 +62,9 @@
 		for i := range entries {
 			p := entries[(first+i)%len(entries)]
 			if !now.Before(h.down[p.Name]) {
+				if h.silent[p.Name] {
+					h.down[p.Name] = now.Add(unreachablePause)
+				}
 				targets = append(targets, p)
 				break
 			}
@@ -68,6 +73,24 @@
 	return targets
 }
 
+// answered notes that an entry has answered a request.
+func (h *hopTable) answered(p settings.Peer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.silent[p.Name] {
+		delete(h.silent, p.Name)
+		delete(h.down, p.Name)
+	}
+}
+
+// unanswered notes that an entry did not answer a request that was sent.
+func (h *hopTable) unanswered(p settings.Peer, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.silent[p.Name] = true
+	h.down[p.Name] = now.Add(unreachablePause)
+}
+
 func (h *hopTable) refused(p settings.Peer, pool string, refusal *outcome.Refusal, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -89,11 +112,15 @@
 		var resp *http.Response
 		resp, refusal = e.forwarder.Hop(ctx, r, t, p.Address, e.now())
 		if refusal == nil {
+			e.hops.answered(p)
 			e.log.Info("overflowed", "queue", t.Queue, "pool", t.Pool, "team", t.Team, "data_centre", p.DataCentre, "entry", p.Name, "reason", "no slot here")
 			e.scope.Counter("overflowed").Inc(1)
 			return &answer{resp: resp, close: func() { resp.Body.Close() }}, nil
 		}
 		if refusal.Outcome != outcome.NotRun {
+			if refusal.Reason == forward.ReasonNoAnswer {
+				e.hops.unanswered(p, e.now())
+			}
 			return nil, refusal
 		}
 		e.hops.refused(p, t.Pool, refusal, e.now())
@@ -107,6 +134,7 @@
 // serveHop runs a request that an entry of another data centre admitted and, if keyed, recorded. It is
 // never handed on. The permit and the slot are taken here, where the work runs.
 func (e *Entry) serveHop(w http.ResponseWriter, r *http.Request) {
+	w.WriteHeader(http.StatusProcessing) // the other entry learns that the link is not silent
 	e.hopping.Add(1)
 	defer e.hopping.Add(-1)
 	if e.ready.Stopping() {
--- a/internal/entry/transport.go
+++ b/internal/entry/transport.go
@@ -12,12 +12,17 @@
 	"laburnumrouter/internal/request/routing"
 )
 
-// maxHopsPerEntry bounds the connections to one entry of another data centre.
-const maxHopsPerEntry = 1024
+const (
+	// maxHopsPerEntry bounds the connections to one entry of another data centre.
+	maxHopsPerEntry = 1024
+	// hopSilence is how long an entry of another data centre may take to say that it has a request. The users' data centres
+	// are 3 ms apart, there and back (BRIEF); a packet that is lost twice still arrives within 0.7 s.
+	hopSilence = time.Second
+)
 
 // newForwarder returns a forwarder with one pool of connections to instances and one to peers.
 func newForwarder(secure *tlsconf.Source) *forward.Forwarder {
-	peers := backend.Options{MaxConnsPerServer: maxHopsPerEntry}
+	peers := backend.Options{MaxConnsPerServer: maxHopsPerEntry, FirstWordTimeout: hopSilence}
 	if secure != nil {
 		peers.TLS = secure.ClientHTTP1
 	}
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -149,7 +149,7 @@
 // where tells who leads, as far as this instance knows.
 func (c *control) where() leader.Whereabouts {
 	s := c.node.Status()
-	w := leader.Whereabouts{Leads: c.dispatcher.Leads()}
+	w := leader.Whereabouts{Leads: c.dispatcher.Leads(), Limits: c.dispatcher.Limits()}
 	for _, m := range s.Members {
 		w.Members = append(w.Members, m.Address)
 		if m.Name == s.Leader {
--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -74,6 +75,7 @@
 	client  *leader.Client
 	seq     int64
 	log     lines
+	handler http.Handler // of operators' calls
 }
 
 // lines keeps what the instances log.
@@ -119,9 +121,12 @@
 	return 0
 }
 
-func newCluster(t *testing.T) *cluster {
+func newCluster(t *testing.T, operators http.Handler) *cluster {
 	t.Helper()
-	c := &cluster{t: t, servers: &doneServers{began: time.Now(), starts: make(map[string]int)}, public: freePort(t)}
+	c := &cluster{
+		t: t, servers: &doneServers{began: time.Now(), starts: make(map[string]int)}, public: freePort(t),
+		handler: operators,
+	}
 	for c.peers = freePort(t); c.peers == c.public; {
 		c.peers = freePort(t)
 	}
@@ -156,7 +161,7 @@
 	s.Check(&faults)
 	must.EqOp(c.t, 0, len(faults.List()))
 	ports := Ports{Servers: c.servers, Public: func(func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
-		return http.NotFoundHandler()
+		return c.handler
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -187,6 +192,15 @@
 	must.Wait(c.t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(60*time.Second), wait.Gap(20*time.Millisecond)))
 }
 
+// listens reports whether connections to an address are taken.
+func (c *cluster) listens(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	return conn.Close() == nil
+}
+
 func (c *cluster) announce() {
 	c.seq++
 	c.do(&dispatch.Call{Op: dispatch.OpAnnounce, Server: &ledger.Server{
@@ -208,7 +222,7 @@
 
 // A job runs to its end, survives the stop of the leader and the loss of a data folder, and runs once.
 func TestJobsOutliveTheirLeaderAndADataFolder(t *testing.T) {
-	c := newCluster(t)
+	c := newCluster(t, http.NotFoundHandler())
 	must.EqOp(t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: &accepted.Config{
 		Version: 1, Raw: []byte(`{"version":1}`),
 		Queues: []accepted.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 2, Open: true}},
@@ -238,6 +252,35 @@
 	}
 }
 
+// A call in progress at an instance that is told to stop gets its whole answer.
+func TestPlannedStopCutsNoCall(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	c := newCluster(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(began)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	}))
+	c.until(func() bool { return c.listens(c.address(1, c.public)) })
+	answer := make(chan string, 1)
+	go func() {
+		resp, err := http.Get("http://" + c.address(1, c.public) + "/")
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		defer func() { _ = resp.Body.Close() }()
+		body, _ := io.ReadAll(resp.Body) // a part of it fails the test as well
+		answer <- string(body)
+	}()
+	<-began
+	go c.stop[1]()
+	c.until(func() bool { return c.log.has("stopping") })
+	time.Sleep(lameDuck)
+	close(release)
+	must.EqOp(t, "whole", <-answer)
+	c.stop[1]()
+}
+
 func TestIdentity(t *testing.T) {
 	s := DefaultSettings()
 	s.PeerListen, s.Seeds, s.DataDir, s.FirstStart = "10.0.0.1:7000", []string{"10.0.0.1:80"}, t.TempDir(), true
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -31,10 +31,11 @@
 	// shutdownTimeout bounds the wait for requests in progress; with lameDuck it stays under grace_s (6 s).
 	shutdownTimeout = 2500 * time.Millisecond
 	// memoryShare is the part of the memory limit that the heap is kept under.
-	memoryShare    = 0.6
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 15 * time.Second
-	maxHeaderBytes = 16 << 10
+	memoryShare   = 0.6
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
+	// maxHeaderBytes bounds a header before the configuration's own bound is asked (16,384 in the users' configurations).
+	maxHeaderBytes = 64 << 10
 )
 
 // Ports are what the programs pass in.
@@ -91,30 +92,71 @@
 func (e *entry) run(ctx context.Context, peers func([]string, string) []string) error {
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
-	callers := newServer(e.closing(e.ports.Callers(e.do)))
+	callers := newServer(e.closing(e.bounded(e.ports.Callers(e.do))))
 	ready := newServer(e.ports.Ready(e.ready))
-	var group errgroup.Group
-	err := listen(&group, callers, e.settings.Listen)
+	group, failing := errgroup.WithContext(context.Background())
+	err := listen(group, callers, e.settings.Listen)
 	if err == nil {
-		err = listen(&group, ready, e.settings.ReadyListen)
+		err = listen(group, ready, e.settings.ReadyListen)
 	}
 	if err != nil {
 		return Error.Wrap(errors.Join(err, callers.Close(), ready.Close()))
 	}
-	if e.settings.MetricsListen != "" {
-		s := newServer(e.metrics)
-		if err := listen(&group, s, e.settings.MetricsListen); err != nil {
-			e.log.Warn("metrics are not served", "address", e.settings.MetricsListen, "error", err)
-		}
-		defer func() { _ = s.Close() }()
-	}
+	go e.serveMetrics(work)
 	go e.client.Keep(work)
 	go e.reload(work, peers)
-	<-ctx.Done()
-	e.stop(callers)
+	select {
+	case <-ctx.Done():
+		e.stop(callers)
+	case <-failing.Done(): // only a listener that fails ends its server before it is told to
+		err = callers.Close()
+	}
 	stopWork()
-	e.log.Info("stopped")
-	return nil
+	err = errors.Join(err, ready.Close(), group.Wait())
+	e.log.Info("stopped", "error", err)
+	return Error.Wrap(err)
+}
+
+// serveMetrics serves metrics until ctx ends. Callers are served on without them.
+func (e *entry) serveMetrics(ctx context.Context) {
+	if e.settings.MetricsListen == "" {
+		return
+	}
+	s := newServer(e.metrics)
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	s.Addr = e.settings.MetricsListen
+	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		e.log.Warn("metrics are not served", "address", e.settings.MetricsListen, "error", err)
+	}
+}
+
+// bounded refuses requests beyond the bounds of the configuration in force.
+func (e *entry) bounded(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		limits := e.client.Limits()
+		if limits.HeaderBytes > 0 && headerBytes(r) > limits.HeaderBytes {
+			e.log.Info("request refused", "path", r.URL.Path, "reason", "its header is too large", "bytes", headerBytes(r), "limit", limits.HeaderBytes)
+			http.Error(w, "the header is larger than allowed", http.StatusRequestHeaderFieldsTooLarge)
+			return
+		}
+		if limits.BodyBytes > 0 {
+			r.Body = http.MaxBytesReader(w, r.Body, limits.BodyBytes)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// headerBytes returns about how many bytes the header of a request had.
+func headerBytes(r *http.Request) int64 {
+	const lineOverhead = 4 // colon, space and the end of the line
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + lineOverhead
+		}
+	}
+	return int64(n)
 }
 
 // stop ends the entry without cutting a request: unready first, then no new connections, then the rest ends.
@@ -164,7 +206,12 @@
 	if err != nil {
 		return err
 	}
-	group.Go(func() error { return s.Serve(l) })
+	group.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
 	return nil
 }
 
--- /dev/null
+++ b/internal/jobentry/entry_test.go
@@ -0,0 +1,140 @@
+package jobentry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+
+	"laburnumrouter/internal/dispatch"
+	"laburnumrouter/internal/leader"
+	"laburnumrouter/internal/version/accepted"
+)
+
+// rig is an entry in this process and a leader that answers every call with OK.
+type rig struct {
+	t              *testing.T
+	callers, ready string
+	stop           context.CancelFunc
+	done           chan error
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, l.Close())
+	return l.Addr().String()
+}
+
+func newRig(t *testing.T, limits accepted.Limits, callers func(func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler) *rig {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+leader.WherePath, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(&leader.Whereabouts{Leads: true, Limits: limits})
+	})
+	mux.HandleFunc("POST "+leader.CallPath, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(&dispatch.Reply{Outcome: dispatch.OK})
+	})
+	control := httptest.NewServer(mux)
+	t.Cleanup(control.Close)
+
+	r := &rig{t: t, callers: address(t), ready: address(t), done: make(chan error, 1)}
+	s := DefaultSettings()
+	s.Name, s.Listen, s.ReadyListen, s.Seeds = "entry-0", r.callers, r.ready, []string{"127.0.0.1:1"}
+	ports := Ports{
+		Callers: callers,
+		Ready: func(ready func() bool) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprint(w, ready()) })
+		},
+	}
+	seeds := func([]string, string) []string { return []string{strings.TrimPrefix(control.URL, "http://")} }
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.done <- Run(ctx, s, ports, seeds, hclog.NewNullLogger()) }()
+	t.Cleanup(func() {
+		cancel()
+		must.NoError(t, <-r.done)
+	})
+	r.until(func() bool { return r.get(r.ready) == "true" })
+	return r
+}
+
+func (r *rig) until(f func() bool) {
+	r.t.Helper()
+	must.Wait(r.t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(30*time.Second), wait.Gap(10*time.Millisecond)))
+}
+
+// get returns a body, or the error.
+func (r *rig) get(at string) string {
+	resp, err := http.Get("http://" + at + "/")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
+// A stopping entry tells the balancer first, goes on taking requests meanwhile, and answers all that it has taken.
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	began, release := make(chan struct{}, 2), make(chan struct{})
+	r := newRig(t, accepted.Limits{}, func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			began <- struct{}{}
+			<-release
+			_, _ = io.WriteString(w, string(do(req.Context(), &dispatch.Call{Op: dispatch.OpPending}).Outcome))
+		})
+	})
+	answers := make(chan string, 2)
+	go func() { answers <- r.get(r.callers) }()
+	<-began
+	r.stop()
+	r.until(func() bool { return r.get(r.ready) == "false" })
+	go func() { answers <- r.get(r.callers) }()
+	<-began
+	close(release)
+	must.EqOp(t, string(dispatch.OK), <-answers)
+	must.EqOp(t, string(dispatch.OK), <-answers)
+}
+
+// The bounds of the configuration in force hold without a restart.
+func TestRequestsBeyondTheBounds(t *testing.T) {
+	r := newRig(t, accepted.Limits{HeaderBytes: 500, BodyBytes: 10}, func(func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			if _, err := io.ReadAll(req.Body); err != nil {
+				w.WriteHeader(http.StatusRequestEntityTooLarge)
+			}
+		})
+	})
+	cases := []struct {
+		header, body string
+		status       int
+	}{
+		{"short", "short", 200},
+		{"short", "ten bytes and more", 413},
+		{strings.Repeat("long", 200), "short", 431},
+	}
+	for _, c := range cases {
+		req, err := http.NewRequest(http.MethodPost, "http://"+r.callers, strings.NewReader(c.body))
+		must.NoError(t, err)
+		req.Header.Set("Note", c.header)
+		resp, err := http.DefaultClient.Do(req)
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		must.EqOp(t, c.status, resp.StatusCode, must.Sprint(c))
+	}
+}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -18,6 +18,7 @@
 	"github.com/zeebo/errs"
 
 	"laburnumrouter/internal/dispatch"
+	"laburnumrouter/internal/version/accepted"
 )
 
 // Error is the class of all errors of this package.
@@ -56,6 +57,8 @@
 	Leader string `json:",omitempty"`
 	// Members are the addresses of all control instances.
 	Members []string `json:",omitempty"`
+	// Limits are those of the newest configuration that the instance knows.
+	Limits accepted.Limits
 }
 
 // Client hands calls to the leader. It is safe for concurrent use.
@@ -72,6 +75,7 @@
 	lostAt  time.Time
 	missAt  time.Time
 	okAt    time.Time
+	limits  accepted.Limits
 	finding chan struct{} // closed when the search under way ends; nil if there is none
 }
 
@@ -99,6 +103,13 @@
 	return c.okAt
 }
 
+// Limits returns the bounds of callers' requests as the leader last told them; zero before it did.
+func (c *Client) Limits() accepted.Limits {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits
+}
+
 // Do hands a call to the leader. All operations may be repeated, so a call whose fate is unknown is sent again
 // until ctx ends. The reply says Unavailable only if the call provably wasn't carried out.
 func (c *Client) Do(ctx context.Context, call *dispatch.Call) *dispatch.Reply {
@@ -317,6 +328,9 @@
 	if len(where.Members) > 0 {
 		c.members = where.Members
 	}
+	if where.Leads {
+		c.limits = where.Limits
+	}
 }
 
 // ask asks one instance who leads.
@@ -337,12 +351,19 @@
 // keepEvery is the time between looks at the leader of a process that has nothing to send; readiness depends on it.
 const keepEvery = time.Second
 
+// learnEvery is the longest time between questions to a leader that answers calls: its members and limits may have changed.
+const learnEvery = 5 * time.Second
+
 // Keep looks for the leader while none is known and sees to it that the one known still leads, until ctx ends.
 func (c *Client) Keep(ctx context.Context) {
+	asked := time.Time{}
 	for ctx.Err() == nil {
 		pause := keepEvery
-		if time.Since(c.LastContact()) >= keepEvery && !c.check(ctx) {
-			pause = locatePause
+		if time.Since(c.LastContact()) >= keepEvery || time.Since(asked) >= learnEvery {
+			asked = time.Now()
+			if !c.check(ctx) {
+				pause = locatePause
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/version/accepted/config.go
+++ b/internal/version/accepted/config.go
@@ -20,10 +20,18 @@
 	Queues  []Queue
 	Pools   []Pool
 	Teams   []Team
+	Limits  Limits
 	// Raw is the configuration in the bytes in which it was sent, for an exact read-back.
 	Raw []byte
 }
 
+// Limits bounds callers' requests; 0 stands for the program's own bound.
+type Limits struct {
+	// HeaderBytes and BodyBytes are the most that the header and the body of a request may have.
+	HeaderBytes int64 `json:",omitempty"`
+	BodyBytes   int64 `json:",omitempty"`
+}
+
 // Queue takes jobs under a host and a path prefix and runs their tasks in a pool.
 type Queue struct {
 	Name   string
