--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -213,8 +213,7 @@
 	change := s.fleet.Announce(*c.Server, now)
 	server := s.fleet.Get(c.Server.ID)
 	if change == fleet.Appeared && before != nil {
-		s.incarnationGoneLocked(c.Server.ID, "a new incarnation announces itself")
-		server.Left = false
+		s.rebornLocked(c.Server.ID)
 	}
 	if change != fleet.Stale {
 		server.Clock.Observe(c.Server.ClockMS, now, now)
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -266,11 +266,14 @@
 	}
 }
 
+// rigAttempts is the number of runs of a task that may end failed.
+const rigAttempts = 3
+
 func rigConfig() *accepted.Config {
 	return &accepted.Config{
 		Version: 1, Raw: []byte("{}"),
 		Queues: []accepted.Queue{{
-			Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, ObjectiveMS: 600, SlackFactor: 2, MaxAttempts: 3, Open: true,
+			Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, ObjectiveMS: 600, SlackFactor: 2, MaxAttempts: rigAttempts, Open: true,
 		}},
 		Pools: []accepted.Pool{{Name: "p", Guards: true}, {Name: "off", Guards: true, Standby: true}},
 	}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -7,6 +7,7 @@
 
 	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/request/fleet"
+	"laburnumrouter/internal/request/lease"
 	"laburnumrouter/internal/request/ledger"
 )
 
@@ -17,6 +18,8 @@
 	settleWait = 100 * time.Millisecond
 	// holdGap is the least time between holds of one server: ends that come close together are listed by one.
 	holdGap = 15 * time.Millisecond
+	// maxLease is the longest lease that a server grants itself, whatever deadline it is sent (hold_max_ms).
+	maxLease = 10 * time.Second
 )
 
 // holder keeps the leases of one server and takes note of the ends that it lists.
@@ -211,7 +214,10 @@
 	if now < s.inheritedLapse() {
 		return false
 	}
-	return server == nil || server.GrantedMS == 0 || server.Clock.Lapsed(server.GrantedMS, now)
+	if server == nil {
+		return true
+	}
+	return now >= server.HeldUntil && (server.GrantedMS == 0 || server.Clock.Lapsed(server.GrantedMS, now))
 }
 
 // take compares a report with the ledger.
@@ -224,7 +230,10 @@
 		return
 	}
 	if report.Born > server.Born {
-		s.rebornLocked(server, report.Born)
+		next := server.Server
+		next.Born, next.Draining = report.Born, false
+		s.fleet.Adopt(next, heard)
+		s.rebornLocked(h.worker)
 		h.born, h.acked, h.told, h.contacted = report.Born, 0, 0, false
 		server = s.fleet.Get(h.worker)
 	}
@@ -253,12 +262,27 @@
 	s.engine.mu.Unlock()
 }
 
-// rebornLocked takes in that a new incarnation answers under an id: nothing of the earlier one runs.
-func (s *session) rebornLocked(server *fleet.Server, born int64) {
-	old := server.Server
-	s.incarnationGoneLocked(server.ID, "a new incarnation has its id")
-	old.Born, old.Draining = born, false
-	s.fleet.Adopt(old, boottime.Now())
+// rebornLocked takes in that a new incarnation has the id of a server. What ran on the earlier one is gone, but an order of
+// the last moments may have reached the new one: only a report asked for from now on tells.
+func (s *session) rebornLocked(worker string) {
+	now, runs := boottime.Now(), s.engine.ledger.LiveOn(worker)
+	s.log.Info("backend server has started anew", "server", worker, "runs", len(runs))
+	for id, t := range runs {
+		o := s.orders[runKey{id, t.Run}]
+		if o == nil {
+			continue
+		}
+		if o.state == orderStopped {
+			o.state = orderUnanswered // the earlier incarnation was told to stop it, not this one
+		}
+		o.at, o.stopping = now, false
+	}
+	if len(runs) == 0 {
+		return
+	}
+	s.fleet.Get(worker).HeldUntil = now + lease.LapseWithin(maxLease)
+	s.holdLocked(worker)
+	s.interruptLocked(worker)
 }
 
 // finishedLocked returns the ends of runs that the ledger holds as live, and the number of the newest end.
--- a/internal/request/fleet/fleet.go
+++ b/internal/request/fleet/fleet.go
@@ -16,6 +16,8 @@
 	Clock lease.Clock
 	// GrantedMS is the latest deadline, on its clock, that may have reached it from this leader.
 	GrantedMS int64
+	// HeldUntil is until when, on our clock, a lease may run that was meant for an earlier incarnation of the same id.
+	HeldUntil time.Duration
 	// AckedEnd is the number of the newest end that is committed. Contacted is set once it has answered a hold
 	// with this leader's fencing token.
 	AckedEnd  int64
