--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -108,12 +108,6 @@
 	return low + time.Duration(w.rng.Int64N(int64(high-low)))
 }
 
-func (w *world) chance(share float64) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.rng.Float64() < share
-}
-
 // addInstance makes an instance that knows everything committed so far.
 func (w *world) addInstance() {
 	i := &vinstance{w: w, index: len(w.instances)}
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,6 +18,7 @@
 	"laburnumrouter/internal/connection/replication"
 	"laburnumrouter/internal/dispatch"
 	"laburnumrouter/internal/leader"
+	"laburnumrouter/internal/process/journal"
 	"laburnumrouter/internal/process/metrics"
 	"laburnumrouter/internal/process/replica"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
@@ -38,14 +40,20 @@
 	// shutdownTimeout bounds the wait for calls in progress; they take some ms.
 	shutdownTimeout = 1500 * time.Millisecond
 	headerTimeout   = 3 * time.Second
-	maxHeaderBytes  = 16 << 10
-	idleTimeout     = 60 * time.Second
+	// reopenPause is the time before a data folder that failed is opened again; reading it back takes some 10 ms.
+	reopenPause = 500 * time.Millisecond
+	// storageEvery is the time between looks at whether the journal works.
+	storageEvery   = 100 * time.Millisecond
+	maxHeaderBytes = 16 << 10
+	idleTimeout    = 60 * time.Second
 )
 
 // Ports are what the programs pass in: who speaks to backend servers and machines, and how callers are answered.
 type Ports struct {
 	Servers  dispatch.Servers
 	Machines dispatch.Machines
+	// FS is the file system of the data folder; nil means the operating system's.
+	FS journal.FS
 	// Public builds the handler for operators and backend servers.
 	Public func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler
 }
@@ -55,6 +63,22 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryShare))
 	}
+	for {
+		err := runOnce(ctx, s, ports, log)
+		if ctx.Err() != nil || !storageFailed(err) {
+			return err
+		}
+		log.Error("the data folder failed; it is opened anew after a pause", "error", err, "pause", reopenPause)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(reopenPause):
+		}
+	}
+}
+
+// runOnce runs until ctx ends or the data folder fails.
+func runOnce(ctx context.Context, s *Settings, ports Ports, log hclog.Logger) error {
 	c, err := open(s, ports, log)
 	if err != nil {
 		return err
@@ -62,6 +86,19 @@
 	return c.run(ctx)
 }
 
+// errStorage is returned once the journal has failed. The instance takes part again when its folder can be written.
+var errStorage = Error.New("the journal failed")
+
+// storageFailed reports whether an error is one of the disk, which may pass.
+func storageFailed(err error) bool {
+	for _, cause := range []error{errStorage, syscall.ENOSPC, syscall.EDQUOT, syscall.EIO} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 type control struct {
 	settings   *Settings
 	log        hclog.Logger
@@ -82,7 +119,7 @@
 	seeds := PeerAddresses(s.Seeds, s.PeerListen)
 	engine := dispatch.NewEngine(log.Named("engine"))
 	node, err := replica.Open(replica.Options{
-		Voters: founders(seeds, founder), Join: !founder, Name: name, Dir: s.DataDir, Machine: engine,
+		Voters: founders(seeds, founder), Join: !founder, Name: name, Dir: s.DataDir, FS: ports.FS, Machine: engine,
 		Transport: transport{replication.NewLinks(peer.NewDialer, nil)}, Log: log.Named("log"),
 		Tick: tick, ElectionTicks: electionTicks, SnapshotEvery: snapshotEvery, KeepEntries: snapshotEvery, LeaderLease: true,
 	})
@@ -189,9 +226,11 @@
 	group.Go(func() error { return c.members.run(work) })
 	c.serveMetrics(work, &group)
 	group.Go(func() error {
-		<-ctx.Done()
+		defer stopWork()
+		if err := c.storage(ctx); err != nil {
+			return errors.Join(err, servers[0].Close(), servers[1].Close())
+		}
 		c.stop(servers)
-		stopWork()
 		return nil
 	})
 	err = group.Wait()
@@ -199,6 +238,23 @@
 	return Error.Wrap(err)
 }
 
+// storage returns nil when ctx ends, and an error once the journal has failed.
+func (c *control) storage(ctx context.Context) error {
+	ticker := time.NewTicker(storageEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if failure := c.node.Status().Failure; failure != "" {
+				c.log.Error("journal failed", "cause", failure)
+				return errStorage
+			}
+		}
+	}
+}
+
 // stop hands leadership over, keeps handing calls on for a while, and ends the calls in progress.
 func (c *control) stop(servers []*http.Server) {
 	c.log.Info("stopping", "leads", c.dispatcher.Leads())
--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +21,7 @@
 
 	"laburnumrouter/internal/dispatch"
 	"laburnumrouter/internal/leader"
+	"laburnumrouter/internal/process/journal"
 	"laburnumrouter/internal/process/settings"
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/version/accepted"
@@ -76,6 +79,35 @@
 	seq     int64
 	log     lines
 	handler http.Handler // of operators' calls
+	disks   [3]disk
+}
+
+// disk is a file system that takes no more bytes while it is full.
+type disk struct {
+	journal.OS
+	full atomic.Bool
+}
+
+func (d *disk) Create(path string) (journal.File, error) {
+	f, err := d.OS.Create(path)
+	return diskFile{f, d}, err
+}
+
+func (d *disk) Open(path string) (journal.File, error) {
+	f, err := d.OS.Open(path)
+	return diskFile{f, d}, err
+}
+
+type diskFile struct {
+	journal.File
+	disk *disk
+}
+
+func (f diskFile) Write(p []byte) (int, error) {
+	if f.disk.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(p)
 }
 
 // lines keeps what the instances log.
@@ -90,6 +122,12 @@
 	return l.text.Write(line)
 }
 
+func (l *lines) count(part string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), part)
+}
+
 func (l *lines) has(part string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -160,7 +198,7 @@
 	var faults settings.Faults
 	s.Check(&faults)
 	must.EqOp(c.t, 0, len(faults.List()))
-	ports := Ports{Servers: c.servers, Public: func(func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
+	ports := Ports{Servers: c.servers, FS: &c.disks[i], Public: func(func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
 		return c.handler
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -252,6 +290,27 @@
 	}
 }
 
+// Disks that are full for a while, one after the other, cost no acknowledged job, and the instances take part again.
+func TestDisksThatWereFullTakePartAgain(t *testing.T) {
+	c := newCluster(t, http.NotFoundHandler())
+	must.EqOp(t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: &accepted.Config{
+		Version: 1, Raw: []byte(`{"version":1}`),
+		Queues: []accepted.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 2, Open: true}},
+		Pools:  []accepted.Pool{{Name: "p", Guards: true}},
+	}}).Outcome)
+	for i := range c.disks {
+		c.disks[i].full.Store(true)
+		c.submit(fmt.Sprint("j", i))
+		c.until(func() bool { return c.log.count("journal failed") > i })
+		c.disks[i].full.Store(false)
+		c.until(func() bool { return c.completed(fmt.Sprint("j", i)) })
+		c.until(func() bool { return c.log.count("control log opened") > len(c.disks)+i })
+	}
+	for i := range c.disks {
+		c.until(func() bool { return c.completed(fmt.Sprint("j", i)) })
+	}
+}
+
 // A call in progress at an instance that is told to stop gets its whole answer.
 func TestPlannedStopCutsNoCall(t *testing.T) {
 	began, release := make(chan struct{}), make(chan struct{})
--- a/internal/process/journal/journal.go
+++ b/internal/process/journal/journal.go
@@ -131,11 +131,16 @@
 		return err
 	}
 	frame := appendFrame(nil, payload)
-	if _, err := j.file.Write(frame); err != nil {
-		return err
+	_, err = j.file.Write(frame)
+	if err == nil {
+		err = j.file.Sync()
+	}
+	if err != nil {
+		// A frame that isn't durable must not be read back as if it were, once the folder is opened again.
+		return errs.Combine(err, j.file.Truncate(j.size))
 	}
 	j.size += int64(len(frame))
-	return j.file.Sync()
+	return nil
 }
 
 // rotate begins a new segment, which repeats the hard state.
--- a/internal/process/journal/journal_test.go
+++ b/internal/process/journal/journal_test.go
@@ -171,6 +171,10 @@
 		err = j.Append(nil, entries(1, 1, 1))
 		must.True(t, ErrFailed.Has(err))
 		must.True(t, ErrFailed.Has(j.SaveSnapshot(&laburnumv1.SnapshotMeta{Index: 1}, nil, 1)))
+		// What wasn't made durable isn't read back when the folder is opened anew, though the file system may still hold it.
+		must.NoError(t, j.Close(nil))
+		_, contents := mustOpen(t, fs)
+		must.SliceEmpty(t, contents.Entries)
 	}
 }
 
