laburnumctl asks the leader of mode jobs; metrics by queue and workspace; what a job's failed runs came to is kept

Cause: an operator had the logs alone, and a finished job's record told nothing of its runs.

Change: jobs keep their first start, the number of runs and the newest eight ends that weren't done; OpExplain and OpStatus answer from the ledger and the leader's beliefs; laburnumctl jobs explain, jobs status. Counters of submissions by queue and by team, a histogram of jobs' times by queue and state, a line when the outlook of a pool changes.

TestOneWayCut: both failed runs of 30 had begun their cut before dc2 had ever reported a need for soap, so that it held no permits (slice dc1=12, dc2=0 in their logs) and nothing could be served there alone. The test now waits until dc2 runs soap itself, then cuts; what it checks during the cut is the same.

--- /dev/null
+++ b/cmd/laburnumctl/jobs.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"laburnumrouter/internal/dispatch"
+	"laburnumrouter/internal/leader"
+)
+
+type jobsExplainCommand struct {
+	ID string `arg:"" help:"Id of the job, or the name of a task of it."`
+}
+
+type jobsStatusCommand struct{}
+
+// ask sends a call to whichever control instance leads.
+func (c *commandLine) ask(call *dispatch.Call) (*dispatch.Reply, error) {
+	if len(c.Control) == 0 {
+		return nil, errUnavailable.New("no control instance is named; use --control")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	reply := leader.NewClient(c.Control, nil, hclog.NewNullLogger()).Do(ctx, call)
+	switch reply.Outcome {
+	case dispatch.OK:
+		return reply, nil
+	case dispatch.Unavailable, dispatch.Uncertain:
+		return nil, errUnavailable.New("%s", reply.Reason)
+	}
+	return nil, fmt.Errorf("%s: %s", reply.Outcome, reply.Reason)
+}
+
+// Run prints what the record tells of a job.
+func (e *jobsExplainCommand) Run(cli *commandLine) error {
+	id, _, _ := strings.Cut(e.ID, ".")
+	reply, err := cli.ask(&dispatch.Call{Op: dispatch.OpExplain, Path: id})
+	if err != nil {
+		return err
+	}
+	return cli.print(reply.Job, func(w io.Writer) { renderJob(w, reply.Job) })
+}
+
+func renderJob(w io.Writer, j *dispatch.JobView) {
+	fmt.Fprintf(w, "JOB\t%s\nQUEUE\t%s\nTEAM\t%s\nSTATE\t%s\n", j.ID, j.Queue, j.Team, j.State)
+	fmt.Fprintf(w, "ACCEPTED\t%s\nFIRST START\t%s\nFINISHED\t%s\nRUNS\t%d\n", atMS(j.AcceptedMS), atMS(j.FirstStartMS), atMS(j.FinishedMS), j.Runs)
+	if len(j.Steps) > 0 {
+		fmt.Fprintln(w, "\nOCCURRENCE\tSTEP\tTASKS\tDONE\tRUNNING ON\tWAITS")
+	}
+	for _, s := range j.Steps {
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%s\t%s\n", s.Occurrence, s.Step, s.Count, s.Done, strings.Join(s.Running, ","), s.Waits)
+	}
+	if len(j.Ends) > 0 {
+		fmt.Fprintln(w, "\nENDED\tTASK\tRUN\tSERVER\tHOW")
+	}
+	for _, n := range j.Ends {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", atMS(n.AtMS), n.Task, n.Run, n.Worker, n.How)
+	}
+}
+
+// Run prints the state of the fleet.
+func (*jobsStatusCommand) Run(cli *commandLine) error {
+	reply, err := cli.ask(&dispatch.Call{Op: dispatch.OpStatus})
+	if err != nil {
+		return err
+	}
+	return cli.print(reply.Status, func(w io.Writer) { renderStatus(w, reply.Status) })
+}
+
+func renderStatus(w io.Writer, s *dispatch.StatusView) {
+	fmt.Fprintf(w, "LEADER\t%s\nTERM\t%d\nCONFIGURATION\t%d\nOPEN JOBS\t%d\n", s.Leader, s.Term, s.Version, s.Open)
+	fmt.Fprintln(w, "\nPOOL\tSERVERS\tLEAVING\tSILENT\tSUSPECT\tRUNS\tCORES USED\tCORES")
+	for _, p := range s.Pools {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\n", p.Name, p.Servers, p.Leaving, p.Silent, p.Suspect, p.Runs,
+			float64(p.UsedCPU)/1000, float64(p.CPU)/1000)
+	}
+	if len(s.Pending) > 0 {
+		fmt.Fprintln(w, "\nQUEUE\tJOBS NOT BEGUN")
+	}
+	for queue, n := range s.Pending {
+		fmt.Fprintf(w, "%s\t%d\n", queue, n)
+	}
+	if len(s.Waves) > 0 {
+		fmt.Fprintln(w, "\nWAVE\tMACHINES\tDOWN\tOVER\tSTARTED\tDUE")
+	}
+	for _, v := range s.Waves {
+		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%s\t%s\n", v.Number, v.Machines, v.Down, v.Over, atMS(v.StartedMS), atMS(v.StartedMS+v.DurationMS))
+	}
+}
+
+// atMS writes a time; "-" for none.
+func atMS(ms int64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return time.UnixMilli(ms).UTC().Format("2006-01-02T15:04:05.000Z")
+}
--- /dev/null
+++ b/cmd/laburnumctl/jobs_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumrouter/internal/dispatch"
+	"laburnumrouter/internal/leader"
+	"laburnumrouter/internal/request/ledger"
+)
+
+// jobControl is a control instance in mode jobs that leads and answers every call alike.
+func jobControl(t *testing.T, reply dispatch.Reply) (address string, last *dispatch.Call) {
+	t.Helper()
+	last = &dispatch.Call{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+leader.WherePath, func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(&leader.Whereabouts{Leads: true})
+	})
+	mux.HandleFunc("POST "+leader.CallPath, func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewDecoder(r.Body).Decode(last)
+		_ = json.NewEncoder(w).Encode(&reply)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), last
+}
+
+func TestJobsExplainAsksByTheJobOfATask(t *testing.T) {
+	address, last := jobControl(t, dispatch.Reply{Outcome: dispatch.OK, Job: &dispatch.JobView{ID: "5c0e"}})
+	must.NoError(t, (&jobsExplainCommand{ID: "5c0e.0.1.17"}).Run(commandTo(address)))
+	must.EqOp(t, dispatch.OpExplain, last.Op)
+	must.EqOp(t, "5c0e", last.Path)
+}
+
+func TestJobsFailures(t *testing.T) {
+	gone, _ := jobControl(t, dispatch.Reply{Outcome: dispatch.Gone, Reason: "no such job is in the record"})
+	err := (&jobsExplainCommand{ID: "x"}).Run(commandTo(gone))
+	must.EqOp(t, exitFailed, exitCode(err))
+	must.ErrorContains(t, err, "no such job")
+	cli := commandTo("127.0.0.1:1")
+	cli.Timeout = 300 * time.Millisecond
+	must.EqOp(t, exitUnavailable, exitCode((&jobsStatusCommand{}).Run(cli)))
+	must.EqOp(t, exitUnavailable, exitCode((&jobsStatusCommand{}).Run(commandTo())))
+}
+
+func TestRenderJobAndStatus(t *testing.T) {
+	var b bytes.Buffer
+	renderJob(&b, &dispatch.JobView{
+		ID: "j", State: ledger.Running, AcceptedMS: 1000, Runs: 4,
+		Steps: []dispatch.StepView{{Step: 1, Count: 2, Running: []string{"a"}, Waits: "no room"}},
+		Ends:  []ledger.Note{{Task: ledger.TaskID{Job: "j", Step: 1}, Run: 2, Worker: "b", How: ledger.EndLapsed, AtMS: 2000}},
+	})
+	for _, part := range []string{"1970-01-01T00:00:01.000Z", "FIRST START\t-", "0\t1\t2\t0\ta\tno room", "j.0.1.0\t2\tb\tlapsed"} {
+		must.StrContains(t, b.String(), part)
+	}
+	b.Reset()
+	renderStatus(&b, &dispatch.StatusView{
+		Leader: "c1", Term: 3, Pools: []dispatch.PoolView{{Name: "p", Servers: 2, Suspect: 1, Runs: 5, UsedCPU: 1500, CPU: 64000}},
+		Pending: map[string]int{"q": 7}, Waves: []dispatch.WaveView{{Number: 1, Machines: 9, Over: 4}},
+	})
+	for _, part := range []string{"LEADER\tc1", "p\t2\t0\t0\t1\t5\t1.5\t64.0", "q\t7", "1\t9\t0\t4"} {
+		must.StrContains(t, b.String(), part)
+	}
+}
--- a/cmd/laburnumctl/main.go
+++ b/cmd/laburnumctl/main.go
@@ -62,6 +62,10 @@
 		Pause  wavePauseCommand  `cmd:"" help:"Pause a wave until an operator resumes it."`
 		Resume waveResumeCommand `cmd:"" help:"Resume a wave."`
 	} `cmd:"" help:"Maintenance waves."`
+	Jobs struct {
+		Explain jobsExplainCommand `cmd:"" help:"Show where a job's tasks are, why they wait and how runs ended."`
+		Status  jobsStatusCommand  `cmd:"" help:"Show the leader, pools, queues and waves."`
+	} `cmd:"" help:"Control instances in mode jobs; --control names their peer_listen addresses."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print or install shell completion."`
 }
 
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -20,6 +20,9 @@
 	OpLeave     Op = "leave"
 	OpStartWave Op = "start-wave"
 	OpWaveState Op = "wave-state"
+	// OpExplain and OpStatus are for operators' tools: a job by its ID in Path, and the fleet.
+	OpExplain Op = "explain"
+	OpStatus  Op = "status"
 )
 
 // Call is a request to the leader. The fields that an operation doesn't name stay empty.
@@ -80,6 +83,9 @@
 	Config []byte `json:",omitempty"`
 	// WaveCompleted is set once a wave is.
 	WaveCompleted bool `json:",omitempty"`
+	// Job and Status answer explain and status.
+	Job    *JobView    `json:",omitempty"`
+	Status *StatusView `json:",omitempty"`
 	// Leader is the address of the instance that answered, for announcements to come.
 	Leader string `json:",omitempty"`
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -162,7 +162,7 @@
 }
 
 func isRead(op Op) bool {
-	return op == OpState || op == OpPending || op == OpGetConfig || op == OpWaveState
+	return op == OpState || op == OpPending || op == OpGetConfig || op == OpWaveState || op == OpExplain || op == OpStatus
 }
 
 // logCall writes a line for each decision on a caller's or an operator's request.
@@ -201,6 +201,10 @@
 		return s.startWave(c)
 	case OpWaveState:
 		return s.waveState(c)
+	case OpExplain:
+		return s.explain(c), nil
+	case OpStatus:
+		return s.status(), nil
 	}
 	return &Reply{Outcome: Invalid, Reason: "unknown operation"}, nil
 }
--- /dev/null
+++ b/internal/dispatch/explain.go
@@ -0,0 +1,159 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/schedule"
+)
+
+// JobView is what the durable record tells of a job. Times are milliseconds since 1970 by the leaders' clocks.
+type JobView struct {
+	ID, Queue, Team string
+	State           ledger.JobState
+	AcceptedMS      int64
+	FirstStartMS    int64 `json:",omitempty"`
+	FinishedMS      int64 `json:",omitempty"`
+	// Runs counts the runs of its tasks.
+	Runs int
+	// Steps are those of due occurrences; a job that is over has none.
+	Steps []StepView `json:",omitempty"`
+	// Ends are the newest ends of runs that weren't done.
+	Ends []ledger.Note `json:",omitempty"`
+}
+
+// StepView is a step of an occurrence.
+type StepView struct {
+	Occurrence, Step, Count, Done int
+	Gang, Lasting                 bool `json:",omitempty"`
+	// Running names the backend servers of its live runs.
+	Running []string `json:",omitempty"`
+	// Waits tells why tasks wait; empty if none does.
+	Waits string `json:",omitempty"`
+}
+
+// PoolView is a pool as the leader sees it.
+type PoolView struct {
+	Name                              string
+	Servers, Leaving, Silent, Suspect int
+	Runs                              int
+	// UsedCPU and CPU are in thousandths of a core.
+	UsedCPU, CPU int64
+}
+
+// WaveView is a maintenance wave.
+type WaveView struct {
+	Number                int64
+	Machines, Down, Over  int
+	StartedMS, DurationMS int64
+}
+
+// StatusView is the state of the fleet as the leader sees it.
+type StatusView struct {
+	Leader  string
+	Term    uint64
+	Version int64
+	Open    int
+	Pending map[string]int
+	Pools   []PoolView
+	Waves   []WaveView
+}
+
+// explain tells what became of a job, and why what waits does.
+func (s *session) explain(c *Call) *Reply {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	j := s.engine.ledger.Job(c.Path)
+	if j == nil {
+		return &Reply{Outcome: Gone, Reason: "no such job is in the record"}
+	}
+	v := &JobView{
+		ID: j.ID, Queue: j.Queue, Team: j.Team, State: j.State, AcceptedMS: j.AcceptedMS, FirstStartMS: j.FirstStartMS,
+		FinishedMS: j.FinishedMS, Runs: j.Runs, Ends: j.Notes,
+	}
+	in := s.planInputLocked()
+	if !j.State.Final() {
+		j.EachDue(in.WallMS, func(k int, o *ledger.Occurrence, step int) {
+			v.Steps = append(v.Steps, stepView(in, j, k, o, step))
+		})
+	}
+	return &Reply{Outcome: OK, Job: v}
+}
+
+func stepView(in *schedule.Input, j *ledger.Job, k int, o *ledger.Occurrence, step int) StepView {
+	st := &j.Steps[step]
+	v := StepView{Occurrence: k, Step: step, Count: st.Count, Gang: st.Gang, Lasting: st.Lasting}
+	if o != nil {
+		v.Done = o.Steps[step].Done
+		for _, t := range o.Steps[step].Tasks {
+			if t.Phase == ledger.Live {
+				v.Running = append(v.Running, t.Worker)
+			}
+		}
+	}
+	if v.Done+len(v.Running) < v.Count {
+		v.Waits = schedule.Why(in, j, k, step)
+	}
+	return v
+}
+
+// status tells the state of the fleet.
+func (s *session) status() *Reply {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	v := &StatusView{Leader: s.holder.Name, Term: s.holder.Fence, Open: len(s.engine.ledger.Open()), Pending: make(map[string]int)}
+	if index := s.engine.ledger.Index(); index != nil {
+		v.Version = index.Config().Version
+		for _, q := range index.Config().Queues {
+			if n := s.engine.ledger.Pending(q.Name); n > 0 {
+				v.Pending[q.Name] = n
+			}
+		}
+	}
+	v.Pools = s.poolViewsLocked()
+	for n, w := range s.engine.ledger.Waves {
+		over := 0
+		for _, phase := range w.Phases {
+			if phase == ledger.UpkeepOver {
+				over++
+			}
+		}
+		v.Waves = append(v.Waves, WaveView{
+			Number: n, Machines: len(w.Machines), Down: w.Down(), Over: over, StartedMS: w.StartedMS, DurationMS: w.DurationMS,
+		})
+	}
+	slices.SortFunc(v.Waves, func(a, b WaveView) int { return cmp.Compare(a.Number, b.Number) })
+	return &Reply{Outcome: OK, Status: v}
+}
+
+func (s *session) poolViewsLocked() []PoolView {
+	now := s.planInputLocked().Now
+	byName := make(map[string]*PoolView)
+	for id, server := range s.fleet.All() {
+		p := byName[server.Pool]
+		if p == nil {
+			p = &PoolView{Name: server.Pool}
+			byName[server.Pool] = p
+		}
+		p.Servers++
+		switch {
+		case server.Draining || server.Left:
+			p.Leaving++
+		case !server.Reachable(now, schedule.Silence):
+			p.Silent++
+		case server.Health.Suspect() || server.Health.Slow(now):
+			p.Suspect++
+		}
+		p.Runs += len(s.engine.ledger.LiveOn(id))
+		p.UsedCPU += s.engine.ledger.Load(id).CPU
+		p.CPU += server.Capacity.CPU
+	}
+	var views []PoolView
+	for _, p := range byName {
+		views = append(views, *p)
+	}
+	slices.SortFunc(views, func(a, b PoolView) int { return strings.Compare(a.Name, b.Name) })
+	return views
+}
--- a/internal/dispatch/jobcalls.go
+++ b/internal/dispatch/jobcalls.go
@@ -41,6 +41,15 @@
 	if refused != nil {
 		return refused, nil
 	}
+	reply, err := s.submitTo(c, q, team, id)
+	if err == nil {
+		s.stats.decided(q.Name, team, reply.Outcome)
+	}
+	return reply, err
+}
+
+// submitTo takes a job into a queue.
+func (s *session) submitTo(c *Call, q *accepted.Queue, team, id string) (*Reply, error) {
 	if id == "" || len(id) > maxIDBytes || strings.Contains(id, "/") || c.Job == nil {
 		return &Reply{Outcome: Invalid, Reason: "the path names no job"}, nil
 	}
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -111,7 +111,15 @@
 	for _, id := range []string{"a", "b"} {
 		must.EqOp(t, len(s.engine.ledger.LiveOn(id)) == 0, s.movableLocked(Machine{Name: "m", State: MachineUp, Server: id}, 0))
 	}
-	must.Eq(t, []pools.Move(nil), s.pools.Plan(0, nil, nil, 0))
+	// A plan that could do without the machine of a busy server leaves it where it is.
+	for _, id := range []string{"a", "b"} {
+		idle := len(s.engine.ledger.LiveOn(id)) == 0
+		machine := pools.Machine{Name: "m", Pool: "p", Movable: s.movableLocked(Machine{Name: "m", State: MachineUp, Server: id}, 0)}
+		list := []pools.Pool{{Name: "off", Standby: true}, {Name: "p"}}
+		var fresh pools.Planner
+		must.SliceEmpty(t, fresh.Plan(0, list, []pools.Machine{machine}, 8000))
+		must.EqOp(t, idle, len(fresh.Plan(time.Minute, list, []pools.Machine{machine}, 8000)) == 1)
+	}
 }
 
 // A machine without a server in a pool that is on may come back at any moment, with tasks before the list shows it.
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"laburnumrouter/internal/process/boottime"
+	"laburnumrouter/internal/request/forecast"
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/request/pools"
 	"laburnumrouter/internal/version/accepted"
@@ -275,6 +276,7 @@
 		}
 	}
 	look := s.forecast.Look(wall)
+	s.logOutlookLocked(look)
 	for i := range demand {
 		d := &demand[i]
 		if d.Standby {
@@ -293,6 +295,18 @@
 	return demand
 }
 
+// logOutlookLocked writes a line for each pool of which something else is expected than before.
+func (s *session) logOutlookLocked(look map[string]forecast.Outlook) {
+	for pool, o := range look {
+		before := s.outlook[pool]
+		if o.Hot == before.Hot && o.Open == before.Open && (o.Rate > 0) == (before.Rate > 0) {
+			continue
+		}
+		s.outlook[pool] = o
+		s.log.Info("outlook changed", "pool", pool, "in_turn", o.Hot, "turn_open", o.Open, "expected_cpu", o.Rate)
+	}
+}
+
 // serversApart returns how many servers a job's lasting tasks need at least because few may share one.
 func serversApart(j *ledger.Job) (n int) {
 	for i := range j.Steps {
@@ -306,7 +320,7 @@
 // schedulable returns the thousandths of a core that a job would use now if there were room: by tasks that end, and by
 // tasks that last.
 func schedulable(j *ledger.Job, wallMS int64) (now, stays int64) {
-	j.EachDue(wallMS, func(o *ledger.Occurrence, step int) {
+	j.EachDue(wallMS, func(_ int, o *ledger.Occurrence, step int) {
 		count := j.Steps[step].Count
 		if o != nil {
 			count -= o.Steps[step].Done
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -90,6 +90,8 @@
 	forecast   forecast.Forecast
 	// forecastOn is set once the forecast knows the pools.
 	forecastOn bool
+	// outlook is what was last logged of each pool's outlook.
+	outlook map[string]forecast.Outlook
 
 	view *fleetView
 	// rereadAt is when the view is to be read again; 0 if it shows all that is known to have changed.
@@ -121,7 +123,8 @@
 		reservedFor: make(map[string]string), upkeepTaken: make(map[string]time.Duration), missing: make(map[string]time.Duration),
 		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
 		moveOpen: make(map[string]bool), avoidMove: make(map[string]time.Duration), view: &fleetView{},
-		wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
+		outlook: make(map[string]forecast.Outlook),
+		wake:    make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	s.ends = newEndQueue(s)
 	s.engine.mu.Lock()
@@ -231,6 +234,7 @@
 			continue
 		}
 		if j.FinishedMS == s.engine.ledger.ClockMS {
+			s.stats.finished(j.Queue, string(j.State), time.Duration(j.FinishedMS-j.AcceptedMS)*time.Millisecond)
 			s.log.Info("job finished", "job", id, "queue", j.Queue, "team", j.Team, "state", j.State, "took_ms", j.FinishedMS-j.AcceptedMS)
 		}
 		if j.Live > 0 {
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -28,6 +28,20 @@
 	}
 }
 
+// jobBuckets runs from a quarter of a second to 17 minutes, twice as long each: from a short job to one that lasts.
+var jobBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Millisecond, 2, 13)
+
+// decided counts a decision on a submission, by queue and by team.
+func (s *stats) decided(queue, team string, outcome Outcome) {
+	s.scope.Tagged(map[string]string{"queue": queue, "outcome": string(outcome)}).Counter("submissions").Inc(1)
+	s.scope.Tagged(map[string]string{"team": team, "outcome": string(outcome)}).Counter("team_submissions").Inc(1)
+}
+
+// finished records how long a job took from its acceptance to its final state.
+func (s *stats) finished(queue, state string, took time.Duration) {
+	s.scope.Tagged(map[string]string{"queue": queue, "state": state}).Histogram("job_latency", jobBuckets).RecordDuration(took)
+}
+
 type histogramTimer struct{ h tally.Histogram }
 
 func timerOf(h tally.Histogram) tally.Timer { return histogramTimer{h} }
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -223,8 +223,9 @@
 	t := j.task(s.Task)
 	t.Phase, t.Run, t.Worker, t.Born, t.OrderedMS = Live, s.Run, s.Worker, s.Born, l.ClockMS
 	j.Live++
+	j.Runs++
 	if !j.Started {
-		j.Started = true
+		j.Started, j.FirstStartMS = true, l.ClockMS
 		l.waiting[j.Queue]--
 		j.State = Running
 	}
@@ -243,6 +244,9 @@
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
+	if e.How != EndDone {
+		j.note(Note{Task: e.Task, Run: e.Run, Worker: e.Worker, How: e.How, AtMS: l.ClockMS})
+	}
 	step := &j.Steps[e.Task.Step]
 	switch {
 	case e.How == EndDone && !step.Lasting:
--- a/internal/request/ledger/job.go
+++ b/internal/request/ledger/job.go
@@ -250,6 +250,31 @@
 	// Work is what the job asks for at once by its submitter's estimates, in thousandths of a core times milliseconds; 0 for
 	// scheduled jobs. It is kept when the steps are dropped.
 	Work int64 `json:",omitempty"`
+	// FirstStartMS is when the first task was ordered, Runs counts the runs of all tasks.
+	FirstStartMS int64 `json:",omitempty"`
+	Runs         int   `json:",omitempty"`
+	// Notes are the newest ends of runs that weren't done, the oldest first. They outlive the occurrences.
+	Notes []Note `json:",omitempty"`
+}
+
+// Note is the end of a run that wasn't done.
+type Note struct {
+	Task   TaskID
+	Run    int
+	Worker string
+	How    How
+	// AtMS is by the leader's time of day, in milliseconds since 1970.
+	AtMS int64
+}
+
+// maxNotes bounds the notes of a job: with 10,000 jobs in the retention they take 8 MB at most.
+const maxNotes = 8
+
+func (j *Job) note(n Note) {
+	if len(j.Notes) == maxNotes {
+		j.Notes = append(j.Notes[:0:0], j.Notes[1:]...)
+	}
+	j.Notes = append(j.Notes, n)
 }
 
 // work adds up what a submission asks for; lasting tasks are no work that ends.
@@ -298,7 +323,7 @@
 
 // EachDue calls f for each step of each due occurrence whose turn has come and that is not done. The occurrence is
 // nil if nothing of it has begun.
-func (j *Job) EachDue(wallMS int64, f func(o *Occurrence, step int)) {
+func (j *Job) EachDue(wallMS int64, f func(k int, o *Occurrence, step int)) {
 	for k := range j.occurrences() {
 		if j.DueMS(k) > wallMS {
 			return
@@ -308,7 +333,7 @@
 			switch {
 			case o == nil && len(j.Steps[s].After) > 0, o != nil && !j.ready(o, s), o != nil && o.Steps[s].Done == j.Steps[s].Count:
 			default:
-				f(o, s)
+				f(k, o, s)
 			}
 		}
 	}
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// silence is how long a server may go unheard before it gets no more work: two announcements of 1.5 s
+	// Silence is how long a server may go unheard before it gets no more work: two announcements of 1.5 s
 	// (heartbeat_ms) may be lost.
-	silence = 3500 * time.Millisecond
+	Silence = 3500 * time.Millisecond
 	// maxStarts bounds the starts of one plan, so that one entry of the log stays small and the first orders
 	// leave soon. At 16 jobs of 10 tasks a second a plan every 20 ms has 3 on average.
 	maxStarts = 256
@@ -93,7 +93,7 @@
 	p := &planner{Input: in, rooms: make(map[string][]*room), used: make(map[string]ledger.Resources)}
 	for id, s := range in.Fleet.All() {
 		// Without a reading of its clock no lease can be granted.
-		if s.Draining || in.Reserved[id] || !s.Clock.Known() || !s.Reachable(in.Now, silence) {
+		if s.Draining || in.Reserved[id] || !s.Clock.Known() || !s.Reachable(in.Now, Silence) {
 			continue
 		}
 		r := &room{server: s, free: s.Capacity.Minus(in.Ledger.Load(id)), slow: s.Health.Slow(in.Now)}
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -94,7 +94,7 @@
 			w.server("a", "p", func(s *ledger.Server) { s.Seq, s.Draining = 2, true })
 		}, map[string]int{"b": 1}},
 		{"a server that isn't heard", tasks(2, 4000), func(w *world) {
-			w.fleet.Get("a").HeardAt = w.now - silence - 1
+			w.fleet.Get("a").HeardAt = w.now - Silence - 1
 		}, map[string]int{"b": 1}},
 		{"a server that doesn't answer", tasks(2, 4000), func(w *world) {
 			w.fleet.Get("a").Unanswered(w.now)
--- a/test/failure/cutoff_test.go
+++ b/test/failure/cutoff_test.go
@@ -54,6 +54,8 @@
 	t.Parallel()
 	f := startFleet(t, twoCentres)
 	load := startLoad(f.Entries, 30, func(int) request { return request{team: "soap", ms: 100} })
+	// A data centre that has never reported a need holds no permits, and then can't serve alone.
+	eventually(t, "dc2 runs soap itself", func() bool { return standinCounts(t, f.Standins[1]).Requests >= 2*limit })
 	f.CutOutgoing("dc2")
 	for _, e := range harness.In("dc2", f.Entries) {
 		eventually(t, "oils is refused in dc2", func() bool { return send(e, request{team: "oils"}).notRun() })
