--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -72,7 +72,7 @@
 
 // ready reports whether the balancer should send callers here.
 func (e *entry) ready() bool {
-	return !e.stopping.Load() && time.Since(e.client.LastContact()) < contactLimit
+	return !e.stopping.Load() && !e.client.CutOff() && time.Since(e.client.LastContact()) < contactLimit
 }
 
 // do hands a call on and counts and logs what became of it.
@@ -171,10 +171,10 @@
 	}
 }
 
-// closing asks callers to leave a connection once the entry is stopping.
+// closing asks callers to leave a connection once the entry is stopping, or while others serve them better.
 func (e *entry) closing(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.stopping.Load() {
+		if e.stopping.Load() || e.client.CutOff() {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -29,6 +29,12 @@
 	dialTimeout = 300 * time.Millisecond
 	// attemptTimeout bounds one try of a call. A commit takes about 30 ms; a link that is silent for longer is given up.
 	attemptTimeout = 900 * time.Millisecond
+	// doubtAfter is how long a call may stay unanswered before others are asked who leads: ten commits. doubtPause is the
+	// time between such questions.
+	doubtAfter = 250 * time.Millisecond
+	doubtPause = 150 * time.Millisecond
+	// checkTimeout bounds the question to a leader whether it still leads; a lost packet is sent again after 200 ms.
+	checkTimeout = 400 * time.Millisecond
 	// locateTimeout bounds the question who leads.
 	locateTimeout = 250 * time.Millisecond
 	// locatePause is how long nobody is asked again after nobody led. A refusal is sent meanwhile, at once.
@@ -67,6 +73,8 @@
 	log  hclog.Logger
 	// local carries calls out in this process while it leads; nil on entries.
 	local *dispatch.Dispatcher
+	// attempt bounds one try of a call.
+	attempt time.Duration
 
 	mu      sync.Mutex
 	seeds   []string
@@ -76,6 +84,7 @@
 	missAt  time.Time
 	okAt    time.Time
 	limits  accepted.Limits
+	cutOff  bool          // the last search reached less than a majority of the members, and no leader
 	finding chan struct{} // closed when the search under way ends; nil if there is none
 }
 
@@ -86,7 +95,7 @@
 		DialContext: dialer.DialContext, MaxConnsPerHost: maxConns, MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
-	return &Client{http: &http.Client{Transport: transport}, log: log, local: local, seeds: seeds}
+	return &Client{http: &http.Client{Transport: transport}, log: log, local: local, seeds: seeds, attempt: attemptTimeout}
 }
 
 // SetSeeds replaces the addresses to start from, after a reload of the settings.
@@ -103,6 +112,14 @@
 	return c.okAt
 }
 
+// CutOff reports whether this process reaches less than a majority of the control instances, so that an election among
+// them wouldn't help it.
+func (c *Client) CutOff() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cutOff
+}
+
 // Limits returns the bounds of callers' requests as the leader last told them; zero before it did.
 func (c *Client) Limits() accepted.Limits {
 	c.mu.Lock()
@@ -166,8 +183,10 @@
 
 // send posts a call to an instance.
 func (c *Client) send(ctx context.Context, target string, body []byte) (reply *dispatch.Reply, may bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.attempt)
 	defer cancel()
+	doubt := time.AfterFunc(doubtAfter, func() { c.watchOver(ctx, target, cancel) })
+	defer doubt.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+CallPath, bytes.NewReader(body))
 	if err != nil {
 		return nil, false, Error.Wrap(err)
@@ -192,6 +211,44 @@
 	return reply, false, nil
 }
 
+// watchOver ends a call to an instance that keeps silent as soon as another one leads.
+func (c *Client) watchOver(ctx context.Context, target string, end func()) {
+	for ctx.Err() == nil {
+		if leader := c.look(ctx); leader != "" && leader != target {
+			c.log.Info("call is taken from a leader that was replaced", "from", target, "leader", leader)
+			end()
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(doubtPause):
+		}
+	}
+}
+
+// look asks who leads, also while one is believed in, and returns it. One search serves all who wait.
+func (c *Client) look(ctx context.Context) string {
+	c.mu.Lock()
+	finding := c.searchLocked()
+	c.mu.Unlock()
+	select {
+	case <-finding:
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+// searchLocked returns the search that is under way, or begins one.
+func (c *Client) searchLocked() chan struct{} {
+	if c.finding == nil {
+		c.finding = make(chan struct{})
+		go c.search(c.finding)
+	}
+	return c.finding
+}
+
 // dialFailed reports whether no connection came about, so that nothing was sent.
 func dialFailed(err error) bool {
 	var op *net.OpError
@@ -201,7 +258,7 @@
 func (c *Client) noteContact() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.okAt = time.Now()
+	c.okAt, c.cutOff = time.Now(), false
 }
 
 // forget drops the leader that was believed in.
@@ -225,11 +282,7 @@
 		c.mu.Unlock()
 		return "", errNobody
 	}
-	if c.finding == nil {
-		c.finding = make(chan struct{})
-		go c.search(c.finding)
-	}
-	finding := c.finding
+	finding := c.searchLocked()
 	c.mu.Unlock()
 	select {
 	case <-finding:
@@ -248,13 +301,15 @@
 func (c *Client) search(finding chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), locateTimeout)
 	defer cancel()
-	found := c.askAll(ctx)
+	found, answered := c.askAll(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if found == "" {
+	c.noteReachLocked(found != "", answered)
+	switch {
+	case found == "":
 		c.missAt = now
-	} else {
+	case found != c.leader:
 		lost := time.Duration(0)
 		if !c.lostAt.IsZero() {
 			lost = now.Sub(c.lostAt)
@@ -266,14 +321,23 @@
 	close(finding)
 }
 
+// noteReachLocked notes how much of control a search has reached.
+func (c *Client) noteReachLocked(found bool, answered int) {
+	cut := !found && 2*answered <= max(len(c.members), len(c.seeds))
+	if cut != c.cutOff {
+		c.log.Warn("reach of control changed", "cut_off", cut, "answered", answered, "members", len(c.members))
+	}
+	c.cutOff = cut
+}
+
 // answer is what one instance said.
 type answer struct {
 	from  string
-	where *Whereabouts
+	where *Whereabouts // nil if it didn't answer
 }
 
-// askAll returns the address of the instance that leads, or "".
-func (c *Client) askAll(ctx context.Context) string {
+// askAll returns the address of the instance that leads, or "", and how many instances answered.
+func (c *Client) askAll(ctx context.Context) (leader string, answered int) {
 	answers := make(chan answer)
 	asked := make(map[string]bool)
 	open := 0
@@ -287,7 +351,7 @@
 			go func() {
 				where, err := c.ask(ctx, target)
 				if err != nil {
-					where = &Whereabouts{}
+					where = nil
 				}
 				select {
 				case answers <- answer{target, where}:
@@ -300,17 +364,21 @@
 	for ; open > 0; open-- {
 		select {
 		case a := <-answers:
+			if a.where == nil {
+				continue
+			}
+			answered++
 			c.learn(a.where)
 			if a.where.Leads {
-				return a.from
+				return a.from, answered
 			}
 			ask(a.where.Leader)
 			ask(a.where.Members...)
 		case <-ctx.Done():
-			return ""
+			return "", answered
 		}
 	}
-	return ""
+	return "", answered
 }
 
 // known returns every address that may be a control instance's.
@@ -378,7 +446,7 @@
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	where, err := c.ask(ctx, target)
 	if err == nil && !where.Leads {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -23,6 +23,8 @@
 	calls  atomic.Int64
 	// drop breaks off calls after they were read.
 	drop atomic.Bool
+	// hang keeps calls until it is closed.
+	hang atomic.Pointer[chan struct{}]
 }
 
 func newInstance(t *testing.T, where Whereabouts) *instance {
@@ -35,6 +37,9 @@
 	})
 	mux.HandleFunc("POST "+CallPath, func(w http.ResponseWriter, _ *http.Request) {
 		i.calls.Add(1)
+		if hang := i.hang.Load(); hang != nil {
+			<-*hang
+		}
 		switch {
 		case i.drop.Load():
 			panic(http.ErrAbortHandler)
@@ -100,3 +105,43 @@
 	must.EqOp(t, dispatch.Uncertain, call(t, c).Outcome)
 	<-done
 }
+
+// A call that hangs on a leader which stands still goes on to the one that was elected meanwhile.
+func TestCallLeavesALeaderThatStandsStill(t *testing.T) {
+	old := newInstance(t, Whereabouts{Leads: true})
+	next := newInstance(t, Whereabouts{})
+	hang := make(chan struct{})
+	old.hang.Store(&hang)
+	t.Cleanup(func() { close(hang) })
+	c := NewClient([]string{old.address(), next.address()}, nil, hclog.NewNullLogger())
+	c.attempt = time.Hour
+	_, err := c.find(t.Context())
+	must.NoError(t, err)
+	old.where.Store(&Whereabouts{})
+	next.where.Store(&Whereabouts{Leads: true})
+	must.EqOp(t, dispatch.OK, call(t, c).Outcome)
+	must.EqOp(t, 1, old.calls.Load())
+	must.EqOp(t, 1, next.calls.Load())
+}
+
+// A process that reaches less than a majority is cut off; one that reaches a majority waits for its election.
+func TestCutOff(t *testing.T) {
+	dead := httptest.NewServer(http.NotFoundHandler())
+	dead.Close()
+	gone := strings.TrimPrefix(dead.URL, "http://")
+	near := newInstance(t, Whereabouts{})
+	other := newInstance(t, Whereabouts{})
+	members := []string{near.address(), other.address(), gone}
+	for reached, cut := range []bool{true, true, false} {
+		c := NewClient(members, nil, hclog.NewNullLogger())
+		c.seeds = append(append([]string(nil), members[:reached]...), gone, gone+"0", gone+"1")[:3]
+		must.EqOp(t, dispatch.Unavailable, call(t, c).Outcome)
+		must.EqOp(t, cut, c.CutOff(), must.Sprint(reached))
+		near.where.Store(&Whereabouts{Leads: true})
+		if reached > 0 {
+			c.look(t.Context())
+			must.False(t, c.CutOff())
+		}
+		near.where.Store(&Whereabouts{})
+	}
+}
