A record store never returns to an older group

Who read the group before a change could set it after who had read the change, so that a member took part in writes of the older epoch again and refused those of the newer one. In the product the store is told by each request that is served, so the race is there too: a record might have been written to a group that no longer decides.

Change: the store keeps the group with the highest epoch.

--- a/internal/request/idempotency/idempotency_test.go
+++ b/internal/request/idempotency/idempotency_test.go
@@ -406,3 +406,23 @@
 		must.ErrorIs(t, err, ErrBadKey)
 	}
 }
+
+// A member that was told of a newer group takes part in no write of an older one, whoever still holds that.
+func TestMemberNeverReturnsToAnOlderEpoch(t *testing.T) {
+	s := NewStore()
+	group := func(epoch uint64) *laburnumv1.RecordGroup {
+		return &laburnumv1.RecordGroup{DataCentre: "dc1", Epoch: epoch, Members: []string{"e1.1"}}
+	}
+	now := time.UnixMilli(1_800_000_000_000)
+	s.SetGroup("e1.1", group(5), false)
+	s.SetGroup("e1.1", group(6), false)
+	s.SetGroup("e1.1", group(5), false)
+	put := func(epoch uint64) bool {
+		r := &laburnumv1.Record{Key: "dc1/x", Team: "soap", Owner: "o", State: started}
+		return s.Put(now, &laburnumv1.PutRecordRequest{Epoch: epoch, Member: "e1.1", Record: r}).Refused
+	}
+	must.True(t, put(5))
+	must.False(t, put(6))
+	_, _, ok := s.Page(now, 6, "")
+	must.True(t, ok)
+}
--- a/internal/request/idempotency/store.go
+++ b/internal/request/idempotency/store.go
@@ -53,7 +53,11 @@
 func (s *Store) SetGroup(self string, group *laburnumv1.RecordGroup, fenced bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.self, s.group, s.fenced = self, group, fenced
+	s.self, s.fenced = self, fenced
+	// Who read the group before a change may come after who read the change: a member never goes back to an older epoch.
+	if group.GetEpoch() >= s.group.GetEpoch() {
+		s.group = group
+	}
 }
 
 // member reports whether this member takes part in writes of the epoch.
