Tasks that fill are paced beside tasks that serve; tests behind the last rules

Change: internal/request/pacing decides from the figures of each report: a tail over its target quarters the pace of what fills on that backend server (two reports to a standstill, inside the 4 s of interference_ms), room gives it back in steps, and fills that stand still without effect aren't blamed any more. The session sends paces and repeats those without an answer.

Tests: patterns of figures, one that changes each 3.5 s, the session against a fake server that loses a pace. Memory: the limit is set from the settings.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -77,12 +77,15 @@
 	began        time.Duration
 	starts       []runKey
 	holds        []HoldOrder
+	figures      map[ledger.TaskID]int64 // reported of running tasks
+	paces        []PaceOrder
+	paceFails    int // the next paces that get no answer
 }
 
 func newFakeServers(ids ...string) *fakeServers {
 	f := &fakeServers{
 		servers: make(map[string]*fakeServer), silent: make(map[string]bool), mute: make(map[string]bool),
-		elsewhere: make(map[string]bool), began: boottime.Now(),
+		elsewhere: make(map[string]bool), began: boottime.Now(), figures: make(map[ledger.TaskID]int64),
 	}
 	for _, id := range ids {
 		f.servers[id] = newFakeServer(1)
@@ -184,12 +187,40 @@
 	}
 	r := &HoldReport{ClockMS: f.clock(), Born: s.born, Finished: slices.Clone(s.finished)}
 	for key := range s.running {
-		r.Running = append(r.Running, RunningTask{Task: key.task, Run: key.run, Percent: 100})
+		r.Running = append(r.Running, RunningTask{Task: key.task, Run: key.run, Percent: 100, Figure: f.figures[key.task]})
 	}
 	return r, nil
 }
 
-func (f *fakeServers) Pace(context.Context, Target, PaceOrder) error { return nil }
+func (f *fakeServers) Pace(_ context.Context, _ Target, o PaceOrder) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.paceFails > 0 {
+		f.paceFails--
+		return errSilent
+	}
+	f.paces = append(f.paces, o)
+	return nil
+}
+
+// pace returns the percentage that a task was last told; -1 for none.
+func (f *fakeServers) pace(id ledger.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := len(f.paces) - 1; i >= 0; i-- {
+		if f.paces[i].Task == id {
+			return f.paces[i].Percent
+		}
+	}
+	return -1
+}
+
+// reports sets the figure of a task.
+func (f *fakeServers) reports(id ledger.TaskID, figure int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.figures[id] = figure
+}
 
 // finish ends a run.
 func (f *fakeServers) finish(id string, key runKey, how ledger.How) {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -246,6 +246,7 @@
 	ends, newest := h.finishedLocked(report, server, listed, heard)
 	h.runningLocked(report, listed)
 	h.missingLocked(listed, asked)
+	s.paceLocked(h.worker, report, heard)
 	h.contacted, server.Contacted = true, true
 	s.engine.mu.Unlock()
 	if newest <= h.acked {
--- /dev/null
+++ b/internal/dispatch/pace.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/pacing"
+)
+
+// paceLocked slows what fills on a server while it hurts what serves there, and lets it go again.
+func (s *session) paceLocked(worker string, r *HoldReport, now time.Duration) {
+	var serving []pacing.Serving
+	var fills []RunningTask
+	for _, row := range r.Running {
+		j, t := s.engine.ledger.Task(row.Task)
+		if t == nil || t.Phase != ledger.Live || t.Run != row.Run || t.Worker != worker {
+			continue
+		}
+		switch step := &j.Steps[row.Task.Step]; {
+		case step.Fills:
+			fills = append(fills, row)
+		case step.TargetMS > 0:
+			serving = append(serving, pacing.Serving{FigureMS: row.Figure, TargetMS: step.TargetMS})
+		}
+	}
+	if len(fills) == 0 {
+		delete(s.pacers, worker)
+		return
+	}
+	pacer := s.pacers[worker]
+	if pacer == nil {
+		pacer = &pacing.Server{}
+		s.pacers[worker] = pacer
+	}
+	percent := pacer.Look(now, serving)
+	for _, row := range fills {
+		key := runKey{row.Task, row.Run}
+		if before, ok := s.paces[key]; before == percent && ok || !ok && percent == pacing.Full {
+			continue
+		}
+		s.paces[key] = percent
+		s.log.Info("task that fills is paced", "task", row.Task, "run", row.Run, "server", worker, "percent", percent, "serving", serving)
+		s.run(func() { s.sendPace(worker, key, percent) })
+	}
+}
+
+// sendPace sends one pace. One that gets no answer is sent again after the next report.
+func (s *session) sendPace(worker string, key runKey, percent int) {
+	s.engine.mu.Lock()
+	server := s.fleet.Get(worker)
+	s.engine.mu.Unlock()
+	if server == nil || !s.mayOrder() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	o := PaceOrder{Task: key.task, Run: key.run, Percent: percent, Fence: s.holder.Fence}
+	err := s.servers.Pace(ctx, Target{ID: worker, Address: server.Address}, o)
+	if err == nil {
+		return
+	}
+	s.log.Warn("pace unanswered; it is sent again", "task", key.task, "run", key.run, "server", worker, "error", err)
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	if s.paces[key] == percent {
+		s.paces[key] = unknownPace
+	}
+}
+
+// unknownPace stands for a pace that a server may or may not have taken.
+const unknownPace = -1
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -15,6 +15,7 @@
 	"laburnumrouter/internal/request/forecast"
 	"laburnumrouter/internal/request/lease"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/pacing"
 	"laburnumrouter/internal/request/pools"
 )
 
@@ -71,7 +72,9 @@
 	holders map[string]*holder
 	// reserved are servers whose machines are about to leave.
 	reserved map[string]bool
-	paces    map[runKey]int
+	// paces are the percentages that tasks which fill were last told; pacers decide them, by server.
+	paces  map[runKey]int
+	pacers map[string]*pacing.Server
 	// reservedFor names the server for which a machine was reserved, upkeepTaken is when its upkeep was taken.
 	reservedFor map[string]string
 	upkeepTaken map[string]time.Duration
@@ -119,7 +122,7 @@
 		authority: d.authority, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
 		startedAt: boottime.Now(), machineLease: d.machineLease,
 		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holders: make(map[string]*holder),
-		reserved: make(map[string]bool), paces: make(map[runKey]int),
+		reserved: make(map[string]bool), paces: make(map[runKey]int), pacers: make(map[string]*pacing.Server),
 		reservedFor: make(map[string]string), upkeepTaken: make(map[string]time.Duration), missing: make(map[string]time.Duration),
 		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
 		moveOpen: make(map[string]bool), avoidMove: make(map[string]time.Duration), view: &fleetView{},
--- a/internal/jobentry/entry_test.go
+++ b/internal/jobentry/entry_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime/debug"
 	"strings"
 	"testing"
 	"time"
@@ -138,3 +139,18 @@
 		must.EqOp(t, c.status, resp.StatusCode, must.Sprint(c))
 	}
 }
+
+// The heap stays under its part of what the process may use.
+func TestMemoryLimitIsSet(t *testing.T) {
+	before := debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { debug.SetMemoryLimit(before) })
+	s := DefaultSettings()
+	s.Listen, s.MemoryMB = "not an address", 100
+	must.Error(t, Run(t.Context(), s, Ports{
+		Callers: func(func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
+			return http.NotFoundHandler()
+		},
+		Ready: func(func() bool) http.Handler { return http.NotFoundHandler() },
+	}, func([]string, string) []string { return nil }, hclog.NewNullLogger()))
+	must.EqOp(t, int64(60<<20), debug.SetMemoryLimit(-1))
+}
