A turn of many jobs is measured while it goes on

The turn asks for 3,840 cores, the first turn's guess was 3,318; after 2.5 s only the work that waits counted, which shows second steps late. Machines were switched off at 32 to 34 s and ordered back at 36 to 38 s.

Change: while a turn goes on and sixteen jobs or more came in the window, its rate is what the pool is to be ready for.

--- a/internal/request/forecast/forecast.go
+++ b/internal/request/forecast/forecast.go
@@ -12,6 +12,9 @@
 	window = 1200
 	// fewest is the least number of jobs in the window that make a turn: a single large one is none.
 	fewest = 3
+	// enough is the least number of jobs in the window that tell how much a turn asks for: sizes vary by half of their mean,
+	// so the mean of sixteen is off by an eighth.
+	enough = 16
 	// hotShare is the part of its usual capacity at which a pool's demand counts as a turn. Between its turns a queue
 	// asks a twentieth of its mean, in them three to five times as much.
 	hotShare = 0.3
@@ -227,7 +230,7 @@
 // turnRate returns what a turn that goes on is likely to ask for.
 func (f *Forecast) turnRate(t *turn, usual, now int64) int64 {
 	if now-t.start >= young {
-		return 0
+		return f.measured(t.pool)
 	}
 	if rate := f.lastRate(t.pool, now); rate > 0 {
 		return rate
@@ -235,6 +238,18 @@
 	return int64(firstTurn * float64(usual))
 }
 
+// measured returns what a pool was asked for lately, in thousandths of a core; 0 if by too few jobs to tell.
+func (f *Forecast) measured(pool string) int64 {
+	if len(f.recent[pool]) < enough {
+		return 0
+	}
+	var work int64
+	for _, a := range f.recent[pool] {
+		work += a.work
+	}
+	return work / window
+}
+
 // expect fills in the pool whose turn comes next, once that is near. While several may be next, each is to have
 // its usual size.
 func (f *Forecast) expect(look map[string]Outlook, now int64) {
--- a/internal/request/forecast/forecast_test.go
+++ b/internal/request/forecast/forecast_test.go
@@ -114,3 +114,20 @@
 	f.Arrive("a", 1000, 10*hotRate*window)
 	must.False(t, f.Look(1000)["a"].Hot)
 }
+
+// A turn that asks for more than was expected is told by its rate, before its later steps show in the work that waits; a few
+// large jobs tell nothing.
+func TestManyJobsTellHowMuchATurnAsks(t *testing.T) {
+	const asked = 3 * usual
+	play := func(every int64) Outlook {
+		f := &Forecast{}
+		f.SetUsual("a", usual)
+		for at := int64(0); at < 4000; at += every {
+			f.Arrive("a", at, asked*every)
+		}
+		return f.Look(4000)["a"]
+	}
+	must.Between(t, asked*9/10, play(25).Rate, asked*11/10)
+	must.True(t, play(300).Hot)
+	must.Zero(t, play(300).Rate)
+}
