--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -86,6 +86,7 @@
 		if server := s.fleet.Get(g.ID); server != nil && server.Born == g.Born && now-server.HeardAt > forgetServer {
 			s.fleet.Remove(g.ID)
 			delete(s.reserved, g.ID)
+			delete(s.pacers, g.ID)
 		}
 	}
 	s.log.Info("silent servers dropped", "servers", len(gone))
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	return c.run(ctx)
+	return errors.Join(c.run(ctx), c.metrics.Close())
 }
 
 // errStorage is returned once the journal has failed. The instance takes part again when its folder can be written.
--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -159,7 +159,8 @@
 	return 0
 }
 
-func newCluster(t *testing.T, operators http.Handler) *cluster {
+// newCluster starts three instances; the disks of those that are named are full.
+func newCluster(t *testing.T, operators http.Handler, full ...int) *cluster {
 	t.Helper()
 	c := &cluster{
 		t: t, servers: &doneServers{began: time.Now(), starts: make(map[string]int)}, public: freePort(t),
@@ -168,6 +169,9 @@
 	for c.peers = freePort(t); c.peers == c.public; {
 		c.peers = freePort(t)
 	}
+	for _, i := range full {
+		c.disks[i].full.Store(true)
+	}
 	for i := range c.dirs {
 		c.dirs[i] = t.TempDir()
 		c.start(i, true)
@@ -311,6 +315,14 @@
 	}
 }
 
+// An instance whose disk is full at its first start begins once there is room.
+func TestDiskThatIsFullAtTheStart(t *testing.T) {
+	c := newCluster(t, http.NotFoundHandler(), 2)
+	c.until(func() bool { return c.log.count("data folder failed") > 1 })
+	c.disks[2].full.Store(false)
+	c.until(func() bool { return c.log.count("control log opened") == len(c.disks) })
+}
+
 // A call in progress at an instance that is told to stop gets its whole answer.
 func TestPlannedStopCutsNoCall(t *testing.T) {
 	began, release := make(chan struct{}), make(chan struct{})
--- a/internal/process/replica/node.go
+++ b/internal/process/replica/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
 
 	"laburnumrouter/internal/process/journal"
 	"laburnumrouter/internal/process/replica/core"
@@ -130,11 +131,13 @@
 		reads:    make(map[uint64]chan struct{}),
 		dropped:  make(map[string]core.Drop),
 	}
-	if err := n.bootstrap(contents); err != nil {
-		return nil, Error.Wrap(err)
+	err = n.bootstrap(contents)
+	if err == nil {
+		err = n.restore(contents)
 	}
-	if err := n.restore(contents); err != nil {
-		return nil, Error.Wrap(err)
+	if err != nil {
+		// The folder's lock is given back, so that it can be opened again once the cause has passed.
+		return nil, Error.Wrap(errs.Combine(err, j.Close(contents.HardState)))
 	}
 	n.publish()
 	return n, nil
--- a/internal/request/forecast/forecast.go
+++ b/internal/request/forecast/forecast.go
@@ -39,7 +39,8 @@
 // Outlook is what is expected of a pool.
 type Outlook struct {
 	// Rate is the demand in thousandths of a core that is to be ready for because it is about to come: a turn is expected
-	// soon or has just begun. Later in a turn the work that is there tells more, and Rate is 0.
+	// soon or has just begun, or goes on with so many jobs that its rate can be measured. Else the work that is there tells
+	// more, and Rate is 0.
 	Rate int64
 	// Open is set if the pool's turn may come at any time: none was seen yet.
 	Open bool
