laburnumctl: a call cut off by the timeout keeps the earlier answer's error

Cause: TestApplyExitCodes gave each call 100 ms. On a busy machine the first or a later attempt was cut off by that time and its "deadline exceeded" replaced the answer "no leader" of the attempt before it. So the test had a timing bound, and the program hid the reason that it had already been told. Ruled out: a slow server (it answers from memory); the exit code (right in each failure seen). Change: an instance whose last attempt was cut off is reported with the error of the attempt before. The case moves to a test of its own, in which the server ends the caller's time on its second call, so that no duration decides; the other cases have a minute.

--- a/cmd/laburnumctl/client.go
+++ b/cmd/laburnumctl/client.go
@@ -25,6 +25,14 @@
 
 type operatorClient = laburnumv1connect.OperatorServiceClient
 
+// baseContext returns the context that bounds all calls.
+func (c *connection) baseContext() context.Context {
+	if c.base == nil {
+		return context.Background()
+	}
+	return c.base
+}
+
 // instance is a control instance and the client to call it with.
 type instance struct {
 	address string
@@ -103,18 +111,19 @@
 }
 
 // call calls f with each control instance in turn until one answers, an error is final or the timeout passes.
-// f must be idempotent, because it is called again after a lost answer.
+// f must be idempotent, because it is called again after a lost answer. Instances whose last call was cut off by the
+// timeout are reported with the error of their call before it.
 func call[T any](c *connection, f func(ctx context.Context, client operatorClient) (T, error)) (T, error) {
 	var none T
 	list, err := c.instances()
 	if err != nil {
 		return none, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	ctx, cancel := context.WithTimeout(c.baseContext(), c.Timeout)
 	defer cancel()
+	failures := make([]error, len(list))
 	for {
-		var failures errs.Group
-		for _, in := range list {
+		for i, in := range list {
 			result, err := attempt(ctx, in, f)
 			if err == nil {
 				return result, nil
@@ -122,12 +131,14 @@
 			if final := finalError(err); final != nil {
 				return none, final
 			}
-			failures.Add(fmt.Errorf("%s: %w", in.address, err))
+			if failures[i] == nil || ctx.Err() == nil {
+				failures[i] = fmt.Errorf("%s: %w", in.address, err)
+			}
 		}
 		select {
 		case <-time.After(retryInterval):
 		case <-ctx.Done():
-			return none, errUnavailable.Wrap(failures.Err())
+			return none, errUnavailable.Wrap(errs.Combine(failures...))
 		}
 	}
 }
@@ -168,7 +179,7 @@
 	var wg sync.WaitGroup
 	for i, in := range list {
 		wg.Go(func() {
-			value, err := attempt(context.Background(), in, f)
+			value, err := attempt(c.baseContext(), in, f)
 			answers[i] = answer[T]{in.address, value, err}
 		})
 	}
--- a/cmd/laburnumctl/main.go
+++ b/cmd/laburnumctl/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -78,6 +79,8 @@
 	Cert    string        `help:"Operator's client certificate (PEM)." env:"LABURNUM_CERT" type:"path" placeholder:"FILE"`
 	CertKey string        `help:"Private key of the client certificate (PEM)." env:"LABURNUM_CERT_KEY" type:"path" placeholder:"FILE"`
 	Timeout time.Duration `help:"Longest wait for an answer." default:"10s"`
+
+	base context.Context // all calls end with it; nil means context.Background()
 }
 
 func main() {
--- a/cmd/laburnumctl/main_test.go
+++ b/cmd/laburnumctl/main_test.go
@@ -79,13 +79,10 @@
 		{"denied", func(int) (*laburnumv1.ApplyResponse, error) {
 			return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("who?"))
 		}, exitDenied, "who?"},
-		{"unavailable", func(int) (*laburnumv1.ApplyResponse, error) {
-			return nil, connect.NewError(connect.CodeUnavailable, errors.New("no leader"))
-		}, exitUnavailable, "no leader"},
 	}
 	for _, tt := range tests {
 		cli := commandLineFor(startServer(t, &fakeControl{apply: tt.apply}))
-		cli.Timeout = 100 * time.Millisecond
+		cli.Timeout = time.Minute
 		err := (&applyCommand{Sheet: exampleSheet}).Run(cli)
 		must.ErrorContains(t, err, tt.text, must.Sprint(tt.name))
 		must.Eq(t, tt.want, exitCode(err), must.Sprint(tt.name))
@@ -93,6 +90,24 @@
 	must.Eq(t, exitInvalidSheet, exitCode(sheet.Faults{}))
 }
 
+// The timeout ends the second call before it is answered. The error must still say what the first call was answered.
+func TestApplyReportsAnswerBeforeTimeout(t *testing.T) {
+	base, timeOut := context.WithCancel(context.Background())
+	control := &fakeControl{apply: func(call int) (*laburnumv1.ApplyResponse, error) {
+		if call > 1 {
+			timeOut()
+			<-base.Done()
+		}
+		return nil, connect.NewError(connect.CodeUnavailable, errors.New("no leader"))
+	}}
+	cli := commandLineFor(startServer(t, control))
+	cli.base, cli.Timeout = base, time.Minute
+	err := (&applyCommand{Sheet: exampleSheet}).Run(cli)
+	must.ErrorContains(t, err, "no leader")
+	must.Eq(t, exitUnavailable, exitCode(err))
+	must.Eq(t, 2, control.calls)
+}
+
 func TestApplyWaitsUntilInForce(t *testing.T) {
 	control := &fakeControl{
 		apply: func(int) (*laburnumv1.ApplyResponse, error) {
