--- a/cmd/laburnumctl/check.go
+++ b/cmd/laburnumctl/check.go
@@ -21,7 +21,7 @@
 	Digest      string   `json:"digest"`
 	Pools       int      `json:"pools"`
 	Queues      int      `json:"queues"`
-	Teams       int      `json:"teams"`
+	Workspaces  int      `json:"teams"`
 	Keys        int      `json:"keys"`
 	Maintenance int      `json:"maintenance"`
 	Warnings    []string `json:"warnings"`
@@ -56,14 +56,14 @@
 		Digest:      hex.EncodeToString(cfg.Digest),
 		Pools:       len(cfg.Pools),
 		Queues:      len(cfg.Queues),
-		Teams:       len(cfg.Teams),
+		Workspaces:  len(cfg.Teams),
 		Keys:        len(cfg.Keys),
 		Maintenance: len(cfg.Maintenance),
 		Warnings:    warnings(cfg),
 	}
 	return cli.print(result, func(w io.Writer) {
-		fmt.Fprintf(w, "sheet %d is in order: %d pools, %d queues, %d teams, %d keys, %d maintenance plans\n",
-			result.Number, result.Pools, result.Queues, result.Teams, result.Keys, result.Maintenance)
+		fmt.Fprintf(w, "sheet %d is in order: %d pools, %d queues, %d workspaces, %d keys, %d maintenance plans\n",
+			result.Number, result.Pools, result.Queues, result.Workspaces, result.Keys, result.Maintenance)
 		for _, warning := range result.Warnings {
 			fmt.Fprintln(w, "warning:", warning)
 		}
--- a/cmd/laburnumctl/job.go
+++ b/cmd/laburnumctl/job.go
@@ -11,14 +11,14 @@
 )
 
 type jobListCommand struct {
-	Team  string `help:"Only jobs of this team."`
-	Limit uint32 `help:"Jobs to list at most, the latest first." default:"50"`
+	Workspace string `name:"team" help:"Only jobs of this workspace."`
+	Limit     uint32 `help:"Jobs to list at most, the latest first." default:"50"`
 }
 
 // Run lists jobs.
 func (j *jobListCommand) Run(cli *commandLine) error {
 	resp, err := call(&cli.connection, func(ctx context.Context, client operatorClient) (*laburnumv1.ListJobsResponse, error) {
-		return client.ListJobs(ctx, &laburnumv1.ListJobsRequest{Team: j.Team, Limit: j.Limit})
+		return client.ListJobs(ctx, &laburnumv1.ListJobsRequest{Team: j.Workspace, Limit: j.Limit})
 	})
 	if err != nil {
 		return err
--- a/cmd/laburnumctl/jobs.go
+++ b/cmd/laburnumctl/jobs.go
@@ -49,7 +49,7 @@
 }
 
 func renderJob(w io.Writer, j *dispatch.JobView) {
-	fmt.Fprintf(w, "JOB\t%s\nQUEUE\t%s\nTEAM\t%s\nSTATE\t%s\n", j.ID, j.Queue, j.Team, j.State)
+	fmt.Fprintf(w, "JOB\t%s\nQUEUE\t%s\nTEAM\t%s\nSTATE\t%s\n", j.ID, j.Queue, j.Workspace, j.State)
 	fmt.Fprintf(w, "ACCEPTED\t%s\nFIRST START\t%s\nFINISHED\t%s\nRUNS\t%d\n", formatUnixMS(j.AcceptedMS), formatUnixMS(j.FirstStartMS), formatUnixMS(j.FinishedMS), j.Runs)
 	if len(j.Steps) > 0 {
 		fmt.Fprintln(w, "\nOCCURRENCE\tSTEP\tTASKS\tDONE\tRUNNING ON\tWAITS")
--- a/cmd/laburnumctl/main_test.go
+++ b/cmd/laburnumctl/main_test.go
@@ -139,8 +139,8 @@
 	writeControls(&out, answers, best)
 	writeUnknowns(&out, answers, best)
 	writeDataCentres(&out, best)
-	writeTeams(&out, best)
-	for _, want := range []string{"no answer", "1 of 2 control instances", "no quorum", "cut off: serves 1 teams", "refuses salts", "dc1=4"} {
+	writeWorkspaces(&out, best)
+	for _, want := range []string{"no answer", "1 of 2 control instances", "no quorum", "cut off: serves 1 workspaces", "refuses salts", "dc1=4"} {
 		must.StrContains(t, out.String(), want)
 	}
 }
--- a/cmd/laburnumctl/status.go
+++ b/cmd/laburnumctl/status.go
@@ -32,7 +32,7 @@
 	return bestStatus(answers)
 }
 
-// fleetSummary is like fleetStatus but requests no pools, teams and waves.
+// fleetSummary is like fleetStatus but requests no pools, workspaces and waves.
 func fleetSummary(c *connection) (*laburnumv1.StatusResponse, error) {
 	answers, err := callAll(c, func(ctx context.Context, client operatorClient) (*laburnumv1.StatusResponse, error) {
 		return client.Status(ctx, &laburnumv1.StatusRequest{Summary: true})
@@ -101,7 +101,7 @@
 		writeUnknowns(w, answers, best)
 		writeDataCentres(w, best)
 		writePools(w, best)
-		writeTeams(w, best)
+		writeWorkspaces(w, best)
 		writeWaves(w, best)
 	})
 }
@@ -179,8 +179,8 @@
 	}
 }
 
-// cutOffSummary describes which teams a cut-off data centre serves, each within the data centre's slice of the team's limit, and
-// which it refuses, by the teams' policies.
+// cutOffSummary describes which workspaces a cut-off data centre serves, each within the data centre's slice of the workspace's limit, and
+// which it refuses, by the workspaces' policies.
 func cutOffSummary(s *laburnumv1.StatusResponse) string {
 	serve, refused := 0, []string{}
 	for _, t := range s.Teams {
@@ -190,7 +190,7 @@
 		}
 		serve++
 	}
-	text := fmt.Sprintf("serves %d teams on their slices", serve)
+	text := fmt.Sprintf("serves %d workspaces on their slices", serve)
 	if len(refused) > 0 {
 		text += ", refuses " + strings.Join(refused, " ")
 	}
@@ -204,7 +204,7 @@
 	}
 }
 
-func writeTeams(w io.Writer, s *laburnumv1.StatusResponse) {
+func writeWorkspaces(w io.Writer, s *laburnumv1.StatusResponse) {
 	fmt.Fprintln(w, "\nTEAM\tSHARE\tLIMIT\tRUNNING\tCUT OFF\tSLICES")
 	for _, t := range s.Teams {
 		policy := "serve"
--- a/internal/control/fleet.go
+++ b/internal/control/fleet.go
@@ -94,20 +94,20 @@
 	return list
 }
 
-// waitingByPoolAndRunningByTeam sums the waiting requests of each pool and the running requests of each team over all
+// waitingByPoolAndRunningByWorkspace sums the waiting requests of each pool and the running requests of each workspace over all
 // entries.
-func (f *fleet) waitingByPoolAndRunningByTeam() (waitingByPool, runningByTeam map[string]uint32) {
+func (f *fleet) waitingByPoolAndRunningByWorkspace() (waitingByPool, runningByWorkspace map[string]uint32) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	waitingByPool = make(map[string]uint32)
-	runningByTeam = make(map[string]uint32)
+	runningByWorkspace = make(map[string]uint32)
 	for _, e := range f.observed.Entries {
 		for _, p := range e.Report.Pools {
 			waitingByPool[p.Pool] += p.Waiting
 		}
 		for _, t := range e.Report.Teams {
-			runningByTeam[t.Team] += t.Running
+			runningByWorkspace[t.Team] += t.Running
 		}
 	}
-	return waitingByPool, runningByTeam
+	return waitingByPool, runningByWorkspace
 }
--- a/internal/control/jobpermits.go
+++ b/internal/control/jobpermits.go
@@ -7,33 +7,33 @@
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
 
-// maxWaitingNeed limits how many waiting jobs of a team count towards the permits that are requested for it.
+// maxWaitingNeed limits how many waiting jobs of a workspace count towards the permits that are requested for it.
 const maxWaitingNeed = 256
 
-// permitTarget is the limit on the permits of a team's jobs that the slice allocator set last. It applies only to the given
+// permitTarget is the limit on the permits of a workspace's jobs that the slice allocator set last. It applies only to the given
 // incarnation of the jobs' slice.
 type permitTarget struct {
 	incarnation uint64
 	permits     uint32
 }
 
-// syncPermits reports to the slice allocator how many permits the jobs of each team need, and sets the scheduler's permits
-// from the slices. The jobs of a team hold one slice of its limit, as each data centre does; the leader of the log acts
+// syncPermits reports to the slice allocator how many permits the jobs of each workspace need, and sets the scheduler's permits
+// from the slices. The jobs of a workspace hold one slice of its limit, as each data centre does; the leader of the log acts
 // as the holder of that slice.
 func (r *jobRunner) syncPermits() {
 	slices, shares := r.jobSlices()
 	r.mu.Lock()
 	var lines []*laburnumv1.SliceLine
-	for team, slice := range slices {
-		running, waiting := r.scheduler.RunningAndWaiting(team)
+	for workspace, slice := range slices {
+		running, waiting := r.scheduler.RunningAndWaiting(workspace)
 		need := uint32(running + min(waiting, maxWaitingNeed))
 		permits := slice.GetPermits()
-		if target, ok := r.permitTargets[team]; ok && target.incarnation == slice.GetIncarnation() {
+		if target, ok := r.permitTargets[workspace]; ok && target.incarnation == slice.GetIncarnation() {
 			permits = min(permits, target.permits)
 		}
-		r.scheduler.SetTeam(placement.Team{Name: team, Share: shares[team], Permits: int(permits)})
+		r.scheduler.SetWorkspace(placement.Workspace{Name: workspace, Share: shares[workspace], Permits: int(permits)})
 		lines = append(lines, &laburnumv1.SliceLine{
-			Team:        team,
+			Team:        workspace,
 			Incarnation: slice.GetIncarnation(),
 			Held:        max(uint32(running), min(permits, need)),
 			Need:        need,
@@ -49,25 +49,25 @@
 	}
 }
 
-// jobSlices returns, by team, the slice of the team's jobs and the team's share. It covers the teams that have jobs or
+// jobSlices returns, by workspace, the slice of the workspace's jobs and the workspace's share. It covers the workspaces that have jobs or
 // whose jobs' slice has permits.
 func (r *jobRunner) jobSlices() (slices map[string]*laburnumv1.Slice, shares map[string]uint32) {
 	r.mu.Lock()
-	names := r.scheduler.Teams()
+	names := r.scheduler.Workspaces()
 	r.mu.Unlock()
 	slices = make(map[string]*laburnumv1.Slice)
 	shares = make(map[string]uint32)
 	r.control.machine.read(func(m *machine.Machine) {
 		for _, name := range names {
-			slices[name] = m.State.Slices[state.SliceID{Team: name, DataCentre: state.JobsSlice}]
+			slices[name] = m.State.Slices[state.SliceID{Workspace: name, DataCentre: state.JobsSlice}]
 		}
-		for name := range m.State.Teams {
-			if s := m.State.Slices[state.SliceID{Team: name, DataCentre: state.JobsSlice}]; s.GetPermits() > 0 {
+		for name := range m.State.Workspaces {
+			if s := m.State.Slices[state.SliceID{Workspace: name, DataCentre: state.JobsSlice}]; s.GetPermits() > 0 {
 				slices[name] = s
 			}
 		}
 		for name := range slices {
-			shares[name] = m.State.Teams[name].GetShare()
+			shares[name] = m.State.Workspaces[name].GetShare()
 		}
 	})
 	return slices, shares
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -35,7 +35,7 @@
 	scheduler     *placement.Scheduler
 	active        map[string]map[string]*activeJob // jobs that occupy a worker, by data centre and id
 	ended         endedJobs
-	permitTargets map[string]permitTarget // by team; set by the slice allocator
+	permitTargets map[string]permitTarget // by workspace; set by the slice allocator
 	mayStart      chan struct{}           // buffered for one signal: a waiting job may be able to start
 }
 
@@ -139,7 +139,7 @@
 
 func (r *jobRunner) leads() bool { return r.control.replica.Status().IsLeader }
 
-// refreshScheduler updates the scheduler with the current workers and the current permits of the teams.
+// refreshScheduler updates the scheduler with the current workers and the current permits of the workspaces.
 func (r *jobRunner) refreshScheduler() {
 	c := r.control
 	now := c.now()
--- a/internal/control/jobs_test.go
+++ b/internal/control/jobs_test.go
@@ -242,7 +242,7 @@
 		}
 	})
 	started := c.platform.Starts()["seconds=600"]
-	must.LessEq(t, 100, started) // the team's limit
+	must.LessEq(t, 100, started) // the workspace's limit
 	c.submit("next", "seconds=0")
 	c.awaitState("next", jobDone)
 }
--- a/internal/control/jobwatch.go
+++ b/internal/control/jobwatch.go
@@ -215,8 +215,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	running, waiting := 0, 0
-	for _, team := range r.scheduler.Teams() {
-		n, m := r.scheduler.RunningAndWaiting(team)
+	for _, workspace := range r.scheduler.Workspaces() {
+		n, m := r.scheduler.RunningAndWaiting(workspace)
 		running += n
 		waiting += m
 	}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -31,7 +31,7 @@
 
 // CapacitySettings configures the moves of instances between pools.
 type CapacitySettings struct {
-	// Weighting selects the planner's priorities: kljuc (fast roll-outs and the teams' shares) or drenq (little idle
+	// Weighting selects the planner's priorities: kljuc (fast roll-outs and the workspaces' shares) or drenq (little idle
 	// capacity and few moves). Default kljuc.
 	Weighting capacity.PolicyName `toml:"weighting"`
 }
--- a/internal/control/slices.go
+++ b/internal/control/slices.go
@@ -17,7 +17,7 @@
 	maxSliceSyncWait = time.Second
 )
 
-// slicer splits team limits over data centres while this instance leads the log.
+// slicer splits workspace limits over data centres while this instance leads the log.
 type slicer struct {
 	control *Control
 
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -32,16 +32,16 @@
 	}
 }
 
-// status returns the summary together with the state of pools, teams and waves, as far as this instance knows it.
+// status returns the summary together with the state of pools, workspaces and waves, as far as this instance knows it.
 func (c *Control) status() *laburnumv1.StatusResponse {
 	resp := c.summary()
 	now := c.now()
-	waitingByPool, runningByTeam := c.fleet.waitingByPoolAndRunningByTeam()
+	waitingByPool, runningByWorkspace := c.fleet.waitingByPoolAndRunningByWorkspace()
 	runningByPool := c.fleet.runningRequestsByPool()
 	seen := c.fleet.recentInstances(now)
 	c.store.Read(func(s *state.State) {
 		resp.Pools = poolStatus(s, seen, waitingByPool, runningByPool)
-		resp.Teams = teamStatus(s, runningByTeam)
+		resp.Teams = workspaceStatus(s, runningByWorkspace)
 		resp.Waves = sortedWaves(s)
 	})
 	return resp
@@ -95,10 +95,10 @@
 	}
 }
 
-func teamStatus(s *state.State, running map[string]uint32) []*laburnumv1.TeamStatus {
-	slices := slicesByTeam(s)
-	list := make([]*laburnumv1.TeamStatus, 0, len(s.Teams))
-	for name, t := range s.Teams {
+func workspaceStatus(s *state.State, running map[string]uint32) []*laburnumv1.TeamStatus {
+	slices := slicesByWorkspace(s)
+	list := make([]*laburnumv1.TeamStatus, 0, len(s.Workspaces))
+	for name, t := range s.Workspaces {
 		list = append(list, &laburnumv1.TeamStatus{
 			Team: name, Share: t.Share, Limit: t.Limit, Running: running[name], WhenCutOff: t.WhenCutOff, Slices: slices[name],
 		})
@@ -107,16 +107,16 @@
 	return list
 }
 
-// slicesByTeam returns the slices of each team, sorted by data centre.
-func slicesByTeam(s *state.State) map[string][]*laburnumv1.Slice {
-	byTeam := make(map[string][]*laburnumv1.Slice)
+// slicesByWorkspace returns the slices of each workspace, sorted by data centre.
+func slicesByWorkspace(s *state.State) map[string][]*laburnumv1.Slice {
+	byWorkspace := make(map[string][]*laburnumv1.Slice)
 	for id, slice := range s.Slices {
-		byTeam[id.Team] = append(byTeam[id.Team], slice)
+		byWorkspace[id.Workspace] = append(byWorkspace[id.Workspace], slice)
 	}
-	for _, list := range byTeam {
+	for _, list := range byWorkspace {
 		sort.Slice(list, func(i, j int) bool { return list[i].DataCentre < list[j].DataCentre })
 	}
-	return byTeam
+	return byWorkspace
 }
 
 func sortedWaves(s *state.State) []*laburnumv1.Wave {
--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -34,7 +34,7 @@
 	Host string `json:",omitempty"`
 	Path string `json:",omitempty"`
 	Key  string `json:",omitempty"`
-	// Job is the submitted job. Its ID, queue and team are derived from Path and Key. Used by submit.
+	// Job is the submitted job. Its ID, queue and workspace are derived from Path and Key. Used by submit.
 	Job *ledger.Submission `json:",omitempty"`
 	// Config is the new configuration. Used by put-config.
 	Config *accepted.Config `json:",omitempty"`
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -182,7 +182,7 @@
 		c := rigConfig()
 		c.Version = version
 		c.Queues[0].Open = false
-		c.Teams = []accepted.Team{{Name: "t", Keys: keys}}
+		c.Workspaces = []accepted.Workspace{{Name: "t", Keys: keys}}
 		return &Call{Op: OpPutConfig, Config: c}
 	}
 	submit := func(id, key string) Outcome {
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -11,11 +11,12 @@
 
 // JobView is a job as the ledger records it. Times are Unix milliseconds by the leaders' clocks.
 type JobView struct {
-	ID, Queue, Team string
-	State           ledger.JobState
-	AcceptedMS      int64
-	FirstStartMS    int64 `json:",omitempty"`
-	FinishedMS      int64 `json:",omitempty"`
+	ID, Queue    string
+	Workspace    string `json:"Team"`
+	State        ledger.JobState
+	AcceptedMS   int64
+	FirstStartMS int64 `json:",omitempty"`
+	FinishedMS   int64 `json:",omitempty"`
 	// Runs is the number of runs of its tasks.
 	Runs int
 	// Steps are the steps of due occurrences; empty once the job is in a final state.
@@ -76,7 +77,7 @@
 		return &Reply{Outcome: NotFound, Reason: "no such job is in the record"}
 	}
 	v := &JobView{
-		ID: j.ID, Queue: j.Queue, Team: j.Team, State: j.State, AcceptedMS: j.AcceptedMS, FirstStartMS: j.FirstStartMS,
+		ID: j.ID, Queue: j.Queue, Workspace: j.Workspace, State: j.State, AcceptedMS: j.AcceptedMS, FirstStartMS: j.FirstStartMS,
 		FinishedMS: j.FinishedMS, Runs: j.Runs, Ends: j.Notes,
 	}
 	in := s.planInputLocked()
--- a/internal/dispatch/jobcalls.go
+++ b/internal/dispatch/jobcalls.go
@@ -14,9 +14,9 @@
 	maxIDBytes = 64
 )
 
-// authorize returns the queue that a request addresses, the team that owns its key and the job ID, or the reply that
+// authorize returns the queue that a request addresses, the workspace that owns its key and the job ID, or the reply that
 // rejects it.
-func (s *session) authorize(c *Call) (q *accepted.Queue, team, id string, refusal *Reply) {
+func (s *session) authorize(c *Call) (q *accepted.Queue, workspace, id string, refusal *Reply) {
 	s.engine.mu.Lock()
 	index := s.engine.ledger.Index()
 	s.engine.mu.Unlock()
@@ -32,25 +32,25 @@
 		return nil, "", "", &Reply{Outcome: NoKey, Reason: "the key is missing or unknown"}
 	}
 	if owner != nil {
-		team = owner.Name
+		workspace = owner.Name
 	}
-	return q, team, id, nil
+	return q, workspace, id, nil
 }
 
 func (s *session) submit(c *Call) (*Reply, error) {
-	q, team, id, refusal := s.authorize(c)
+	q, workspace, id, refusal := s.authorize(c)
 	if refusal != nil {
 		return refusal, nil
 	}
-	reply, err := s.submitTo(c, q, team, id)
+	reply, err := s.submitTo(c, q, workspace, id)
 	if err == nil {
-		s.stats.decided(q.Name, team, reply.Outcome)
+		s.stats.decided(q.Name, workspace, reply.Outcome)
 	}
 	return reply, err
 }
 
 // submitTo submits a job to a queue.
-func (s *session) submitTo(c *Call, q *accepted.Queue, team, id string) (*Reply, error) {
+func (s *session) submitTo(c *Call, q *accepted.Queue, workspace, id string) (*Reply, error) {
 	if id == "" || len(id) > maxIDBytes || strings.Contains(id, "/") || c.Job == nil {
 		return &Reply{Outcome: Invalid, Reason: "the path names no job"}, nil
 	}
@@ -61,7 +61,7 @@
 		return &Reply{Outcome: OK, Reason: "known"}, nil
 	}
 	job := *c.Job
-	job.ID, job.Queue, job.Team = id, q.Name, team
+	job.ID, job.Queue, job.Workspace = id, q.Name, workspace
 	if err := job.Check(); err != nil {
 		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
 	}
--- a/internal/dispatch/schedules_test.go
+++ b/internal/dispatch/schedules_test.go
@@ -76,10 +76,10 @@
 	c := rigConfig()
 	w.mu.Lock()
 	if draw.IntN(2) == 0 {
-		w.teamCPU = 12000
+		w.workspaceCPU = 12000
 	}
 	w.mu.Unlock()
-	c.Teams = []accepted.Team{{Name: "t", Keys: []string{"key"}, CPU: w.teamCPU}}
+	c.Workspaces = []accepted.Workspace{{Name: "t", Keys: []string{"key"}, CPU: w.workspaceCPU}}
 	w.do(w.ctx, &Call{Op: OpPutConfig, Config: c})
 }
 
@@ -103,7 +103,7 @@
 	}
 	switch kind := draw.IntN(5); {
 	case kind == 0 && !w.hasLastingJob:
-		w.hasLastingJob = true // only one, so that the team's limit leaves room for other jobs
+		w.hasLastingJob = true // only one, so that the workspace's limit leaves room for other jobs
 		s.Steps = s.Steps[:1]
 		s.Steps[0] = ledger.Step{Count: 1 + draw.IntN(3), Need: ledger.Resources{CPU: 800}, EstimateMS: 100, Lasting: true, Spread: 2}
 	case kind == 1:
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -244,7 +244,7 @@
 		}
 		if j.FinishedMS == s.engine.ledger.ClockMS {
 			s.stats.finished(j.Queue, string(j.State), time.Duration(j.FinishedMS-j.AcceptedMS)*time.Millisecond)
-			s.log.Info("job finished", "job", id, "queue", j.Queue, "team", j.Team, "state", j.State, "took_ms", j.FinishedMS-j.AcceptedMS)
+			s.log.Info("job finished", "job", id, "queue", j.Queue, "team", j.Workspace, "state", j.State, "took_ms", j.FinishedMS-j.AcceptedMS)
 		}
 		if j.Live > 0 {
 			s.stopJobLocked(j)
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -31,10 +31,10 @@
 // jobBuckets double from 250 ms to 17 min. They range from short jobs to long ones.
 var jobBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Millisecond, 2, 13)
 
-// decided counts the outcome of a submission by queue and by team.
-func (s *stats) decided(queue, team string, outcome Outcome) {
+// decided counts the outcome of a submission by queue and by workspace.
+func (s *stats) decided(queue, workspace string, outcome Outcome) {
 	s.scope.Tagged(map[string]string{"queue": queue, "outcome": string(outcome)}).Counter("submissions").Inc(1)
-	s.scope.Tagged(map[string]string{"team": team, "outcome": string(outcome)}).Counter("team_submissions").Inc(1)
+	s.scope.Tagged(map[string]string{"team": workspace, "outcome": string(outcome)}).Counter("team_submissions").Inc(1)
 }
 
 // finished records the time from the acceptance of a job to its final state.
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -313,7 +313,7 @@
 	if step.Spread > 0 && spread >= step.Spread {
 		w.recordViolation("SPREAD: %v exceeds the number of tasks of its step allowed on %s", o.Task, at.id)
 	}
-	if w.teamCPU > 0 && cpu > w.teamCPU*11/10 {
+	if w.workspaceCPU > 0 && cpu > w.workspaceCPU*11/10 {
 		w.recordViolation("QUOTA: %d millicores in use at the start of %v", cpu, o.Task)
 	}
 	if t.doneAcked {
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -38,7 +38,7 @@
 	instances     []*simInstance
 	servers       map[string]*simServer
 	jobs          map[string]*simJob
-	teamCPU       int64
+	workspaceCPU  int64
 	hasLastingJob bool // a job of lasting tasks has been drawn
 	violations    []string
 	logger        hclog.Logger
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -29,11 +29,11 @@
 )
 
 const (
-	waitLimit  = 10 * time.Second // limits every wait of a test
-	testSlots  = 4
-	teamLimit  = 1000
-	testKey    = "test-key"
-	backendKey = "backend-key"
+	waitLimit      = 10 * time.Second // limits every wait of a test
+	testSlots      = 4
+	workspaceLimit = 1000
+	testKey        = "test-key"
+	backendKey     = "backend-key"
 )
 
 // testFleet is a set of entries with real listeners in the process of the test.
@@ -78,8 +78,8 @@
 	}
 	e, err := New(s, logging.Discard())
 	must.NoError(f.t, err)
-	e.permits = escrow.NewStatic(func(string) int { return teamLimit })
-	weight := func(team, pool string) uint32 { return e.store.View().Share(team, pool) }
+	e.permits = escrow.NewStatic(func(string) int { return workspaceLimit })
+	weight := func(workspace, pool string) uint32 { return e.store.View().Share(workspace, pool) }
 	e.queue = queue.New(e.router, e.permits, e.ids, weight, e.now)
 	e.records = &memoryRecords{states: make(map[string]laburnumv1.RecordState)}
 	e.awaitingHeader.after = 10 * time.Millisecond
@@ -119,7 +119,7 @@
 		SheetNumber: 1,
 		Pools:       []*laburnumv1.Pool{{Name: "p", Service: "s"}},
 		Queues:      []*laburnumv1.Queue{{Name: "q", Pool: "p", MaxWaitMs: 60_000, MaxRunMs: 5000, MaxWaiting: 1000}},
-		Teams:       []*laburnumv1.Team{{Name: "t", Share: 1, Limit: teamLimit}},
+		Teams:       []*laburnumv1.Team{{Name: "t", Share: 1, Limit: workspaceLimit}},
 		Keys:        []*laburnumv1.Key{{Sha256: sum[:], Team: "t"}},
 	}
 	return []*laburnumv1.Change{{Index: 1, Kind: &laburnumv1.Change_Configuration{
--- a/internal/entry/cutoff.go
+++ b/internal/entry/cutoff.go
@@ -13,7 +13,7 @@
 const (
 	// cutOffAfter is the time without news of the control quorum after which the data centre counts as cut off.
 	cutOffAfter = 6 * time.Second
-	// cutOffRetryAfter is the Retry-After value for teams that are refused while the data centre is cut off.
+	// cutOffRetryAfter is the Retry-After value for workspaces that are refused while the data centre is cut off.
 	cutOffRetryAfter = 5 * time.Second
 	// startupHeartbeatWait is how long a started entry waits for the first heartbeats of the other entries of its data centre.
 	startupHeartbeatWait = 2 * exchangeInterval
@@ -28,17 +28,17 @@
 }
 
 // refuseCutOff refuses a request while the data centre is cut off, if the configuration sets the policy "refuse" for the
-// request's team.
+// request's workspace.
 func (e *Entry) refuseCutOff(t *admission.Ticket, now time.Time) *outcome.Refusal {
 	if !e.cutOff(now) {
 		return nil
 	}
-	team := e.store.View().Team(t.Team)
-	if team.GetWhenCutOff() != laburnumv1.CutOffPolicy_CUT_OFF_POLICY_REFUSE {
+	workspace := e.store.View().Workspace(t.Workspace)
+	if workspace.GetWhenCutOff() != laburnumv1.CutOffPolicy_CUT_OFF_POLICY_REFUSE {
 		return nil
 	}
 	refusal := outcome.Refuse(http.StatusServiceUnavailable, "cut-off",
-		"data centre %s is cut off and team %s is not served meanwhile", e.settings.DataCentre, t.Team)
+		"data centre %s is cut off and workspace %s is not served meanwhile", e.settings.DataCentre, t.Workspace)
 	if t.RunsAtMostOnce() {
 		refusal.Outcome = outcome.Unknown // an earlier request with the key may have run
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -89,7 +89,7 @@
 		if !repeatable || ctx.Err() != nil || !forward.PrepareRetry(r) || !e.retries.takeRetry() {
 			return nil, refusal
 		}
-		e.log.Info("retrying", "id", p.requestID, "queue", t.Queue, "team", t.Team, "instance", p.Instance, "attempt", attempt, "reason", refusal.Reason)
+		e.log.Info("retrying", "id", p.requestID, "queue", t.Queue, "team", t.Workspace, "instance", p.Instance, "attempt", attempt, "reason", refusal.Reason)
 		e.scope.Counter("retried").Inc(1)
 		retry := *t
 		retry.AvoidInstance = p.Instance
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,7 +121,7 @@
 	e.recorder = newRecorder(e)
 	e.records = e.recorder.keyRouter()
 	e.router = routing.NewRouter(e.directory, e.store.View, e.logRouting)
-	weight := func(team, pool string) uint32 { return e.store.View().Share(team, pool) }
+	weight := func(workspace, pool string) uint32 { return e.store.View().Share(workspace, pool) }
 	e.queue = queue.New(e.router, e.permits, e.ids, weight, e.now)
 	e.forwarder = newForwarder(tlsSource)
 	dialer := peer.NewSecureDialer(e.tlsSource)
--- a/internal/entry/escrow.go
+++ b/internal/entry/escrow.go
@@ -21,7 +21,7 @@
 	escrowTickInterval = 500 * time.Millisecond
 )
 
-// escrowMember is this entry's part in escrow. It borrows the permits that enforce the teams' limits. While it holds the
+// escrowMember is this entry's part in escrow. It borrows the permits that enforce the workspaces' limits. While it holds the
 // data centre's slices, which are the data centre's parts of these limits, it also lends permits to the other entries.
 type escrowMember struct {
 	entry    *Entry
--- a/internal/entry/grants.go
+++ b/internal/entry/grants.go
@@ -164,7 +164,7 @@
 		InterruptWaitAt: interruptWaitAt,
 		Queue:           req.Queue,
 		Pool:            req.Pool,
-		Team:            req.Team,
+		Workspace:       req.Team,
 		Urgent:          req.Urgent,
 		ArrivedAt:       now.Add(-time.Duration(req.AgeMs) * time.Millisecond),
 		StartBy:         now.Add(time.Duration(req.WaitMs) * time.Millisecond),
--- a/internal/entry/holder.go
+++ b/internal/entry/holder.go
@@ -90,8 +90,8 @@
 	}
 	b.index = view.Index
 	b.bank.SetMaxRun(longestRun(view.Queues()))
-	for team, slice := range view.Slices(e.settings.DataCentre) {
-		b.bank.SetSlice(now, team, slice.Permits, slice.Incarnation, view.Team(team).GetLimit())
+	for workspace, slice := range view.Slices(e.settings.DataCentre) {
+		b.bank.SetSlice(now, workspace, slice.Permits, slice.Incarnation, view.Workspace(workspace).GetLimit())
 	}
 	b.notifyBorrowers()
 }
@@ -181,18 +181,18 @@
 }
 
 // RunningOf implements escrow.RunningRequests.
-func (w *announcedWork) RunningOf(owner, team string, since time.Time) (running int, complete bool) {
+func (w *announcedWork) RunningOf(owner, workspace string, since time.Time) (running int, complete bool) {
 	name, incarnation, ok := escrow.ParseHolderID(owner)
 	if !ok {
 		return 0, false
 	}
 	return w.count(since, []string{owner}, func(id requestid.ID) bool {
-		return id.Entry == name && id.Incarnation <= incarnation && id.Team == team
+		return id.Entry == name && id.Incarnation <= incarnation && id.Workspace == workspace
 	})
 }
 
 // RunningOfEndedProcesses implements escrow.RunningRequests.
-func (w *announcedWork) RunningOfEndedProcesses(team string, since time.Time) (running int, complete bool) {
+func (w *announcedWork) RunningOfEndedProcesses(workspace string, since time.Time) (running int, complete bool) {
 	entries := w.entry.entryProcesses(w.entry.now())
 	// No process has incarnation 0, so a view accounts for "<entry>.0" only if it lists the requests of all processes of the
 	// entry that are not live (see viewsync.AccountsFor).
@@ -202,7 +202,7 @@
 		former = append(former, escrow.HolderID(name, 0))
 	}
 	return w.count(since, former, func(id requestid.ID) bool {
-		return id.Team == team && !slices.Contains(entries, escrow.HolderID(id.Entry, id.Incarnation))
+		return id.Workspace == workspace && !slices.Contains(entries, escrow.HolderID(id.Entry, id.Incarnation))
 	})
 }
 
--- a/internal/entry/input_test.go
+++ b/internal/entry/input_test.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// Neither headers that concern one connection nor the team's key are forwarded to the server, and callers can't forge the
+// Neither headers that concern one connection nor the workspace's key are forwarded to the server, and callers can't forge the
 // headers that the entry sets.
 func TestConnectionHeadersAndKeyAreNotForwarded(t *testing.T) {
 	f := newFleet(t, "dc1")
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -44,7 +44,7 @@
 	ExpectedSeconds uint32 `json:"seconds"`
 	// Idempotent jobs are run again after a failure; others are run at most once.
 	Idempotent bool `json:"idempotent"`
-	// Urgent jobs are run before the others of their team.
+	// Urgent jobs are run before the others of their workspace.
 	Urgent bool `json:"urgent"`
 }
 
@@ -69,12 +69,12 @@
 }
 
 func (e *Entry) serveSubmitJob(w http.ResponseWriter, r *http.Request) {
-	team, key, refusal := admission.AdmitJob(e.store.View(), r)
+	workspace, key, refusal := admission.AdmitJob(e.store.View(), r)
 	if refusal != nil {
 		e.refuse(w, nil, refusal)
 		return
 	}
-	job, refusal := e.readJob(w, r, team, key)
+	job, refusal := e.readJob(w, r, workspace, key)
 	if refusal != nil {
 		e.refuse(w, nil, refusal)
 		return
@@ -92,15 +92,15 @@
 	case resp.Refused != "":
 		e.refuse(w, nil, outcome.Refuse(http.StatusConflict, "job-refused", "%s", resp.Refused))
 	default:
-		e.log.Info("job accepted", "job", job.Id, "team", team, "pool", job.Pool, "urgent", job.Urgent)
+		e.log.Info("job accepted", "job", job.Id, "team", workspace, "pool", job.Pool, "urgent", job.Urgent)
 		w.Header().Set("Location", "/v1/jobs/"+job.Id)
 		writeJob(w, http.StatusAccepted, resp.Job)
 	}
 }
 
-// readJob decodes and checks a submission. The id of a job with an idempotency key is derived from team and key, so that
+// readJob decodes and checks a submission. The id of a job with an idempotency key is derived from workspace and key, so that
 // a repeated submission finds the first one.
-func (e *Entry) readJob(w http.ResponseWriter, r *http.Request, team, key string) (*laburnumv1.Job, *outcome.Refusal) {
+func (e *Entry) readJob(w http.ResponseWriter, r *http.Request, workspace, key string) (*laburnumv1.Job, *outcome.Refusal) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxJobBodyBytes))
 	if err != nil {
 		return nil, outcome.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body of a job submission may have at most %d bytes", maxJobBodyBytes)
@@ -119,8 +119,8 @@
 	}
 	digest := sha256.Sum256(body)
 	return &laburnumv1.Job{
-		Id:              jobID(team, key),
-		Team:            team,
+		Id:              jobID(workspace, key),
+		Team:            workspace,
 		Pool:            s.Pool,
 		Command:         s.Command,
 		Declared:        &laburnumv1.Resources{MilliCpu: s.MilliCPU, MemoryBytes: s.MemoryBytes, Accelerators: s.Accelerators},
@@ -132,37 +132,37 @@
 	}, nil
 }
 
-func jobID(team, key string) string {
+func jobID(workspace, key string) string {
 	if key == "" {
 		return randomJobPrefix + strings.ToLower(rand.Text())
 	}
-	sum := sha256.Sum256([]byte(team + "\x00" + key))
+	sum := sha256.Sum256([]byte(workspace + "\x00" + key))
 	return keyedJobPrefix + hex.EncodeToString(sum[:jobIDBytes])
 }
 
 func (e *Entry) serveGetJob(w http.ResponseWriter, r *http.Request) {
-	team, _, refusal := admission.AdmitJob(e.store.View(), r)
+	workspace, _, refusal := admission.AdmitJob(e.store.View(), r)
 	if refusal != nil {
 		e.refuse(w, nil, refusal)
 		return
 	}
 	var resp *laburnumv1.GetJobResponse
 	err := e.callControl(r.Context(), func(ctx context.Context, p *peer.Peer) (err error) {
-		resp, err = p.Jobs.Get(ctx, &laburnumv1.GetJobRequest{Id: r.PathValue("id"), Team: team})
+		resp, err = p.Jobs.Get(ctx, &laburnumv1.GetJobRequest{Id: r.PathValue("id"), Team: workspace})
 		return err
 	})
 	e.answerJob(w, r, http.StatusOK, resp.GetJob(), err)
 }
 
 func (e *Entry) serveCancelJob(w http.ResponseWriter, r *http.Request) {
-	team, _, refusal := admission.AdmitJob(e.store.View(), r)
+	workspace, _, refusal := admission.AdmitJob(e.store.View(), r)
 	if refusal != nil {
 		e.refuse(w, nil, refusal)
 		return
 	}
 	var resp *laburnumv1.CancelTeamJobResponse
 	err := e.callControl(r.Context(), func(ctx context.Context, p *peer.Peer) (err error) {
-		resp, err = p.Jobs.Cancel(ctx, &laburnumv1.CancelTeamJobRequest{Id: r.PathValue("id"), Team: team, By: team})
+		resp, err = p.Jobs.Cancel(ctx, &laburnumv1.CancelTeamJobRequest{Id: r.PathValue("id"), Team: workspace, By: workspace})
 		return err
 	})
 	e.answerJob(w, r, http.StatusAccepted, resp.GetJob(), err)
@@ -174,7 +174,7 @@
 	case err != nil:
 		e.refuse(w, nil, controlRefusal(err, id))
 	case job == nil:
-		e.refuse(w, nil, outcome.Refuse(http.StatusNotFound, "unknown-job", "the team has no job %q", id))
+		e.refuse(w, nil, outcome.Refuse(http.StatusNotFound, "unknown-job", "the workspace has no job %q", id))
 	default:
 		writeJob(w, status, job)
 	}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -29,7 +29,7 @@
 		e.refuse(w, t, refusal)
 		return
 	}
-	verdict, record, err := e.records.Begin(ctx, t.IdempotencyKey, t.Team, digest)
+	verdict, record, err := e.records.Begin(ctx, t.IdempotencyKey, t.Workspace, digest)
 	if err != nil {
 		e.refuse(w, t, beginRefusal(err))
 		return
@@ -42,7 +42,7 @@
 	state := recordStateAfter(refusal)
 	// The record must be finished even if the caller has disconnected.
 	if err := e.records.Finish(context.WithoutCancel(ctx), record, state, response); err != nil {
-		e.log.Error("idempotency record not finished", "team", t.Team, "error", err)
+		e.log.Error("idempotency record not finished", "team", t.Workspace, "error", err)
 	}
 	if refusal != nil {
 		e.refuse(w, t, refusal)
--- a/internal/entry/overflow.go
+++ b/internal/entry/overflow.go
@@ -118,7 +118,7 @@
 		resp, refusal = e.forwarder.ForwardToPeer(ctx, r, t, p.Address, e.now())
 		if refusal == nil {
 			e.overflowEntries.recordAnswer(p)
-			e.log.Info("overflowed", "queue", t.Queue, "pool", t.Pool, "team", t.Team, "data_centre", p.DataCentre, "entry", p.Name, "reason", "not started in this data centre")
+			e.log.Info("overflowed", "queue", t.Queue, "pool", t.Pool, "team", t.Workspace, "data_centre", p.DataCentre, "entry", p.Name, "reason", "not started in this data centre")
 			e.scope.Counter("overflowed").Inc(1)
 			return &openResponse{resp: resp, close: func() { resp.Body.Close() }}, nil
 		}
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -77,7 +77,7 @@
 	if !e.log.IsInfo() {
 		return
 	}
-	e.log.Info("routed", "id", p.requestID, "queue", t.Queue, "pool", t.Pool, "team", t.Team, "instance", p.Instance,
+	e.log.Info("routed", "id", p.requestID, "queue", t.Queue, "pool", t.Pool, "team", t.Workspace, "instance", p.Instance,
 		"used", p.Used, "slots", p.Slots, "runner_up", p.RunnerUp, "reason", p.Reason, "scheduler", p.scheduler)
 }
 
--- a/internal/entry/report.go
+++ b/internal/entry/report.go
@@ -122,9 +122,9 @@
 		}
 	}
 	req.Drained = e.drained(view)
-	for team := range view.Teams() {
-		if running := e.permits.Running(team); running > 0 {
-			req.Teams = append(req.Teams, &laburnumv1.TeamUse{Team: team, Running: uint32(running)})
+	for workspace := range view.Workspaces() {
+		if running := e.permits.Running(workspace); running > 0 {
+			req.Teams = append(req.Teams, &laburnumv1.TeamUse{Team: workspace, Running: uint32(running)})
 		}
 	}
 	return req
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -46,7 +46,7 @@
 func (e *Entry) refuse(w http.ResponseWriter, t *admission.Ticket, refusal *outcome.Refusal) {
 	args := []any{"reason", refusal.Reason, "outcome", string(refusal.Outcome), "status", refusal.Status}
 	if t != nil {
-		args = append(args, "queue", t.Queue, "team", t.Team)
+		args = append(args, "queue", t.Queue, "team", t.Workspace)
 	}
 	if refusal.Outcome == outcome.Unknown {
 		args = append(args, "detail", refusal.Detail)
@@ -58,7 +58,7 @@
 
 // abort closes the caller's connection with an error, so that a partial response is never taken for a complete one.
 func (e *Entry) abort(t *admission.Ticket, err error) {
-	e.log.Warn("answer cut", "queue", t.Queue, "team", t.Team, "error", err)
+	e.log.Warn("answer cut", "queue", t.Queue, "team", t.Workspace, "error", err)
 	e.scope.Counter("cut").Inc(1)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/entry/scheduler.go
+++ b/internal/entry/scheduler.go
@@ -124,7 +124,7 @@
 		Incarnation: s.members.Incarnation(),
 		Pool:        t.Pool,
 		Queue:       t.Queue,
-		Team:        t.Team,
+		Team:        t.Workspace,
 		Urgent:      t.Urgent,
 		WaitMs:      wholeMilliseconds(t.StartBy.Sub(now)),
 		AgeMs:       wholeMilliseconds(now.Sub(t.ArrivedAt)),
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -16,7 +16,7 @@
 	BackendKeySHA256 string `toml:"backend_key_sha256"`
 	// MaxBodyBytes limits the body of a request with an Idempotency-Key, which is held in memory. Default 1 MiB.
 	MaxBodyBytes int64 `toml:"max_body_bytes"`
-	// Operators lists the operators who may withdraw teams' keys at this entry, each with the operator's own key. If empty,
+	// Operators lists the operators who may withdraw workspaces' keys at this entry, each with the operator's own key. If empty,
 	// only control instances accept withdrawals.
 	Operators []operators.Settings `toml:"operator"`
 }
--- a/internal/entry/share_test.go
+++ b/internal/entry/share_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// Request ids name the scheduler that granted the request, which holds its permit, and the team.
-func TestRequestIDNamesSchedulerAndTeam(t *testing.T) {
+// Request ids name the scheduler that granted the request, which holds its permit, and the workspace.
+func TestRequestIDNamesSchedulerAndWorkspace(t *testing.T) {
 	f := newFleet(t, "dc1", "dc1")
 	server := f.addServer("dc1", echo)
 	f.waitForScheduler()
@@ -86,7 +86,7 @@
 		id, err := requestid.Parse(key.(string))
 		must.NoError(t, err)
 		must.Eq(t, scheduler.settings.Name, id.Entry)
-		must.Eq(t, "t", id.Team)
+		must.Eq(t, "t", id.Workspace)
 		return true
 	})
 }
--- a/internal/entry/slices.go
+++ b/internal/entry/slices.go
@@ -19,7 +19,7 @@
 
 	mu            sync.Mutex
 	cancel        context.CancelFunc // cancels the call in flight, nil if there is none
-	carriesReport bool               // whether the call in flight is a full report or has changed figures of teams
+	carriesReport bool               // whether the call in flight is a full report or has changed figures of workspaces
 	nextControl   int                // index of the control instance to ask: the one that last answered as leader, or the next to try
 	term          uint64             // of the leader that has a full report; 0 if the next report must be a full one
 	holder        string             // member id under which the last acknowledged report was sent
--- a/internal/entry/use.go
+++ b/internal/entry/use.go
@@ -16,7 +16,7 @@
 	at  time.Time // time of the report on this process's clock
 }
 
-// grantsInUseTable holds the numbers of grants in use at all schedulers of the fleet, by pool and team, so that teams'
+// grantsInUseTable holds the numbers of grants in use at all schedulers of the fleet, by pool and workspace, so that workspaces'
 // shares apply to the whole fleet. It is safe for concurrent use.
 type grantsInUseTable struct {
 	mu    sync.Mutex
--- a/internal/process/escrow/account.go
+++ b/internal/process/escrow/account.go
@@ -27,7 +27,7 @@
 	id           string
 	wake         chan struct{}
 	notifyUsable func() // called without locks held; see NewAccount
-	gate         func(team string) bool
+	gate         func(workspace string) bool
 
 	seed   maphash.Seed
 	shards [accountShards]accountShard
@@ -40,14 +40,14 @@
 }
 
 type accountShard struct {
-	mu     sync.Mutex
-	fenced bool
-	teams  map[string]*teamPermits
+	mu         sync.Mutex
+	fenced     bool
+	workspaces map[string]*workspacePermits
 }
 
-// teamPermits is the state of one team's permits in an account. Permits above target are returned as requests end; no
+// workspacePermits is the state of one workspace's permits in an account. Permits above target are returned as requests end; no
 // new request may use them.
-type teamPermits struct {
+type workspacePermits struct {
 	held, running, target      int
 	refusedNeed                int // need implied by a refusal since the last request, 0 if none was refused
 	need, recentPeak           int
@@ -60,44 +60,44 @@
 func NewAccount(id string, onUsableChange func()) *Account {
 	a := &Account{id: id, wake: make(chan struct{}, 1), notifyUsable: onUsableChange, seed: maphash.MakeSeed()}
 	for i := range a.shards {
-		a.shards[i].teams = make(map[string]*teamPermits)
+		a.shards[i].workspaces = make(map[string]*workspacePermits)
 	}
 	return a
 }
 
-// SetGate sets a function that can refuse permits of a team even if the account holds some. It must be called
+// SetGate sets a function that can refuse permits of a workspace even if the account holds some. It must be called
 // before the account is used.
-func (a *Account) SetGate(gate func(team string) bool) { a.gate = gate }
+func (a *Account) SetGate(gate func(workspace string) bool) { a.gate = gate }
 
 // Wake returns a channel that receives a value when the account needs an exchange with the holder.
 func (a *Account) Wake() <-chan struct{} { return a.wake }
 
-func (a *Account) shard(team string) *accountShard {
-	return &a.shards[maphash.String(a.seed, team)%accountShards]
+func (a *Account) shard(workspace string) *accountShard {
+	return &a.shards[maphash.String(a.seed, workspace)%accountShards]
 }
 
-func (s *accountShard) permitsOf(team string) *teamPermits {
-	b := s.teams[team]
+func (s *accountShard) permitsOf(workspace string) *workspacePermits {
+	b := s.workspaces[workspace]
 	if b == nil {
-		b = &teamPermits{reportedHeld: -1, reportedNeed: -1}
-		s.teams[team] = b
+		b = &workspacePermits{reportedHeld: -1, reportedNeed: -1}
+		s.workspaces[workspace] = b
 	}
 	return b
 }
 
 // TryAcquire implements Permits. A refusal raises the need that the next request reports.
-func (a *Account) TryAcquire(team string) bool { return a.acquire(team, true) }
+func (a *Account) TryAcquire(workspace string) bool { return a.acquire(workspace, true) }
 
 // TryAcquireWithoutDemand implements Permits.
-func (a *Account) TryAcquireWithoutDemand(team string) bool { return a.acquire(team, false) }
+func (a *Account) TryAcquireWithoutDemand(workspace string) bool { return a.acquire(workspace, false) }
 
-func (a *Account) acquire(team string, demand bool) bool {
-	if a.gate != nil && !a.gate(team) {
+func (a *Account) acquire(workspace string, demand bool) bool {
+	if a.gate != nil && !a.gate(workspace) {
 		return false
 	}
-	s := a.shard(team)
+	s := a.shard(workspace)
 	s.mu.Lock()
-	b := s.permitsOf(team)
+	b := s.permitsOf(workspace)
 	ok := !s.fenced && b.running < min(b.held, b.target)
 	needRaised := false
 	switch {
@@ -116,10 +116,10 @@
 }
 
 // Release implements Permits.
-func (a *Account) Release(team string) {
-	s := a.shard(team)
+func (a *Account) Release(workspace string) {
+	s := a.shard(workspace)
 	s.mu.Lock()
-	b := s.permitsOf(team)
+	b := s.permitsOf(workspace)
 	b.running--
 	surplus := b.held > b.target
 	s.mu.Unlock()
@@ -129,22 +129,22 @@
 }
 
 // Running implements Permits.
-func (a *Account) Running(team string) int {
-	s := a.shard(team)
+func (a *Account) Running(workspace string) int {
+	s := a.shard(workspace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b := s.teams[team]; b != nil {
+	if b := s.workspaces[workspace]; b != nil {
 		return b.running
 	}
 	return 0
 }
 
 // Held returns the number of permits that the account holds, in use or not.
-func (a *Account) Held(team string) int {
-	s := a.shard(team)
+func (a *Account) Held(workspace string) int {
+	s := a.shard(workspace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if b := s.teams[team]; b != nil {
+	if b := s.workspaces[workspace]; b != nil {
 		return b.held
 	}
 	return 0
@@ -184,13 +184,13 @@
 	if !fenced {
 		return
 	}
-	for _, b := range s.teams {
+	for _, b := range s.workspaces {
 		b.target = 0
 		b.held = min(b.held, b.running)
 	}
 }
 
-// SetHolder sets the holder to borrow from. After a change of holder the next request reports all teams, and
+// SetHolder sets the holder to borrow from. After a change of holder the next request reports all workspaces, and
 // responses of the former holder are ignored.
 func (a *Account) SetHolder(holder string) {
 	a.mu.Lock()
@@ -230,8 +230,8 @@
 	for i := range a.shards {
 		s := &a.shards[i]
 		s.mu.Lock()
-		for team, b := range s.teams {
-			if line := b.buildLine(team, now, a.applied == 0); line != nil {
+		for workspace, b := range s.workspaces {
+			if line := b.buildLine(workspace, now, a.applied == 0); line != nil {
 				req.Lines = append(req.Lines, line)
 			}
 		}
@@ -251,9 +251,9 @@
 	return req
 }
 
-// buildLine gives up held permits that are above the target and not in use, and returns the team's line, or nil if
+// buildLine gives up held permits that are above the target and not in use, and returns the workspace's line, or nil if
 // the holder already has it.
-func (b *teamPermits) buildLine(team string, now time.Time, full bool) *laburnumv1.BorrowLine {
+func (b *workspacePermits) buildLine(workspace string, now time.Time, full bool) *laburnumv1.BorrowLine {
 	if b.held > b.target {
 		b.held = max(b.target, min(b.running, b.held))
 	}
@@ -266,7 +266,7 @@
 		return nil
 	}
 	b.reportedHeld, b.reportedNeed = -1, -1 // until the response is applied
-	return &laburnumv1.BorrowLine{Team: team, Held: uint32(b.held), Need: uint32(b.need)}
+	return &laburnumv1.BorrowLine{Team: workspace, Held: uint32(b.held), Need: uint32(b.need)}
 }
 
 // withinTolerance reports whether need differs so little from sent, the need last sent, that sending it can be skipped.
@@ -278,7 +278,7 @@
 }
 
 // updateNeed raises the need with demand at once and lowers it after needWindow. A refused permit doubles the need.
-func (b *teamPermits) updateNeed(now time.Time) {
+func (b *workspacePermits) updateNeed(now time.Time) {
 	demand := b.running
 	if b.running > 0 {
 		demand += b.running/headroomDivisor + 1
@@ -351,7 +351,7 @@
 	for i := range a.shards {
 		s := &a.shards[i]
 		s.mu.Lock()
-		for _, b := range s.teams {
+		for _, b := range s.workspaces {
 			b.held, b.target = 0, 0
 			b.reportedHeld, b.reportedNeed = -1, -1
 		}
--- a/internal/process/escrow/bank.go
+++ b/internal/process/escrow/bank.go
@@ -18,7 +18,7 @@
 // Bank is the holder's side of escrow: it lends the permits of a data centre's slices to entries.
 // It is a deterministic state machine and not safe for concurrent use; callers serialise the calls.
 //
-// For each team it records what is granted to each borrower. The record is raised before the grant is sent and lowered
+// For each workspace it records what is granted to each borrower. The record is raised before the grant is sent and lowered
 // only after the borrower has given permits back. Grants, lost and unclaimed permits never add up to more than the
 // slice.
 type Bank struct {
@@ -27,7 +27,7 @@
 	tookOverAt time.Time // when this bank replaced another holder; zero if there was none
 	// registeredAt is the time since which every entry has been registered; zero while one is not.
 	registeredAt time.Time
-	teams        map[string]*teamLedger
+	workspaces   map[string]*workspaceLedger
 	borrowers    map[string]*borrower
 	removed      map[string]removedBorrower // latest one, by entry
 }
@@ -37,13 +37,13 @@
 	incarnation, sequence uint64
 }
 
-// teamLedger tracks the loans and the lost permits of one team's slice.
-type teamLedger struct {
+// workspaceLedger tracks the loans and the lost permits of one workspace's slice.
+type workspaceLedger struct {
 	slice          int    // permits that the control log assigns to the data centre
 	incarnation    uint64 // of the slice
 	ownLimit       int    // permits to which the holder has limited itself for this incarnation; noBound if to the whole slice
 	requestedBound int    // bound that the control log's leader requested for this incarnation; noBound if none
-	limit          int    // the team's limit in the sheet
+	limit          int    // the workspace's limit in the sheet
 	unclaimed      int    // permits that a former holder may have lent to a borrower not registered here yet
 	loans          map[string]*loan
 	lost           []*lostLoan
@@ -53,7 +53,7 @@
 // noBound is the value of a bound that is not set.
 const noBound = int(^uint(0) >> 1)
 
-// loan is one borrower's part of a team's slice: the permits granted, the need that it reported, and the target down
+// loan is one borrower's part of a workspace's slice: the permits granted, the need that it reported, and the target down
 // to which it should return permits.
 type loan struct {
 	granted, need, target int
@@ -71,7 +71,7 @@
 type borrower struct {
 	sequence  uint64
 	lastHeard time.Time
-	// pending holds the grants that the borrower has not confirmed: by team, the sequence of the last response that
+	// pending holds the grants that the borrower has not confirmed: by workspace, the sequence of the last response that
 	// carried the current grant, or 0 if none did.
 	pending map[string]uint64
 }
@@ -80,11 +80,11 @@
 // may have lent are then lent again only once their borrowers have registered here or can no longer use them.
 func NewBank(id string, timing Timing, takeover bool, now time.Time) *Bank {
 	b := &Bank{
-		id:        id,
-		timing:    timing,
-		teams:     make(map[string]*teamLedger),
-		borrowers: make(map[string]*borrower),
-		removed:   make(map[string]removedBorrower),
+		id:         id,
+		timing:     timing,
+		workspaces: make(map[string]*workspaceLedger),
+		borrowers:  make(map[string]*borrower),
+		removed:    make(map[string]removedBorrower),
 	}
 	if takeover {
 		b.tookOverAt = now
@@ -100,12 +100,12 @@
 // SetMaxRun raises the longest run time of requests to d; it never lowers it.
 func (b *Bank) SetMaxRun(d time.Duration) { b.timing.MaxRun = max(d, b.timing.MaxRun) }
 
-// SetSlice applies the slice that the control log assigns to the data centre, and the team's limit.
-func (b *Bank) SetSlice(now time.Time, team string, permits uint32, incarnation uint64, limit uint32) {
-	l := b.teams[team]
+// SetSlice applies the slice that the control log assigns to the data centre, and the workspace's limit.
+func (b *Bank) SetSlice(now time.Time, workspace string, permits uint32, incarnation uint64, limit uint32) {
+	l := b.workspaces[workspace]
 	if l == nil {
-		l = &teamLedger{ownLimit: noBound, requestedBound: noBound, loans: make(map[string]*loan)}
-		b.teams[team] = l
+		l = &workspaceLedger{ownLimit: noBound, requestedBound: noBound, loans: make(map[string]*loan)}
+		b.workspaces[workspace] = l
 		if !b.tookOverAt.IsZero() && now.Equal(b.tookOverAt) {
 			l.unclaimed = int(permits)
 		}
@@ -118,12 +118,12 @@
 		l.ownLimit, l.requestedBound = noBound, noBound
 	}
 	l.limit = int(limit)
-	b.rebalance(team, l, now)
+	b.rebalance(workspace, l, now)
 }
 
 // SetTarget applies the leader's request that the holder limit itself to fewer permits.
 func (b *Bank) SetTarget(now time.Time, t *laburnumv1.SliceTarget) {
-	l := b.teams[t.Team]
+	l := b.workspaces[t.Team]
 	if l == nil || l.incarnation != t.Incarnation {
 		return
 	}
@@ -132,10 +132,10 @@
 }
 
 // ceiling returns the number of permits that the holder and its borrowers may use together.
-func (l *teamLedger) ceiling() int { return min(l.slice, l.ownLimit) }
+func (l *workspaceLedger) ceiling() int { return min(l.slice, l.ownLimit) }
 
 // outstanding returns the number of permits that may be in use: lent, lost or unclaimed.
-func (l *teamLedger) outstanding() int {
+func (l *workspaceLedger) outstanding() int {
 	out := l.unclaimed
 	for _, loan := range l.loans {
 		out += loan.granted
@@ -143,7 +143,7 @@
 	return out + l.lostPermits()
 }
 
-func (l *teamLedger) lostPermits() int {
+func (l *workspaceLedger) lostPermits() int {
 	total := 0
 	for _, lost := range l.lost {
 		total += lost.permits
@@ -153,7 +153,7 @@
 
 // rebalance recomputes the borrowers' targets and lends free permits. If the leader or a lower limit demands it, it
 // also lowers the ceiling as far as returned permits allow.
-func (b *Bank) rebalance(team string, l *teamLedger, now time.Time) {
+func (b *Bank) rebalance(workspace string, l *workspaceLedger, now time.Time) {
 	budget := min(l.ceiling(), l.requestedBound, l.limit)
 	ids := make([]string, 0, len(b.borrowers))
 	for id := range b.borrowers {
@@ -171,15 +171,15 @@
 	for i, target := range Balance(lent, claims, now) {
 		more := max(min(target-claims[i].Held, budget-out), 0)
 		out += more
-		b.setLoan(team, l, ids[i], claims[i].Held+more, target)
+		b.setLoan(workspace, l, ids[i], claims[i].Held+more, target)
 	}
 	if budget < l.ceiling() && out < l.ceiling() {
 		l.ownLimit = max(budget, out)
 	}
 }
 
-// setLoan sets a borrower's grant and target, and marks the team as pending if they changed.
-func (b *Bank) setLoan(team string, l *teamLedger, id string, granted, target int) {
+// setLoan sets a borrower's grant and target, and marks the workspace as pending if they changed.
+func (b *Bank) setLoan(workspace string, l *workspaceLedger, id string, granted, target int) {
 	loan := l.loanOf(id)
 	// A target above the grant has no effect on the borrower, so a change of it need not be sent.
 	target = min(target, granted)
@@ -187,10 +187,10 @@
 		return
 	}
 	loan.granted, loan.target = granted, target
-	b.borrowers[id].pending[team] = 0
+	b.borrowers[id].pending[workspace] = 0
 }
 
-func (l *teamLedger) loanOf(id string) *loan {
+func (l *workspaceLedger) loanOf(id string) *loan {
 	if l.loans[id] == nil {
 		l.loans[id] = &loan{}
 	}
@@ -212,9 +212,9 @@
 	}
 	br.sequence = req.Sequence
 	br.lastHeard = now
-	for team, sent := range br.pending {
+	for workspace, sent := range br.pending {
 		if sent != 0 && req.Applied >= sent {
-			delete(br.pending, team)
+			delete(br.pending, workspace)
 		}
 	}
 	for _, line := range req.Lines {
@@ -225,16 +225,16 @@
 		return false
 	}
 	for _, line := range req.Lines {
-		if l := b.teams[line.Team]; l != nil {
+		if l := b.workspaces[line.Team]; l != nil {
 			b.rebalance(line.Team, l, now)
 		}
 	}
 	return false
 }
 
-// applyLine applies what a borrower reports of one team: its need and the permits that it still holds.
+// applyLine applies what a borrower reports of one workspace: its need and the permits that it still holds.
 func (b *Bank) applyLine(id string, br *borrower, line *laburnumv1.BorrowLine) {
-	l := b.teams[line.Team]
+	l := b.workspaces[line.Team]
 	if l == nil {
 		return
 	}
@@ -275,18 +275,18 @@
 	if br == nil || sequence != br.sequence {
 		return resp
 	}
-	for team := range br.pending {
-		loan := b.teams[team].loanOf(id)
-		resp.Lines = append(resp.Lines, &laburnumv1.GrantLine{Team: team, Granted: uint32(loan.granted), Target: uint32(loan.target)})
-		br.pending[team] = sequence
+	for workspace := range br.pending {
+		loan := b.workspaces[workspace].loanOf(id)
+		resp.Lines = append(resp.Lines, &laburnumv1.GrantLine{Team: workspace, Granted: uint32(loan.granted), Target: uint32(loan.target)})
+		br.pending[workspace] = sequence
 	}
 	return resp
 }
 
 // Borrowed returns the number of permits lent to registered borrowers, and the number held back for removed or
 // unregistered ones.
-func (b *Bank) Borrowed(team string) (granted, heldBack int) {
-	l := b.teams[team]
+func (b *Bank) Borrowed(workspace string) (granted, heldBack int) {
+	l := b.workspaces[workspace]
 	if l == nil {
 		return 0, 0
 	}
@@ -299,8 +299,8 @@
 // nothing is needed.
 func (b *Bank) Lines(full bool) []*laburnumv1.SliceLine {
 	var lines []*laburnumv1.SliceLine
-	for team, l := range b.teams {
-		line := &laburnumv1.SliceLine{Team: team, Incarnation: l.incarnation, Held: uint32(l.ceiling())}
+	for workspace, l := range b.workspaces {
+		line := &laburnumv1.SliceLine{Team: workspace, Incarnation: l.incarnation, Held: uint32(l.ceiling())}
 		for _, loan := range l.loans {
 			line.Need += uint32(loan.need)
 			line.Running += uint32(loan.granted)
@@ -320,7 +320,7 @@
 // Acknowledge records that the leader has acknowledged lines.
 func (b *Bank) Acknowledge(lines []*laburnumv1.SliceLine) {
 	for _, line := range lines {
-		if l := b.teams[line.Team]; l != nil {
+		if l := b.workspaces[line.Team]; l != nil {
 			s := &l.acknowledged
 			s.Incarnation, s.Held, s.Need = line.Incarnation, line.Held, line.Need
 		}
--- a/internal/process/escrow/bank_test.go
+++ b/internal/process/escrow/bank_test.go
@@ -31,7 +31,7 @@
 
 func newBank(takeover bool, slice uint32) *Bank {
 	b := NewBank("bank.1", Timing{Fence: 2 * second, MaxRun: 4 * second}, takeover, at(0))
-	b.SetSlice(at(0), testTeam, slice, 1, 100)
+	b.SetSlice(at(0), testWorkspace, slice, 1, 100)
 	return b
 }
 
@@ -47,7 +47,7 @@
 }
 
 func acquireAll(a *Account) (n int) {
-	for a.TryAcquire(testTeam) {
+	for a.TryAcquire(testWorkspace) {
 		n++
 	}
 	return n
@@ -60,7 +60,7 @@
 	first := a.Request(at(0))
 	must.False(t, b.Borrow(at(0), first))
 	a.Apply(first, b.Answer("e1.1", first.Sequence))
-	must.Eq(t, 10, a.Held(testTeam))
+	must.Eq(t, 10, a.Held(testWorkspace))
 	b.Tick(at(5), noAnnouncements{})
 	must.True(t, b.Borrow(at(5), first)) // duplicated by the network
 	must.Eq(t, 0, len(b.borrowers))
@@ -70,11 +70,11 @@
 	old := newBank(false, 10)
 	a := NewAccount("e1.1", func() {})
 	exchange(old, a, at(0))
-	must.True(t, a.TryAcquire(testTeam))
+	must.True(t, a.TryAcquire(testWorkspace))
 	a.SetFenced(true)
-	must.False(t, a.TryAcquire(testTeam))
+	must.False(t, a.TryAcquire(testWorkspace))
 	next := NewBank("bank.2", old.timing, true, at(3))
-	next.SetSlice(at(3), testTeam, 10, 1, 100)
+	next.SetSlice(at(3), testWorkspace, 10, 1, 100)
 	a.SetHolder(next.id)
 	must.Eq(t, 1, int(a.Request(at(3)).Lines[0].Held))
 }
@@ -87,12 +87,12 @@
 	exchange(old, a, at(0))
 	must.Eq(t, 10, acquireAll(a))
 	next := NewBank("bank.2", old.timing, true, at(1))
-	next.SetSlice(at(1), testTeam, 20, 1, 100)
+	next.SetSlice(at(1), testWorkspace, 20, 1, 100)
 	a.SetHolder(next.id)
 	must.False(t, next.Borrow(at(1), a.Request(at(1)))) // the response is lost
 	next.Tick(at(6), noAnnouncements{})                 // the borrower is removed
 	must.True(t, next.Borrow(at(6), a.Request(at(5))))  // sent before the removal, claims the same permits
-	granted, lost := next.Borrowed(testTeam)
+	granted, lost := next.Borrowed(testWorkspace)
 	must.Eq(t, 0, granted)
 	must.Eq(t, 20, lost)
 }
@@ -130,7 +130,7 @@
 		b, _ := lose()
 		a := NewAccount("e1.1", func() {})
 		exchange(b, a, at(2))
-		must.Eq(t, 0, a.Held(testTeam))
+		must.Eq(t, 0, a.Held(testWorkspace))
 		must.MapNotContainsKey(t, b.borrowers, "e1.1")
 	})
 }
@@ -169,7 +169,7 @@
 			b := newBank(true, 10)
 			a := NewAccount(c.borrower, func() {})
 			exchange(b, a, at(0))
-			a.TryAcquire(testTeam)
+			a.TryAcquire(testWorkspace)
 			exchange(b, a, at(1))
 			b.Tick(at(1), c.work)
 			b.Tick(at(3), c.work)
@@ -185,7 +185,7 @@
 	exchange(b, a, at(0))
 	must.Eq(t, 10, acquireAll(a))
 	for range 10 {
-		a.Release(testTeam)
+		a.Release(testWorkspace)
 	}
 	must.False(t, b.Borrow(at(1), a.Closing(at(1))))
 	exchange(b, other, at(1))
@@ -197,7 +197,7 @@
 	a, other := NewAccount("e1.1", func() {}), NewAccount("e2.1", func() {})
 	exchange(b, a, at(0))
 	for range 4 {
-		must.True(t, a.TryAcquire(testTeam)) // for a request that is forwarded to another entry and goes on there
+		must.True(t, a.TryAcquire(testWorkspace)) // for a request that is forwarded to another entry and goes on there
 	}
 	must.False(t, b.Borrow(at(1), a.Closing(at(1))))
 	exchange(b, other, at(1))
@@ -208,9 +208,9 @@
 	b := newBank(false, 0)
 	a := NewAccount("e1.1", func() {})
 	exchange(b, a, at(0))
-	must.False(t, a.TryAcquireWithoutDemand(testTeam))
+	must.False(t, a.TryAcquireWithoutDemand(testWorkspace))
 	must.Eq(t, 0, int(a.Request(at(1)).Lines[0].Need))
-	must.False(t, a.TryAcquire(testTeam))
+	must.False(t, a.TryAcquire(testWorkspace))
 	must.Eq(t, 1, int(a.Request(at(1)).Lines[0].Need))
 }
 
@@ -219,20 +219,20 @@
 	a := NewAccount("e1.1", func() {})
 	exchange(b, a, at(0))
 	for range 8 {
-		must.True(t, a.TryAcquire(testTeam))
+		must.True(t, a.TryAcquire(testWorkspace))
 	}
-	b.SetSlice(at(1), testTeam, 10, 1, 5) // the sheet lowers the limit to 5
+	b.SetSlice(at(1), testWorkspace, 10, 1, 5) // the sheet lowers the limit to 5
 	exchange(b, a, at(1))
 	exchange(b, a, at(1))
-	must.False(t, a.TryAcquire(testTeam))
+	must.False(t, a.TryAcquire(testWorkspace))
 	must.Eq(t, 8, int(b.Lines(true)[0].Held)) // not in force while 8 requests run
 	for range 4 {
-		a.Release(testTeam)
+		a.Release(testWorkspace)
 	}
 	exchange(b, a, at(2))
 	must.Eq(t, 5, int(b.Lines(true)[0].Held))
-	must.True(t, a.TryAcquire(testTeam))
-	must.False(t, a.TryAcquire(testTeam))
+	must.True(t, a.TryAcquire(testWorkspace))
+	must.False(t, a.TryAcquire(testWorkspace))
 }
 
 func TestSinglePermitRotatesAmongBorrowers(t *testing.T) {
@@ -244,9 +244,9 @@
 		for range 8 {
 			for i, a := range accounts {
 				exchange(b, a, at(s))
-				if a.TryAcquire(testTeam) {
+				if a.TryAcquire(testWorkspace) {
 					got[i]++
-					a.Release(testTeam)
+					a.Release(testWorkspace)
 				}
 			}
 		}
--- a/internal/process/escrow/fence_test.go
+++ b/internal/process/escrow/fence_test.go
@@ -42,7 +42,7 @@
 	a := NewAccount("e1.1", func() {})
 	a.SetGate(func(string) bool { return !contacts.Fenced(now, []string{"e2"}) })
 	exchange(newBank(false, 10), a, now)
-	must.True(t, a.TryAcquire(testTeam))
+	must.True(t, a.TryAcquire(testWorkspace))
 	now = at(60) // SetFenced has not been called since
-	must.False(t, a.TryAcquire(testTeam))
+	must.False(t, a.TryAcquire(testWorkspace))
 }
--- a/internal/process/escrow/lost.go
+++ b/internal/process/escrow/lost.go
@@ -9,11 +9,11 @@
 // RunningRequests reports how many requests of borrowers that are gone still run, as seen in the announcements of
 // backend servers.
 type RunningRequests interface {
-	// RunningOf returns how many of the owner's requests for team run according to announcements made after since.
+	// RunningOf returns how many of the owner's requests for workspace run according to announcements made after since.
 	// complete is false if a server that may run one has not announced itself after since.
-	RunningOf(owner, team string, since time.Time) (running int, complete bool)
+	RunningOf(owner, workspace string, since time.Time) (running int, complete bool)
 	// RunningOfEndedProcesses returns the same for all entry processes of the data centre that are no longer alive.
-	RunningOfEndedProcesses(team string, since time.Time) (running int, complete bool)
+	RunningOfEndedProcesses(workspace string, since time.Time) (running int, complete bool)
 	// AllRegistered reports whether every entry of the data centre is alive and is the holder or among the borrowers.
 	AllRegistered(borrowers []string) bool
 }
@@ -27,21 +27,21 @@
 	entry, incarnation, _ := ParseHolderID(req.Borrower)
 	reregistered := b.removed[entry].incarnation == incarnation // its earlier claim is already counted as lost
 	for _, line := range req.Lines {
-		l := b.teams[line.Team]
+		l := b.workspaces[line.Team]
 		if line.Held > 0 && (reregistered || l == nil || l.unclaimed < int(line.Held)) {
 			return false
 		}
 	}
 	b.borrowers[req.Borrower] = &borrower{lastHeard: now, pending: make(map[string]uint64)}
 	for _, line := range req.Lines {
-		if l := b.teams[line.Team]; l != nil && line.Held > 0 {
+		if l := b.workspaces[line.Team]; l != nil && line.Held > 0 {
 			l.unclaimed -= int(line.Held)
 			l.loanOf(req.Borrower).granted = int(line.Held)
 			b.borrowers[req.Borrower].pending[line.Team] = 0
 		}
 	}
-	for team, l := range b.teams {
-		b.rebalance(team, l, now)
+	for workspace, l := range b.workspaces {
+		b.rebalance(workspace, l, now)
 	}
 	return true
 }
@@ -73,7 +73,7 @@
 // removeBorrower removes a borrower and holds back its permits until its requests must have ended.
 func (b *Bank) removeBorrower(id string, now, until time.Time) {
 	b.deleteBorrower(id)
-	for team, l := range b.teams {
+	for workspace, l := range b.workspaces {
 		loan := l.loans[id]
 		if loan == nil {
 			continue
@@ -82,7 +82,7 @@
 		if loan.granted > 0 {
 			l.lost = append(l.lost, &lostLoan{owner: id, permits: loan.granted, since: now, until: until})
 		}
-		b.rebalance(team, l, now)
+		b.rebalance(workspace, l, now)
 	}
 }
 
@@ -109,11 +109,11 @@
 func (b *Bank) Tick(now time.Time, work RunningRequests) {
 	b.removeSilentBorrower(now)
 	b.updateRegisteredAt(now, work)
-	for team, l := range b.teams {
-		freed := l.expireLost(now, team, work)
-		freed = b.freeUnclaimed(now, team, l, work) || freed
+	for workspace, l := range b.workspaces {
+		freed := l.expireLost(now, workspace, work)
+		freed = b.freeUnclaimed(now, workspace, l, work) || freed
 		if freed || l.hasStarvedBorrower() {
-			b.rebalance(team, l, now)
+			b.rebalance(workspace, l, now)
 		}
 	}
 }
@@ -135,7 +135,7 @@
 
 // freeUnclaimed frees permits lent by a former holder. Once every entry is registered, it keeps as many as there are
 // requests seen running and frees the rest. After the takeover timeout, when nothing can run on them, it frees all.
-func (b *Bank) freeUnclaimed(now time.Time, team string, l *teamLedger, work RunningRequests) (freed bool) {
+func (b *Bank) freeUnclaimed(now time.Time, workspace string, l *workspaceLedger, work RunningRequests) (freed bool) {
 	if b.tookOverAt.IsZero() || l.unclaimed == 0 {
 		return false
 	}
@@ -146,7 +146,7 @@
 	if b.registeredAt.IsZero() {
 		return false
 	}
-	running, complete := work.RunningOfEndedProcesses(team, b.registeredAt)
+	running, complete := work.RunningOfEndedProcesses(workspace, b.registeredAt)
 	if !complete || running >= l.unclaimed {
 		return false
 	}
@@ -169,10 +169,10 @@
 }
 
 // expireLost frees lost permits whose time limit has passed or whose requests are seen to have ended.
-func (l *teamLedger) expireLost(now time.Time, team string, work RunningRequests) (freed bool) {
+func (l *workspaceLedger) expireLost(now time.Time, workspace string, work RunningRequests) (freed bool) {
 	var kept []*lostLoan
 	for _, lost := range l.lost {
-		if running, complete := work.RunningOf(lost.owner, team, lost.since); complete && running < lost.permits {
+		if running, complete := work.RunningOf(lost.owner, workspace, lost.since); complete && running < lost.permits {
 			lost.permits = running
 			freed = true
 		}
@@ -187,7 +187,7 @@
 }
 
 // hasStarvedBorrower reports whether a borrower needs a permit and has none.
-func (l *teamLedger) hasStarvedBorrower() bool {
+func (l *workspaceLedger) hasStarvedBorrower() bool {
 	for _, loan := range l.loans {
 		if loan.need > 0 && loan.granted == 0 {
 			return true
--- a/internal/process/escrow/schedule_test.go
+++ b/internal/process/escrow/schedule_test.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	testTeam    = "soap"
-	testMaxRun  = 4 * time.Second
-	testFence   = 2 * time.Second
-	testLimit   = 6
-	testStep    = 500 * time.Millisecond
-	maxInFlight = 12
+	testWorkspace = "soap"
+	testMaxRun    = 4 * time.Second
+	testFence     = 2 * time.Second
+	testLimit     = 6
+	testStep      = 500 * time.Millisecond
+	maxInFlight   = 12
 )
 
 // work is a request that runs at a backend server, even after its entry has ended.
@@ -76,7 +76,7 @@
 	f.replacedBank, f.replacedFencedAt = f.bank, f.now.Add(testFence)
 	f.bankCount++
 	f.bank = NewBank(HolderID("bank", f.bankCount), Timing{Fence: testFence, MaxRun: testMaxRun}, takeover, f.now)
-	f.bank.SetSlice(f.now, testTeam, f.slice, f.sliceIncarnation, f.sheetLimit)
+	f.bank.SetSlice(f.now, testWorkspace, f.slice, f.sliceIncarnation, f.sheetLimit)
 }
 
 // restart replaces an entry by a new incarnation without state; its requests go on at the backend servers.
@@ -154,14 +154,14 @@
 
 func (f *dataCentre) acquire(i int) {
 	f.updateFenced(i)
-	if f.entries[i].TryAcquire(testTeam) {
+	if f.entries[i].TryAcquire(testWorkspace) {
 		f.running = append(f.running, work{owner: i, until: f.now.Add(testMaxRun)})
 	}
 }
 
 func (f *dataCentre) finish(at int) {
 	if owner := f.running[at].owner; owner >= 0 {
-		f.entries[owner].Release(testTeam)
+		f.entries[owner].Release(testWorkspace)
 	}
 	f.running = append(f.running[:at], f.running[at+1:]...)
 }
@@ -186,7 +186,7 @@
 		if line.Incarnation == f.sliceIncarnation && line.Held < f.slice {
 			f.slice = line.Held
 			f.sliceIncarnation++
-			f.bank.SetSlice(f.now, testTeam, f.slice, f.sliceIncarnation, f.sheetLimit)
+			f.bank.SetSlice(f.now, testWorkspace, f.slice, f.sliceIncarnation, f.sheetLimit)
 		}
 	}
 }
@@ -194,7 +194,7 @@
 func (f *dataCentre) restoreSlice() {
 	f.sliceIncarnation++
 	f.slice = f.sheetLimit
-	f.bank.SetSlice(f.now, testTeam, f.slice, f.sliceIncarnation, f.sheetLimit)
+	f.bank.SetSlice(f.now, testWorkspace, f.slice, f.sliceIncarnation, f.sheetLimit)
 }
 
 func (f *dataCentre) check() {
@@ -206,7 +206,7 @@
 		}
 	}
 	for i, a := range f.entries {
-		b := a.shard(testTeam).permitsOf(testTeam)
+		b := a.shard(testWorkspace).permitsOf(testWorkspace)
 		part := b.running
 		if f.now.Sub(f.heard[i]) < testFence {
 			part = max(part, min(b.held, b.target))
@@ -216,7 +216,7 @@
 	if sum > testLimit {
 		f.t.Fatalf("%d requests may run, the limit is %d", sum, testLimit)
 	}
-	if out := f.bank.teams[testTeam].outstanding(); out > int(f.slice) {
+	if out := f.bank.workspaces[testWorkspace].outstanding(); out > int(f.slice) {
 		f.t.Fatalf("the holder has lent %d permits of a slice of %d", out, f.slice)
 	}
 }
@@ -241,7 +241,7 @@
 			"acquire":  func(*rapid.T) { f.acquire(entry()) },
 			"exchange": func(*rapid.T) { f.exchange(entry()) },
 			"fill": func(*rapid.T) {
-				for i := entry(); f.entries[i].Running(testTeam) < testLimit; {
+				for i := entry(); f.entries[i].Running(testWorkspace) < testLimit; {
 					before := len(f.running)
 					f.acquire(i)
 					if len(f.running) == before {
@@ -259,7 +259,7 @@
 			"restart": func(*rapid.T) { f.restart(entry()) },
 			"holder":  func(*rapid.T) { f.replaceHolder(true) },
 			"shrink": func(*rapid.T) {
-				f.bank.SetTarget(f.now, &laburnumv1.SliceTarget{Team: testTeam, Incarnation: f.sliceIncarnation, Permits: 2})
+				f.bank.SetTarget(f.now, &laburnumv1.SliceTarget{Team: testWorkspace, Incarnation: f.sliceIncarnation, Permits: 2})
 				f.commit()
 			},
 			"raise": func(*rapid.T) { f.restoreSlice() },
--- a/internal/request/admission/admission.go
+++ b/internal/request/admission/admission.go
@@ -1,4 +1,4 @@
-// Package admission checks whether a request may be queued, and determines the team to charge for it.
+// Package admission checks whether a request may be queued, and determines the workspace to charge for it.
 package admission
 
 import (
@@ -33,7 +33,7 @@
 type Ticket struct {
 	Queue           string // name of the configured queue in the request's path
 	Pool            string // pool whose instances serve the queue
-	Team            string
+	Workspace       string
 	Path            string // path at the backend server, with leading slash
 	RawPath         string // its escaped form if that differs from the default, as in url.URL
 	Idempotent      bool
@@ -76,7 +76,7 @@
 		return nil, outcome.Refuse(http.StatusNotFound, "unknown-queue", "there is no queue %q", name)
 	}
 	idempotent := q.Idempotent || isIdempotentMethod(r.Method)
-	team, refusal := authorize(v, q.Open, q.Team, r.Header.Get("Authorization"))
+	workspace, refusal := authorize(v, q.Open, q.Team, r.Header.Get("Authorization"))
 	if refusal != nil {
 		if refusal.Reason == ReasonKeyWithdrawn && !idempotent && MayNeedRecord(r) {
 			refusal.Outcome = outcome.Unknown // an earlier request with the Idempotency-Key may have run
@@ -86,7 +86,7 @@
 	t := &Ticket{
 		Queue:          name,
 		Pool:           q.Pool,
-		Team:           team,
+		Workspace:      workspace,
 		Path:           path.Path,
 		RawPath:        path.RawPath,
 		Idempotent:     idempotent,
@@ -143,11 +143,11 @@
 
 func isSlashOrBackslash(r rune) bool { return r == '/' || r == '\\' }
 
-// authorize returns the team of the API key in the Authorization header. Without the header, a request to an
-// open queue is charged to defaultTeam; a key that is not valid is refused on an open queue as well.
-func authorize(v *view.View, open bool, defaultTeam, header string) (string, *outcome.Refusal) {
+// authorize returns the workspace of the API key in the Authorization header. Without the header, a request to an
+// open queue is charged to defaultWorkspace; a key that is not valid is refused on an open queue as well.
+func authorize(v *view.View, open bool, defaultWorkspace, header string) (string, *outcome.Refusal) {
 	if header == "" && open {
-		return defaultTeam, nil
+		return defaultWorkspace, nil
 	}
 	secret, ok := strings.CutPrefix(header, bearerPrefix)
 	if !ok || secret == "" {
@@ -157,11 +157,11 @@
 	if v.Withdrawn(digest) {
 		return "", outcome.Refuse(http.StatusUnauthorized, ReasonKeyWithdrawn, "the key was withdrawn")
 	}
-	team, ok := v.KeyTeam(digest)
+	workspace, ok := v.KeyWorkspace(digest)
 	if !ok {
 		return "", outcome.Refuse(http.StatusUnauthorized, "bad-key", "the API key is unknown")
 	}
-	return team, nil
+	return workspace, nil
 }
 
 // checkHeaders refuses repeated headers, which could be read in two ways, and an invalid Idempotency-Key.
--- a/internal/request/admission/admission_test.go
+++ b/internal/request/admission/admission_test.go
@@ -23,9 +23,9 @@
 	s.Queues["refunds"] = &laburnumv1.Queue{Name: "refunds", Pool: "refund", MaxWaitMs: 2000, MaxRunMs: 8000, MaxWaiting: 7}
 	s.Queues["checks"] = &laburnumv1.Queue{Name: "checks", Pool: "check", MaxWaitMs: 2000, MaxRunMs: 8000, Idempotent: true}
 	s.Queues["points"] = &laburnumv1.Queue{Name: "points", Pool: "check", Open: true, Team: "public", MaxWaitMs: 1000, MaxRunMs: 1000}
-	for key, team := range map[string]string{"good": "peten", "gone": "peten"} {
+	for key, workspace := range map[string]string{"good": "peten", "gone": "peten"} {
 		sum := sha256.Sum256([]byte(key))
-		s.Keys[sum] = &laburnumv1.Key{Sha256: sum[:], Team: team}
+		s.Keys[sum] = &laburnumv1.Key{Sha256: sum[:], Team: workspace}
 	}
 	gone := sha256.Sum256([]byte("gone"))
 	s.Withdrawn[gone] = &laburnumv1.KeyWithdrawal{Sha256: gone[:]}
@@ -108,7 +108,7 @@
 	ticket, refusal := admit(http.MethodPost, "/q/refunds/a%2Fb//c?x=1", "Request-Timeout", "3", "Idempotency-Key", "dc1/7", "Laburnum-Urgent", "1")
 	must.Nil(t, refusal)
 	must.Eq(t, &Ticket{
-		Queue: "refunds", Pool: "refund", Team: "peten", Path: "/a/b//c", RawPath: "/a%2Fb//c", Urgent: true, IdempotencyKey: "dc1/7",
+		Queue: "refunds", Pool: "refund", Workspace: "peten", Path: "/a/b//c", RawPath: "/a%2Fb//c", Urgent: true, IdempotencyKey: "dc1/7",
 		Deadline: now.Add(3 * time.Second), StartBy: now.Add(2 * time.Second), ArrivedAt: now, MaxWaiting: 7,
 	}, ticket)
 }
@@ -134,11 +134,11 @@
 	}
 }
 
-func TestOpenQueueChargesItsOwnTeamOrTheTeamOfTheKey(t *testing.T) {
+func TestOpenQueueChargesItsOwnWorkspaceOrTheWorkspaceOfTheKey(t *testing.T) {
 	ticket, refusal := admit(http.MethodGet, "/q/points/x", "Authorization", "")
 	must.Nil(t, refusal)
-	must.Eq(t, "public", ticket.Team)
+	must.Eq(t, "public", ticket.Workspace)
 	ticket, refusal = admit(http.MethodGet, "/q/points/x")
 	must.Nil(t, refusal)
-	must.Eq(t, "peten", ticket.Team)
+	must.Eq(t, "peten", ticket.Workspace)
 }
--- a/internal/request/forward/forward.go
+++ b/internal/request/forward/forward.go
@@ -12,10 +12,10 @@
 	"laburnumrouter/internal/request/outcome"
 )
 
-// Headers that tell the backend server the id, the team and the queue of a request.
+// Headers that tell the backend server the id, the workspace and the queue of a request.
 const (
 	HeaderRequestID = "Laburnum-Request-Id"
-	HeaderTeam      = "Laburnum-Team"
+	HeaderWorkspace = "Laburnum-Team"
 	HeaderQueue     = "Laburnum-Queue"
 )
 
@@ -71,7 +71,7 @@
 }
 
 // newOutgoingRequest builds the request to an instance or a peer. It drops the Authorization header, which holds the
-// team's API key.
+// workspace's API key.
 func newOutgoingRequest(r *http.Request, t *admission.Ticket, address, id string) *http.Request {
 	header := make(http.Header, len(r.Header)+addedHeaderCount)
 	for name, values := range r.Header {
@@ -84,7 +84,7 @@
 		header["User-Agent"] = emptyUserAgent
 	}
 	header[HeaderRequestID] = []string{id}
-	header[HeaderTeam] = []string{t.Team}
+	header[HeaderWorkspace] = []string{t.Workspace}
 	header[HeaderQueue] = []string{t.Queue}
 	return &http.Request{
 		Method:        r.Method,
--- a/internal/request/forward/hop.go
+++ b/internal/request/forward/hop.go
@@ -63,7 +63,7 @@
 	t := &admission.Ticket{
 		Queue:          r.Header.Get(HeaderQueue),
 		Pool:           pool,
-		Team:           r.Header.Get(HeaderTeam),
+		Workspace:      r.Header.Get(HeaderWorkspace),
 		Path:           strings.TrimPrefix(r.URL.Path, PeerPrefix),
 		RawPath:        strings.TrimPrefix(r.URL.RawPath, PeerPrefix),
 		Idempotent:     r.Header.Get(headerIdempotent) == flagSet,
@@ -74,8 +74,8 @@
 		ArrivedAt:      now,
 		MaxWaiting:     maxWaiting,
 	}
-	if errWait != nil || errLeft != nil || t.Team == "" {
-		return nil, outcome.Refuse(http.StatusBadRequest, "bad-hop", "the request from the peer lacks a valid team, wait or deadline header")
+	if errWait != nil || errLeft != nil || t.Workspace == "" {
+		return nil, outcome.Refuse(http.StatusBadRequest, "bad-hop", "the request from the peer lacks a valid workspace, wait or deadline header")
 	}
 	for _, name := range []string{headerStartWithinMS, headerDeadlineInMS, headerUrgent, headerIdempotent, "Expect"} {
 		r.Header.Del(name)
--- a/internal/request/idempotency/global.go
+++ b/internal/request/idempotency/global.go
@@ -27,14 +27,14 @@
 }
 
 // Begin implements Recorder.
-func (k *LogRecorder) Begin(ctx context.Context, key, team string, digest []byte) (Verdict, *laburnumv1.Record, error) {
+func (k *LogRecorder) Begin(ctx context.Context, key, workspace string, digest []byte) (Verdict, *laburnumv1.Record, error) {
 	if k.MayHaveExpired(key) {
 		return OutcomeUnknown, nil, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
 	own := &laburnumv1.Record{
-		Key: key, Team: team, Digest: digest, Owner: k.Owners.add(), State: laburnumv1.RecordState_RECORD_STATE_STARTED,
+		Key: key, Team: workspace, Digest: digest, Owner: k.Owners.add(), State: laburnumv1.RecordState_RECORD_STATE_STARTED,
 	}
 	held, err := k.Log.Commit(ctx, toGlobalRecord(own))
 	switch {
--- a/internal/request/idempotency/idempotency.go
+++ b/internal/request/idempotency/idempotency.go
@@ -2,7 +2,7 @@
 //
 // The record of a key "<data centre>/<id>" is written to every member and learner of that data centre's record group
 // before the request is dispatched. The record of a key without a data centre is committed to the control log. Keys
-// are scoped by team.
+// are scoped by workspace.
 package idempotency
 
 import (
@@ -57,7 +57,7 @@
 	// Begin writes a record before dispatch. With Run it returns the caller's own record, which the caller must end
 	// with Finish; with Replay it returns the record that holds the answer. After an error the request must not be
 	// dispatched.
-	Begin(ctx context.Context, key, team string, digest []byte) (Verdict, *laburnumv1.Record, error)
+	Begin(ctx context.Context, key, workspace string, digest []byte) (Verdict, *laburnumv1.Record, error)
 	// Finish records the outcome of a request for which Begin returned Run. With a nil response no answer is stored.
 	// After an error, repeats may be told that the outcome is unknown.
 	Finish(ctx context.Context, own *laburnumv1.Record, state laburnumv1.RecordState, response *laburnumv1.StoredResponse) error
@@ -82,12 +82,12 @@
 }
 
 // Begin implements Recorder.
-func (k *KeyRouter) Begin(ctx context.Context, key, team string, digest []byte) (Verdict, *laburnumv1.Record, error) {
+func (k *KeyRouter) Begin(ctx context.Context, key, workspace string, digest []byte) (Verdict, *laburnumv1.Record, error) {
 	recorder, err := k.recorderFor(key)
 	if err != nil {
 		return OutcomeUnknown, nil, err
 	}
-	return recorder.Begin(ctx, key, team, digest)
+	return recorder.Begin(ctx, key, workspace, digest)
 }
 
 // Finish implements Recorder.
--- a/internal/request/idempotency/idempotency_test.go
+++ b/internal/request/idempotency/idempotency_test.go
@@ -38,7 +38,7 @@
 	v, _, _ = b.recorder.Begin(context.Background(), "dc1/x", "soap", []byte("other"))
 	must.Eq(t, Conflict, v)
 	v, _, _ = b.recorder.Begin(context.Background(), "dc1/x", "drum", []byte("digest"))
-	must.Eq(t, Run, v) // keys are scoped by team
+	must.Eq(t, Run, v) // keys are scoped by workspace
 
 	must.NoError(t, a.finish(own, completed, "paid"))
 	for _, n := range c.nodes {
@@ -232,15 +232,15 @@
 	s := NewStore()
 	s.SetGroup("e1.1", &laburnumv1.RecordGroup{DataCentre: "dc1", Epoch: 1, Members: []string{"e1.1"}}, false)
 	now := time.UnixMilli(1_800_000_000_000)
-	put := func(team, key string) *laburnumv1.PutRecordResponse {
-		r := &laburnumv1.Record{Key: key, Team: team, Owner: key, State: started}
+	put := func(workspace, key string) *laburnumv1.PutRecordResponse {
+		r := &laburnumv1.Record{Key: key, Team: workspace, Owner: key, State: started}
 		return s.Put(now, &laburnumv1.PutRecordRequest{Epoch: 1, Member: "e1.1", Record: r})
 	}
-	for i := range maxTeamRecords {
+	for i := range maxWorkspaceRecords {
 		must.False(t, put("soap", fmt.Sprint("dc1/", i)).Full)
 	}
 	must.True(t, put("soap", "dc1/more").Full)
-	must.False(t, put("drum", "dc1/more").Full) // another team still has room
+	must.False(t, put("drum", "dc1/more").Full) // another workspace still has room
 	must.NotNil(t, put("soap", "dc1/0").Record)
 	now = now.Add(Retention + time.Second)
 	must.False(t, put("soap", "dc1/more").Full)
--- a/internal/request/idempotency/replicated.go
+++ b/internal/request/idempotency/replicated.go
@@ -86,10 +86,10 @@
 }
 
 // Begin implements Recorder.
-func (k *GroupRecorder) Begin(ctx context.Context, key, team string, digest []byte) (Verdict, *laburnumv1.Record, error) {
+func (k *GroupRecorder) Begin(ctx context.Context, key, workspace string, digest []byte) (Verdict, *laburnumv1.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
-	record := &laburnumv1.Record{Key: key, Team: team, Digest: digest, State: laburnumv1.RecordState_RECORD_STATE_STARTED}
+	record := &laburnumv1.Record{Key: key, Team: workspace, Digest: digest, State: laburnumv1.RecordState_RECORD_STATE_STARTED}
 	ownAttempts := make(map[string]bool)
 	for {
 		// Each attempt has an owner id of its own: a late withdrawal of one attempt cannot remove the next.
--- a/internal/request/idempotency/store.go
+++ b/internal/request/idempotency/store.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// maxRecords bounds the number of records at a member, maxTeamRecords the number of one team's.
-	maxRecords     = 64 << 10
-	maxTeamRecords = 16 << 10
+	// maxRecords bounds the number of records at a member, maxWorkspaceRecords the number of one workspace's.
+	maxRecords          = 64 << 10
+	maxWorkspaceRecords = 16 << 10
 	// maxStoreBytes bounds the total size of a member's records. The size of a record is its encoded size plus
 	// recordOverheadBytes.
 	maxStoreBytes       = 24 << 20
@@ -29,13 +29,13 @@
 
 // Store holds the records of a data centre at one member or learner of its record group. It is safe for concurrent use.
 type Store struct {
-	mu      sync.Mutex
-	self    string
-	fenced  bool
-	group   *laburnumv1.RecordGroup
-	records map[string]*recordEntry // by team and key
-	teams   map[string]int          // number of records by team
-	bytes   int
+	mu         sync.Mutex
+	self       string
+	fenced     bool
+	group      *laburnumv1.RecordGroup
+	records    map[string]*recordEntry // by workspace and key
+	workspaces map[string]int          // number of records by workspace
+	bytes      int
 }
 
 // recordEntry is a record with the other owners that compete for its key. The first member of the group decides
@@ -47,7 +47,7 @@
 
 // NewStore returns an empty store without a group.
 func NewStore() *Store {
-	return &Store{records: make(map[string]*recordEntry), teams: make(map[string]int)}
+	return &Store{records: make(map[string]*recordEntry), workspaces: make(map[string]int)}
 }
 
 func recordID(r *laburnumv1.Record) string { return r.GetTeam() + "\x00" + r.GetKey() }
@@ -196,7 +196,7 @@
 	id := recordID(r)
 	s.drop(id)
 	s.records[id] = &recordEntry{record: r}
-	s.teams[r.Team]++
+	s.workspaces[r.Team]++
 	s.bytes += size(r)
 }
 
@@ -207,8 +207,8 @@
 	}
 	delete(s.records, id)
 	s.bytes -= size(e.record)
-	if s.teams[e.record.Team]--; s.teams[e.record.Team] == 0 {
-		delete(s.teams, e.record.Team)
+	if s.workspaces[e.record.Team]--; s.workspaces[e.record.Team] == 0 {
+		delete(s.workspaces, e.record.Team)
 	}
 }
 
@@ -217,7 +217,7 @@
 // hasRoom reports whether a further record fits. It drops expired records if necessary.
 func (s *Store) hasRoom(now time.Time, r *laburnumv1.Record) bool {
 	fits := func() bool {
-		return len(s.records) < maxRecords && s.teams[r.Team] < maxTeamRecords && s.bytes+size(r) <= maxStoreBytes
+		return len(s.records) < maxRecords && s.workspaces[r.Team] < maxWorkspaceRecords && s.bytes+size(r) <= maxStoreBytes
 	}
 	if fits() {
 		return true
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -83,7 +83,7 @@
 		return NotConfigured
 	}
 	q := l.index.Queue(s.Queue)
-	if q == nil || (!q.Open && l.index.Team(s.Team) == nil) {
+	if q == nil || (!q.Open && l.index.Workspace(s.Workspace) == nil) {
 		return NotConfigured
 	}
 	j := &Job{Submission: *s, State: Queued, AcceptedMS: l.ClockMS, Occurrences: make(map[int]*Occurrence), Work: s.estimatedWork()}
@@ -182,7 +182,7 @@
 
 // startsValid reports whether a group of starts may be applied: each task is waiting, its run number is higher than any
 // before, the steps it depends on are done, the group starts all tasks of a gang, the job's queue is configured, and the
-// team stays within its limit.
+// workspace stays within its limit.
 func (l *Ledger) startsValid(group []Start) bool {
 	var need Resources
 	for _, s := range group {
@@ -203,7 +203,7 @@
 			return false
 		}
 		need = need.Plus(step.Need)
-		if !l.queueConfigured(j) || !l.WithinLimit(j.Team, need) {
+		if !l.queueConfigured(j) || !l.WithinLimit(j.Workspace, need) {
 			return false
 		}
 	}
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -148,7 +148,7 @@
 	// Unknown: the job to cancel is unknown.
 	Unknown Verdict = "unknown"
 	// NotConfigured: there is no configuration, or the one in force lacks the job's queue, or the queue isn't open and the
-	// configuration lacks the job's team.
+	// configuration lacks the job's workspace.
 	NotConfigured Verdict = "unserved"
 )
 
--- a/internal/request/ledger/job.go
+++ b/internal/request/ledger/job.go
@@ -91,10 +91,10 @@
 type Submission struct {
 	ID    string
 	Queue string
-	// Team is empty for a job that was submitted without a key.
-	Team  string `json:",omitempty"`
-	Spec  string
-	Steps []Step
+	// Workspace is empty for a job that was submitted without a key.
+	Workspace string `json:"Team,omitempty"`
+	Spec      string
+	Steps     []Step
 	// Times is the number of occurrences of a scheduled job; 0 means a job that is due at once.
 	Times int `json:",omitempty"`
 	// FirstMS is when occurrence 0 is due, in milliseconds since 1970; EveryMS is the interval between occurrences.
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -61,7 +61,7 @@
 	open map[string]*Job
 	// liveRuns holds the live runs by backend server.
 	liveRuns map[string]map[TaskID]*Task
-	// usage is the sum of the needs of the live runs, by team.
+	// usage is the sum of the needs of the live runs, by workspace.
 	usage map[string]Resources
 	// load is the capacity that the live runs take up, by backend server.
 	load map[string]Resources
@@ -144,7 +144,7 @@
 		l.liveRuns[t.Worker] = runs
 	}
 	runs[id] = t
-	l.usage[j.Team] = l.usage[j.Team].Plus(j.Steps[id.Step].Need)
+	l.usage[j.Workspace] = l.usage[j.Workspace].Plus(j.Steps[id.Step].Need)
 	l.load[t.Worker] = l.load[t.Worker].Plus(j.Steps[id.Step].CapacityUse())
 }
 
@@ -155,7 +155,7 @@
 		delete(l.liveRuns, t.Worker)
 		delete(l.load, t.Worker)
 	}
-	l.usage[j.Team] = l.usage[j.Team].Minus(j.Steps[id.Step].Need)
+	l.usage[j.Workspace] = l.usage[j.Workspace].Minus(j.Steps[id.Step].Need)
 }
 
 // Index returns the lookup tables of the configuration in force, or nil if there is no configuration yet.
@@ -189,8 +189,8 @@
 	return list
 }
 
-// Usage returns the resources of a team's live runs.
-func (l *Ledger) Usage(team string) Resources { return l.usage[team] }
+// Usage returns the resources of a workspace's live runs.
+func (l *Ledger) Usage(workspace string) Resources { return l.usage[workspace] }
 
 // QueuedJobs returns the number of unfinished jobs of a queue of which no task has started.
 func (l *Ledger) QueuedJobs(queue string) int { return l.queued[queue] }
@@ -210,12 +210,12 @@
 // Wave returns the record of a wave, or nil if the number is unknown.
 func (l *Ledger) Wave(number int64) *Wave { return l.Waves[number] }
 
-// limitOf returns a team's upper limit; the second result is false if the team has none.
-func (l *Ledger) limitOf(team string) (Resources, bool) {
-	if l.index == nil || team == "" {
+// limitOf returns a workspace's upper limit; the second result is false if the workspace has none.
+func (l *Ledger) limitOf(workspace string) (Resources, bool) {
+	if l.index == nil || workspace == "" {
 		return Resources{}, false
 	}
-	t := l.index.Team(team)
+	t := l.index.Workspace(workspace)
 	if t == nil {
 		return Resources{}, false
 	}
@@ -223,14 +223,14 @@
 	return limit, limit != Resources{}
 }
 
-// WithinLimit reports whether the needs of a team's live runs plus extra stay within its upper limit. A limit of 0 for a
+// WithinLimit reports whether the needs of a workspace's live runs plus extra stay within its upper limit. A limit of 0 for a
 // resource means no limit.
-func (l *Ledger) WithinLimit(team string, extra Resources) bool {
-	limit, limited := l.limitOf(team)
+func (l *Ledger) WithinLimit(workspace string, extra Resources) bool {
+	limit, limited := l.limitOf(workspace)
 	if !limited {
 		return true
 	}
-	total := l.usage[team].Plus(extra)
+	total := l.usage[workspace].Plus(extra)
 	return (limit.CPU == 0 || total.CPU <= limit.CPU) &&
 		(limit.MemMB == 0 || total.MemMB <= limit.MemMB) &&
 		(limit.GPU == 0 || total.GPU <= limit.GPU)
--- a/internal/request/ledger/ledger_test.go
+++ b/internal/request/ledger/ledger_test.go
@@ -15,9 +15,9 @@
 			{Name: "checks", Host: "h", Prefix: "/checks/", Pool: "p", TimeoutMS: 1000, SlackFactor: 2, ObjectiveMS: 600, MaxAttempts: 2},
 			{Name: "other", Host: "h", Prefix: "/other/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 1},
 		},
-		Pools: []accepted.Pool{{Name: "p", Guards: true}},
-		Teams: []accepted.Team{{Name: "lab", Keys: []string{"k"}, CPU: 10_000}},
-		Raw:   []byte{byte(version)},
+		Pools:      []accepted.Pool{{Name: "p", Guards: true}},
+		Workspaces: []accepted.Workspace{{Name: "lab", Keys: []string{"k"}, CPU: 10_000}},
+		Raw:        []byte{byte(version)},
 	}
 }
 
@@ -30,7 +30,7 @@
 
 func submit(t *testing.T, l *Ledger, id string, steps ...Step) {
 	t.Helper()
-	r := l.Apply(&Command{NowMS: 1000, Submit: &Submission{ID: id, Queue: "checks", Team: "lab", Spec: "s", Steps: steps}})
+	r := l.Apply(&Command{NowMS: 1000, Submit: &Submission{ID: id, Queue: "checks", Workspace: "lab", Spec: "s", Steps: steps}})
 	must.EqOp(t, Accepted, r.Submit)
 }
 
@@ -126,7 +126,7 @@
 	must.False(t, start(l, task("j", 0, 0), 1))
 }
 
-func TestStartsStayWithinTeamLimit(t *testing.T) {
+func TestStartsStayWithinWorkspaceLimit(t *testing.T) {
 	l := newLedger(t)
 	submit(t, l, "j", Step{Count: 3, Need: Resources{CPU: 4000}})
 	must.True(t, start(l, task("j", 0, 0), 1))
--- a/internal/request/placement/estimator.go
+++ b/internal/request/placement/estimator.go
@@ -18,10 +18,10 @@
 	headroomFactor = 1.1
 )
 
-// jobClass groups the jobs whose declarations are corrected together: those of one team in one pool.
+// jobClass groups the jobs whose declarations are corrected together: those of one workspace in one pool.
 type jobClass struct {
-	team string
-	pool string
+	workspace string
+	pool      string
 }
 
 // correctionFactors holds the ratios of actual to declared usage and run time for a jobClass.
--- a/internal/request/placement/placement.go
+++ b/internal/request/placement/placement.go
@@ -1,9 +1,9 @@
-// Package placement decides which worker runs which job. It shares workers fairly between teams, starts urgent jobs of
-// a team first, and prefers the fullest worker that has room for the expected size of the job. A task is the current
+// Package placement decides which worker runs which job. It shares workers fairly between workspaces, starts urgent jobs of
+// a workspace first, and prefers the fullest worker that has room for the expected size of the job. A task is the current
 // attempt of a job on a worker, which package ledger calls a run. Package schedule places the jobs of that package.
 //
 // A Scheduler is a deterministic state machine over the job records of the control log; it reads no clock and does no
-// I/O. The cost of an event is proportional to what it changes: jobs wait in queues by pool and team, workers are
+// I/O. The cost of an event is proportional to what it changes: jobs wait in queues by pool and workspace, workers are
 // indexed in buckets by free processors and by free accelerators, and only pools in which something changed are planned.
 package placement
 
@@ -32,14 +32,14 @@
 
 // Scheduler holds the jobs that wait or run and the workers. It is not safe for concurrent use.
 type Scheduler struct {
-	pools     map[string]*pool
-	workers   map[string]*worker
-	teams     map[string]*team
-	jobs      map[string]*trackedJob
-	delayed   delayHeap
-	dirty     map[string]bool // pools in which something may start
-	excluded  map[string]*worker
-	estimator *Estimator
+	pools      map[string]*pool
+	workers    map[string]*worker
+	workspaces map[string]*workspace
+	jobs       map[string]*trackedJob
+	delayed    delayHeap
+	dirty      map[string]bool // pools in which something may start
+	excluded   map[string]*worker
+	estimator  *Estimator
 }
 
 // pool holds the workers of a pool that accept new tasks, and its waiting jobs.
@@ -47,7 +47,7 @@
 	name    string
 	indexes [indexKinds]*index
 	members map[string]*worker
-	queues  map[string]*teamQueue
+	queues  map[string]*workspaceQueue
 	largest Size // component-wise maximum over the members
 	// oversize holds jobs that declare more of some resource than any member offers.
 	oversize map[string]*trackedJob
@@ -56,7 +56,7 @@
 // trackedJob is a job with its scheduling state.
 type trackedJob struct {
 	job           *laburnumv1.Job
-	element       *list.Element // in a teamQueue, if the job waits there
+	element       *list.Element // in a workspaceQueue, if the job waits there
 	delayed       bool          // waits in Scheduler.delayed for its earliest start time
 	pending       bool          // a start was decided but is not committed
 	oversizeSince time.Time     // when a plan first found no large enough worker
@@ -66,13 +66,13 @@
 // New returns an empty scheduler.
 func New() *Scheduler {
 	return &Scheduler{
-		pools:     make(map[string]*pool),
-		workers:   make(map[string]*worker),
-		teams:     make(map[string]*team),
-		jobs:      make(map[string]*trackedJob),
-		dirty:     make(map[string]bool),
-		excluded:  make(map[string]*worker),
-		estimator: NewEstimator(),
+		pools:      make(map[string]*pool),
+		workers:    make(map[string]*worker),
+		workspaces: make(map[string]*workspace),
+		jobs:       make(map[string]*trackedJob),
+		dirty:      make(map[string]bool),
+		excluded:   make(map[string]*worker),
+		estimator:  NewEstimator(),
 	}
 }
 
@@ -82,7 +82,7 @@
 func (s *Scheduler) pool(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name, members: make(map[string]*worker), queues: make(map[string]*teamQueue), oversize: make(map[string]*trackedJob)}
+		p = &pool{name: name, members: make(map[string]*worker), queues: make(map[string]*workspaceQueue), oversize: make(map[string]*trackedJob)}
 		for kind := range indexKinds {
 			p.indexes[kind] = &index{kind: kind}
 		}
@@ -91,23 +91,23 @@
 	return p
 }
 
-func (s *Scheduler) team(name string) *team {
-	t := s.teams[name]
+func (s *Scheduler) workspace(name string) *workspace {
+	t := s.workspaces[name]
 	if t == nil {
-		t = &team{Team: Team{Name: name, Share: 1}}
-		s.teams[name] = t
+		t = &workspace{Workspace: Workspace{Name: name, Share: 1}}
+		s.workspaces[name] = t
 	}
 	return t
 }
 
-// SetTeam sets the share and the permits of a team.
-func (s *Scheduler) SetTeam(t Team) {
-	known := s.team(t.Name)
-	if known.Team == t {
+// SetWorkspace sets the share and the permits of a workspace.
+func (s *Scheduler) SetWorkspace(t Workspace) {
+	known := s.workspace(t.Name)
+	if known.Workspace == t {
 		return
 	}
 	raised := t.Permits > known.Permits
-	known.Team = t
+	known.Workspace = t
 	if !raised || known.waiting == 0 {
 		return
 	}
@@ -118,16 +118,16 @@
 	}
 }
 
-// RunningAndWaiting returns how many tasks a team runs and how many jobs wait.
+// RunningAndWaiting returns how many tasks a workspace runs and how many jobs wait.
 func (s *Scheduler) RunningAndWaiting(name string) (running, waiting int) {
-	t := s.team(name)
+	t := s.workspace(name)
 	return t.running, t.waiting
 }
 
-// Teams returns the names of the teams that have jobs, sorted.
-func (s *Scheduler) Teams() []string {
+// Workspaces returns the names of the workspaces that have jobs, sorted.
+func (s *Scheduler) Workspaces() []string {
 	var names []string
-	for name, t := range s.teams {
+	for name, t := range s.workspaces {
 		if t.running+t.waiting > 0 {
 			names = append(names, name)
 		}
@@ -197,7 +197,7 @@
 		s.workers[id] = w
 	}
 	t.worker = w
-	s.team(t.job.Team).running++
+	s.workspace(t.job.Team).running++
 	s.reserve(w, t.job.Id, size)
 }
 
@@ -210,7 +210,7 @@
 func (s *Scheduler) unassign(t *trackedJob) {
 	w := t.worker
 	t.worker = nil
-	s.team(t.job.Team).running--
+	s.workspace(t.job.Team).running--
 	w.reserved = w.reserved.minus(w.tasks[t.job.Id])
 	delete(w.tasks, t.job.Id)
 	s.reindex(w)
@@ -265,7 +265,7 @@
 }
 
 func (s *Scheduler) enqueue(t *trackedJob) {
-	s.team(t.job.Team).waiting++
+	s.workspace(t.job.Team).waiting++
 	p := s.pool(t.job.Pool)
 	if t.job.NotBeforeUnixMs > t.job.SubmittedUnixMs {
 		t.delayed = true
@@ -275,7 +275,7 @@
 	s.enqueueReady(p, t)
 }
 
-// enqueueReady puts a job into its team's queue, or into the pool's oversize jobs if it declares more of some resource
+// enqueueReady puts a job into its workspace's queue, or into the pool's oversize jobs if it declares more of some resource
 // than any worker offers.
 func (s *Scheduler) enqueueReady(p *pool, t *trackedJob) {
 	if !fits(declaredOf(t.job), p.largest) {
@@ -285,7 +285,7 @@
 	}
 	q := p.queues[t.job.Team]
 	if q == nil {
-		q = newTeamQueue(s.team(t.job.Team))
+		q = newWorkspaceQueue(s.workspace(t.job.Team))
 		p.queues[t.job.Team] = q
 	}
 	q.push(t)
@@ -302,7 +302,7 @@
 	}
 	t.delayed = false
 	if t.job.State == waiting && !t.pending {
-		s.team(t.job.Team).waiting--
+		s.workspace(t.job.Team).waiting--
 	}
 	if t.worker != nil {
 		s.unassign(t)
@@ -344,12 +344,12 @@
 	return d
 }
 
-// startJobs starts jobs of a pool, each time from the team with the fewest running tasks per share. It returns false if
+// startJobs starts jobs of a pool, each time from the workspace with the fewest running tasks per share. It returns false if
 // it stopped at the limit.
 func (s *Scheduler) startJobs(p *pool, d *Decision, now time.Time, limit int) bool {
 	var eligible queueHeap
 	for _, q := range p.queues {
-		if q.len() > 0 && q.team.hasFreePermit() {
+		if q.len() > 0 && q.workspace.hasFreePermit() {
 			eligible = append(eligible, q)
 		}
 	}
@@ -363,7 +363,7 @@
 		if job != nil {
 			d.Start = append(d.Start, job)
 		}
-		if job == nil || q.len() == 0 || !q.team.hasFreePermit() {
+		if job == nil || q.len() == 0 || !q.workspace.hasFreePermit() {
 			heap.Pop(&eligible)
 			continue
 		}
@@ -373,7 +373,7 @@
 }
 
 // startFromQueue starts the first job that fits, among the first backfillDepth jobs of a queue.
-func (s *Scheduler) startFromQueue(p *pool, q *teamQueue, now time.Time) *laburnumv1.Job {
+func (s *Scheduler) startFromQueue(p *pool, q *workspaceQueue, now time.Time) *laburnumv1.Job {
 	tried := 0
 	for _, jobs := range []*list.List{q.urgent, q.normal} {
 		for e := jobs.Front(); e != nil && tried < backfillDepth; e = e.Next() {
@@ -398,7 +398,7 @@
 		return nil
 	}
 	p.queues[t.job.Team].remove(t)
-	s.team(t.job.Team).waiting--
+	s.workspace(t.job.Team).waiting--
 	t.pending = true
 	s.assign(t, w.ID, size)
 	next := proto.Clone(t.job).(*laburnumv1.Job)
--- a/internal/request/placement/placement_test.go
+++ b/internal/request/placement/placement_test.go
@@ -36,7 +36,7 @@
 		h.SetWorker(Worker{ID: fmt.Sprintf("w%d", i), Pool: "p", DataCentre: "dc1", Capacity: capacity})
 	}
 	for _, name := range []string{"soap", "perfume"} {
-		h.SetTeam(Team{Name: name, Share: 1, Permits: unlimited})
+		h.SetWorkspace(Workspace{Name: name, Share: 1, Permits: unlimited})
 	}
 	return h
 }
@@ -47,9 +47,9 @@
 	return job
 }
 
-func (h *harness) submit(id, team string, size Size, change ...func(*laburnumv1.Job)) *laburnumv1.Job {
+func (h *harness) submit(id, workspace string, size Size, change ...func(*laburnumv1.Job)) *laburnumv1.Job {
 	h.seq++
-	job := &laburnumv1.Job{Id: id, Team: team, Pool: "p", Declared: size.Resources(), State: waiting, SubmittedUnixMs: h.now.UnixMilli() + h.seq}
+	job := &laburnumv1.Job{Id: id, Team: workspace, Pool: "p", Declared: size.Resources(), State: waiting, SubmittedUnixMs: h.now.UnixMilli() + h.seq}
 	for _, c := range change {
 		c(job)
 	}
@@ -85,19 +85,19 @@
 
 var oneCore = Size{MilliCPU: 1000, Memory: gib}
 
-func TestUrgentJobsStartFirstWithinTheirTeam(t *testing.T) {
+func TestUrgentJobsStartFirstWithinTheirWorkspace(t *testing.T) {
 	h := newHarness(t, 1, Size{MilliCPU: 3000, Memory: 64 * gib})
 	h.submit("s1", "soap", oneCore)
 	h.submit("s2", "soap", oneCore)
 	h.submit("p1", "perfume", oneCore)
 	h.submit("s3", "soap", oneCore, urgent)
-	// The perfume team isn't delayed: an urgent job goes ahead of its own team's jobs only.
+	// The perfume workspace isn't delayed: an urgent job goes ahead of its own workspace's jobs only.
 	must.Eq(t, []string{"p1", "s3", "s1"}, jobIDs(h.plan(unlimited)))
 }
 
-func TestTeamsStartTasksInProportionToShare(t *testing.T) {
+func TestWorkspacesStartTasksInProportionToShare(t *testing.T) {
 	h := newHarness(t, 1, Size{MilliCPU: 8000, Memory: 64 * gib})
-	h.SetTeam(Team{Name: "soap", Share: 3, Permits: unlimited})
+	h.SetWorkspace(Workspace{Name: "soap", Share: 3, Permits: unlimited})
 	for i := range 20 {
 		h.submit(fmt.Sprintf("s%d", i), "soap", oneCore)
 		h.submit(fmt.Sprintf("p%d", i), "perfume", oneCore)
@@ -111,12 +111,12 @@
 
 func TestPermitsLimitRunningTasks(t *testing.T) {
 	h := newHarness(t, 4, Size{MilliCPU: 8000, Memory: 64 * gib})
-	h.SetTeam(Team{Name: "soap", Share: 1, Permits: 2})
+	h.SetWorkspace(Workspace{Name: "soap", Share: 1, Permits: 2})
 	for i := range 5 {
 		h.submit(fmt.Sprintf("s%d", i), "soap", oneCore)
 	}
 	must.Len(t, 2, h.plan(unlimited))
-	h.SetTeam(Team{Name: "soap", Share: 1, Permits: 3})
+	h.SetWorkspace(Workspace{Name: "soap", Share: 1, Permits: 3})
 	must.Len(t, 1, h.plan(unlimited))
 	h.setState("s0", done)
 	must.Len(t, 1, h.plan(unlimited))
--- a/internal/request/placement/queue.go
+++ b/internal/request/placement/queue.go
@@ -8,39 +8,39 @@
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
 
-// Team is a team's share and the number of tasks that its limit currently allows.
-type Team struct {
+// Workspace is a workspace's share and the number of tasks that its limit currently allows.
+type Workspace struct {
 	Name    string
 	Share   uint32
 	Permits int
 }
 
-type team struct {
-	Team
+type workspace struct {
+	Workspace
 	running int // tasks in all pools
 	waiting int // jobs in all pools
 }
 
-// runningPerShare returns the number of running tasks per unit of share. The team with the lowest value starts a task next.
-func (t *team) runningPerShare() float64 { return float64(t.running) / float64(max(t.Share, 1)) }
+// runningPerShare returns the number of running tasks per unit of share. The workspace with the lowest value starts a task next.
+func (t *workspace) runningPerShare() float64 { return float64(t.running) / float64(max(t.Share, 1)) }
 
-func (t *team) hasFreePermit() bool { return t.running < t.Permits }
+func (t *workspace) hasFreePermit() bool { return t.running < t.Permits }
 
-// teamQueue holds the waiting jobs of a team in a pool. Urgent jobs come first; urgent and normal jobs are each in order of
+// workspaceQueue holds the waiting jobs of a workspace in a pool. Urgent jobs come first; urgent and normal jobs are each in order of
 // submission.
-type teamQueue struct {
-	team   *team
-	urgent *list.List // of *trackedJob
-	normal *list.List
+type workspaceQueue struct {
+	workspace *workspace
+	urgent    *list.List // of *trackedJob
+	normal    *list.List
 }
 
-func newTeamQueue(t *team) *teamQueue {
-	return &teamQueue{team: t, urgent: list.New(), normal: list.New()}
+func newWorkspaceQueue(t *workspace) *workspaceQueue {
+	return &workspaceQueue{workspace: t, urgent: list.New(), normal: list.New()}
 }
 
-func (q *teamQueue) len() int { return q.urgent.Len() + q.normal.Len() }
+func (q *workspaceQueue) len() int { return q.urgent.Len() + q.normal.Len() }
 
-func (q *teamQueue) listFor(job *laburnumv1.Job) *list.List {
+func (q *workspaceQueue) listFor(job *laburnumv1.Job) *list.List {
 	if job.Urgent {
 		return q.urgent
 	}
@@ -48,7 +48,7 @@
 }
 
 // push inserts a job by its submission time, so that a job that waits again keeps its place.
-func (q *teamQueue) push(t *trackedJob) {
+func (q *workspaceQueue) push(t *trackedJob) {
 	jobs := q.listFor(t.job)
 	for e := jobs.Back(); e != nil; e = e.Prev() {
 		if e.Value.(*trackedJob).job.SubmittedUnixMs <= t.job.SubmittedUnixMs {
@@ -59,24 +59,24 @@
 	t.element = jobs.PushFront(t)
 }
 
-func (q *teamQueue) remove(t *trackedJob) {
+func (q *workspaceQueue) remove(t *trackedJob) {
 	q.listFor(t.job).Remove(t.element)
 	t.element = nil
 }
 
-// queueHeap orders the queues of a pool by the running tasks per share of their teams.
-type queueHeap []*teamQueue
+// queueHeap orders the queues of a pool by the running tasks per share of their workspaces.
+type queueHeap []*workspaceQueue
 
 func (h queueHeap) Len() int { return len(h) }
 func (h queueHeap) Less(i, j int) bool {
-	a, b := h[i].team, h[j].team
+	a, b := h[i].workspace, h[j].workspace
 	if x, y := a.runningPerShare(), b.runningPerShare(); x != y {
 		return x < y
 	}
 	return a.Name < b.Name
 }
 func (h queueHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *queueHeap) Push(x any)   { *h = append(*h, x.(*teamQueue)) }
+func (h *queueHeap) Push(x any)   { *h = append(*h, x.(*workspaceQueue)) }
 func (h *queueHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
--- a/internal/request/queue/fair.go
+++ b/internal/request/queue/fair.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// maxServiceLead is the most by which a team's service may exceed minService, in slot-seconds per unit of weight.
+	// maxServiceLead is the most by which a workspace's service may exceed minService, in slot-seconds per unit of weight.
 	maxServiceLead = 2.0
 	// runMeanDivisor sets the weight of one run in the moving mean of run times: 1/runMeanDivisor.
 	runMeanDivisor = 32
@@ -15,43 +15,43 @@
 	defaultRunTime = 10 * time.Millisecond
 )
 
-// teamQueue holds the waiting requests of one team in one pool and counts its running ones.
-type teamQueue struct {
-	team          string
+// workspaceQueue holds the waiting requests of one workspace in one pool and counts its running ones.
+type workspaceQueue struct {
+	workspace     string
 	weight        float64
 	urgent        *list.List // of *waiter, oldest first
 	normal        *list.List
 	running       int // granted by this entry, which schedules the pool
 	remoteRunning int // running in other data centres, as last reported
-	// service is the slot time that the team has used, in slot-seconds per unit of weight.
+	// service is the slot time that the workspace has used, in slot-seconds per unit of weight.
 	service float64
-	// blocked is set while the team's limit keeps its waiting requests from starting.
+	// blocked is set while the workspace's limit keeps its waiting requests from starting.
 	blocked bool
 }
 
-func (tq *teamQueue) waiting() int { return tq.urgent.Len() + tq.normal.Len() }
+func (tq *workspaceQueue) waiting() int { return tq.urgent.Len() + tq.normal.Len() }
 
-func (tq *teamQueue) head() *list.Element {
+func (tq *workspaceQueue) head() *list.Element {
 	if e := tq.urgent.Front(); e != nil {
 		return e
 	}
 	return tq.normal.Front()
 }
 
-// fairQueue implements weighted fair queuing between the teams of a pool: the team with the least service per
-// unit of weight is served next. Service accrues with the slots that a team holds, including those known to be
-// held in other data centres. A full pool is thus shared by weight over time, and slots that one team does not
+// fairQueue implements weighted fair queuing between the workspaces of a pool: the workspace with the least service per
+// unit of weight is served next. Service accrues with the slots that a workspace holds, including those known to be
+// held in other data centres. A full pool is thus shared by weight over time, and slots that one workspace does not
 // use go to the others. It is deterministic.
 type fairQueue struct {
-	queues     map[string]*teamQueue
-	minService float64 // least service of the teams that could use a slot, as of the last grant; never falls
+	queues     map[string]*workspaceQueue
+	minService float64 // least service of the workspaces that could use a slot, as of the last grant; never falls
 	accruedAt  time.Time
 
 	meanRunTime time.Duration
 	runs        int
 }
 
-func newFairQueue() fairQueue { return fairQueue{queues: make(map[string]*teamQueue)} }
+func newFairQueue() fairQueue { return fairQueue{queues: make(map[string]*workspaceQueue)} }
 
 // accrueService adds the service since the last call. The first call, and one after more than an hour or after the
 // clock was set back, add nothing.
@@ -66,23 +66,25 @@
 	}
 }
 
-// queueOf returns the queue of a team. A new one starts at minService, so that it has no credit over the others.
-func (f *fairQueue) queueOf(team string, weight uint32) *teamQueue {
-	tq := f.queues[team]
+// queueOf returns the queue of a workspace. A new one starts at minService, so that it has no credit over the others.
+func (f *fairQueue) queueOf(workspace string, weight uint32) *workspaceQueue {
+	tq := f.queues[workspace]
 	if tq == nil {
-		tq = &teamQueue{team: team, urgent: list.New(), normal: list.New(), service: f.minService}
-		f.queues[team] = tq
+		tq = &workspaceQueue{workspace: workspace, urgent: list.New(), normal: list.New(), service: f.minService}
+		f.queues[workspace] = tq
 	}
 	tq.weight = math.Max(1, float64(weight))
 	return tq
 }
 
-// raiseToMinimum cancels the credit of a team that could not use a slot for a while, or did not ask for one.
-func (f *fairQueue) raiseToMinimum(tq *teamQueue) { tq.service = math.Max(tq.service, f.minService) }
+// raiseToMinimum cancels the credit of a workspace that could not use a slot for a while, or did not ask for one.
+func (f *fairQueue) raiseToMinimum(tq *workspaceQueue) {
+	tq.service = math.Max(tq.service, f.minService)
+}
 
 // next returns the queue to serve next among those with waiting requests for which skip is false, or nil.
-func (f *fairQueue) next(skip func(*teamQueue) bool) *teamQueue {
-	var best *teamQueue
+func (f *fairQueue) next(skip func(*workspaceQueue) bool) *workspaceQueue {
+	var best *workspaceQueue
 	for _, tq := range f.queues {
 		if tq.waiting() == 0 || skip(tq) {
 			continue
@@ -96,7 +98,7 @@
 
 // precedes reports whether tq is served before other: by less service, then by fewer running requests per unit of
 // weight, then by name.
-func (tq *teamQueue) precedes(other *teamQueue) bool {
+func (tq *workspaceQueue) precedes(other *workspaceQueue) bool {
 	if tq.service != other.service {
 		return tq.service < other.service
 	}
@@ -104,12 +106,12 @@
 	if a != b {
 		return a < b
 	}
-	return tq.team < other.team
+	return tq.workspace < other.workspace
 }
 
-// recordGrant raises minService to the service of the team just served, and caps the service of every team at
+// recordGrant raises minService to the service of the workspace just served, and caps the service of every workspace at
 // minService+maxServiceLead.
-func (f *fairQueue) recordGrant(served *teamQueue) {
+func (f *fairQueue) recordGrant(served *workspaceQueue) {
 	f.minService = math.Max(f.minService, served.service)
 	for _, tq := range f.queues {
 		tq.service = math.Min(tq.service, f.minService+maxServiceLead)
@@ -122,10 +124,10 @@
 	f.meanRunTime += (d - f.meanRunTime) / time.Duration(min(f.runs, runMeanDivisor))
 }
 
-// estimateWait estimates how long the request at a position of a team's queue waits for its start. It uses the mean
-// run time and the team's share of the slots, by weight among the teams with waiting requests; a team at its limit
+// estimateWait estimates how long the request at a position of a workspace's queue waits for its start. It uses the mean
+// run time and the workspace's share of the slots, by weight among the workspaces with waiting requests; a workspace at its limit
 // gets no more slots than it uses now, but at least one. Position 0 is the next request.
-func (f *fairQueue) estimateWait(tq *teamQueue, position, slots int) time.Duration {
+func (f *fairQueue) estimateWait(tq *workspaceQueue, position, slots int) time.Duration {
 	if slots <= 0 {
 		return math.MaxInt64
 	}
@@ -140,8 +142,8 @@
 	return time.Duration(float64(run) * float64(position+1) / share)
 }
 
-// contendingWeight sums the weights of tq and of the other teams that have waiting requests and are not at their limit.
-func (f *fairQueue) contendingWeight(tq *teamQueue) float64 {
+// contendingWeight sums the weights of tq and of the other workspaces that have waiting requests and are not at their limit.
+func (f *fairQueue) contendingWeight(tq *workspaceQueue) float64 {
 	sum := tq.weight
 	for _, other := range f.queues {
 		if other != tq && other.waiting() > 0 && !other.blocked {
@@ -151,15 +153,15 @@
 	return sum
 }
 
-// removeIdle deletes the queues of teams that have no requests waiting or running anywhere. A team whose service is
+// removeIdle deletes the queues of workspaces that have no requests waiting or running anywhere. A workspace whose service is
 // above minService keeps its queue, because a new one would start at minService. If the whole pool is idle, all queues
 // are deleted.
 func (f *fairQueue) removeIdle() {
 	busy := false
-	for team, tq := range f.queues {
+	for workspace, tq := range f.queues {
 		idle := tq.waiting() == 0 && tq.running == 0 && tq.remoteRunning == 0
 		if idle && tq.service <= f.minService {
-			delete(f.queues, team)
+			delete(f.queues, workspace)
 		}
 		busy = busy || !idle
 	}
--- a/internal/request/queue/pool.go
+++ b/internal/request/queue/pool.go
@@ -24,21 +24,21 @@
 	Return(pool, instance string, result routing.Result, took time.Duration, now time.Time)
 }
 
-// permitSource provides the permits under the limits of teams; escrow.Permits satisfies it.
+// permitSource provides the permits under the limits of workspaces; escrow.Permits satisfies it.
 type permitSource interface {
-	// TryAcquire takes a permit. If none is free, it records demand of the team in this data centre.
-	TryAcquire(team string) bool
+	// TryAcquire takes a permit. If none is free, it records demand of the workspace in this data centre.
+	TryAcquire(workspace string) bool
 	// TryAcquireWithoutDemand takes a permit for a request that goes to another data centre if no permit is free. A
 	// failure is not counted as demand.
-	TryAcquireWithoutDemand(team string) bool
-	Release(team string)
+	TryAcquireWithoutDemand(workspace string) bool
+	Release(workspace string)
 }
 
 // waiter is a queued request.
 type waiter struct {
 	ticket  *admission.Ticket
 	decided chan decision // has a buffer of one, so that sending never blocks
-	queue   *teamQueue
+	queue   *workspaceQueue
 	list    *list.List
 	element *list.Element
 }
@@ -56,9 +56,9 @@
 	slots         slotSource
 	permits       permitSource
 	ids           *requestid.Generator
-	weight        func(team, pool string) uint32
-	blocked       *atomic.Bool                     // set when a team's limit blocks a request; shared by all pools
-	onPermitFreed func(team string, now time.Time) // notifies the other pools of a free permit; called without locks held
+	weight        func(workspace, pool string) uint32
+	blocked       *atomic.Bool                          // set when a workspace's limit blocks a request; shared by all pools
+	onPermitFreed func(workspace string, now time.Time) // notifies the other pools of a free permit; called without locks held
 
 	mu      sync.Mutex
 	fair    fairQueue
@@ -70,7 +70,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fair.accrueService(now)
-	tq := p.fair.queueOf(t.Team, p.weight(t.Team, p.name))
+	tq := p.fair.queueOf(t.Workspace, p.weight(t.Workspace, p.name))
 	if tq.waiting() == 0 {
 		p.fair.raiseToMinimum(tq)
 	}
@@ -96,7 +96,7 @@
 
 // insert adds a waiter in order of arrival. A request that comes back from another data centre without a slot keeps
 // its first arrival time, and so its place.
-func (p *pool) insert(tq *teamQueue, w *waiter) {
+func (p *pool) insert(tq *workspaceQueue, w *waiter) {
 	w.queue, w.list = tq, tq.normal
 	if w.ticket.Urgent {
 		w.list = tq.urgent
@@ -137,14 +137,14 @@
 // them.
 func (p *pool) acquirePermit(t *admission.Ticket, now time.Time) bool {
 	if t.StartBy.After(now) {
-		return p.permits.TryAcquire(t.Team)
+		return p.permits.TryAcquire(t.Workspace)
 	}
-	return p.permits.TryAcquireWithoutDemand(t.Team)
+	return p.permits.TryAcquireWithoutDemand(t.Workspace)
 }
 
 // tryGrant takes a permit and a slot for a request. It returns nil if either is missing, and sets tq.blocked if it is
 // the permit.
-func (p *pool) tryGrant(tq *teamQueue, t *admission.Ticket, now time.Time) *Grant {
+func (p *pool) tryGrant(tq *workspaceQueue, t *admission.Ticket, now time.Time) *Grant {
 	if !p.acquirePermit(t, now) {
 		tq.blocked = true
 		p.blocked.Store(true)
@@ -156,19 +156,19 @@
 	}
 	slot := p.slots.Pick(p.name, t.AvoidInstance, now)
 	if slot == nil {
-		p.permits.Release(t.Team)
+		p.permits.Release(t.Workspace)
 		return nil
 	}
 	tq.running++
 	p.fair.recordGrant(tq)
-	return &Grant{Slot: slot, ID: p.ids.Next(t.Team), Team: t.Team, GrantedAt: now, pool: p}
+	return &Grant{Slot: slot, ID: p.ids.Next(t.Workspace), Workspace: t.Workspace, GrantedAt: now, pool: p}
 }
 
-// grantWaiting grants waiting requests until no slot is free or no team may use one.
+// grantWaiting grants waiting requests until no slot is free or no workspace may use one.
 func (p *pool) grantWaiting(now time.Time) {
-	limitedTeams := make(map[*teamQueue]bool)
+	limitedWorkspaces := make(map[*workspaceQueue]bool)
 	for p.waiting > 0 {
-		tq := p.fair.next(func(tq *teamQueue) bool { return limitedTeams[tq] })
+		tq := p.fair.next(func(tq *workspaceQueue) bool { return limitedWorkspaces[tq] })
 		if tq == nil {
 			return
 		}
@@ -178,7 +178,7 @@
 			return // no slot is free
 		}
 		if g == nil {
-			limitedTeams[tq] = true
+			limitedWorkspaces[tq] = true
 			continue
 		}
 		p.remove(w)
@@ -199,7 +199,7 @@
 }
 
 // refuseNewIfTooLate refuses a new request that can't start in time at the measured service rate.
-func (p *pool) refuseNewIfTooLate(tq *teamQueue, t *admission.Ticket, now time.Time) *outcome.Refusal {
+func (p *pool) refuseNewIfTooLate(tq *workspaceQueue, t *admission.Ticket, now time.Time) *outcome.Refusal {
 	total, _ := p.slots.Capacity(p.name, now)
 	ahead := tq.waiting()
 	if t.Urgent {
@@ -211,19 +211,19 @@
 	return p.refuseIfTooLate(tq, t, ahead, total, now)
 }
 
-// refuseIfTooLate refuses a request at a position of its team's queue if its estimated wait ends after its latest start.
-func (p *pool) refuseIfTooLate(tq *teamQueue, t *admission.Ticket, position, total int, now time.Time) *outcome.Refusal {
+// refuseIfTooLate refuses a request at a position of its workspace's queue if its estimated wait ends after its latest start.
+func (p *pool) refuseIfTooLate(tq *workspaceQueue, t *admission.Ticket, position, total int, now time.Time) *outcome.Refusal {
 	wait := p.fair.estimateWait(tq, position, total)
 	left := t.StartBy.Sub(now)
 	if wait <= left {
 		return nil
 	}
 	r := outcome.Refuse(http.StatusServiceUnavailable, ReasonTooLate,
-		"the request would not start in time: %d requests of its team are ahead of it in pool %s", position, p.name)
+		"the request would not start in time: %d requests of its workspace are ahead of it in pool %s", position, p.name)
 	return r.WithRetryAfter(max(minRetryAfter, wait-left))
 }
 
-// shedLateWaiters goes through each team's requests from the front of its queue and refuses those that can no longer
+// shedLateWaiters goes through each workspace's requests from the front of its queue and refuses those that can no longer
 // start in time. A refused request no longer counts as ahead of those behind it, which shortens their estimated wait.
 func (p *pool) shedLateWaiters(now time.Time) {
 	total, _ := p.slots.Capacity(p.name, now)
@@ -238,9 +238,9 @@
 	}
 }
 
-// shedLateInList refuses the late requests in one list of a team. position is that of the list's first request in the
-// team's queue. It returns the position after the last request that stays.
-func (p *pool) shedLateInList(tq *teamQueue, queued *list.List, position, total int, now time.Time) int {
+// shedLateInList refuses the late requests in one list of a workspace. position is that of the list's first request in the
+// workspace's queue. It returns the position after the last request that stays.
+func (p *pool) shedLateInList(tq *workspaceQueue, queued *list.List, position, total int, now time.Time) int {
 	for e := queued.Front(); e != nil; {
 		w := e.Value.(*waiter)
 		e = e.Next()
@@ -255,9 +255,9 @@
 	return position
 }
 
-// enforceMaxWaiting refuses a request if the queue is full: the newest normal request of the team with the most waiting
-// requests per unit of weight. If t is of that team, or the team has no normal request waiting, it refuses t.
-func (p *pool) enforceMaxWaiting(tq *teamQueue, t *admission.Ticket, now time.Time) *outcome.Refusal {
+// enforceMaxWaiting refuses a request if the queue is full: the newest normal request of the workspace with the most waiting
+// requests per unit of weight. If t is of that workspace, or the workspace has no normal request waiting, it refuses t.
+func (p *pool) enforceMaxWaiting(tq *workspaceQueue, t *admission.Ticket, now time.Time) *outcome.Refusal {
 	if p.waiting < t.MaxWaiting {
 		return nil
 	}
@@ -291,11 +291,11 @@
 // release returns the slot and the permit of a grant and grants waiting requests.
 func (p *pool) release(g *Grant, result routing.Result, took time.Duration, now time.Time) {
 	p.slots.Return(p.name, g.Instance, result, took, now)
-	p.permits.Release(g.Team)
+	p.permits.Release(g.Workspace)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fair.accrueService(now)
-	if tq := p.fair.queues[g.Team]; tq != nil {
+	if tq := p.fair.queues[g.Workspace]; tq != nil {
 		tq.running--
 	}
 	if result != routing.Neutral {
@@ -304,11 +304,11 @@
 	p.grantWaiting(now)
 }
 
-// permitFreed grants waiting requests of a team that its limit had blocked.
-func (p *pool) permitFreed(team string, now time.Time) {
+// permitFreed grants waiting requests of a workspace that its limit had blocked.
+func (p *pool) permitFreed(workspace string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if tq := p.fair.queues[team]; tq != nil && tq.blocked && tq.waiting() > 0 {
+	if tq := p.fair.queues[workspace]; tq != nil && tq.blocked && tq.waiting() > 0 {
 		p.fair.accrueService(now)
 		p.grantWaiting(now)
 	}
@@ -319,21 +319,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	total, _ := p.slots.Capacity(p.name, now)
-	tq := p.fair.queues[t.Team]
+	tq := p.fair.queues[t.Workspace]
 	if tq == nil || total == 0 {
 		return p.refuseNoCapacity(minRetryAfter)
 	}
 	return p.refuseNoCapacity(max(minRetryAfter, p.fair.estimateWait(tq, tq.waiting(), total)))
 }
 
-// runningByTeam returns the number of requests that each team runs on grants of this entry, or nil if none runs.
-func (p *pool) runningByTeam() *laburnumv1.PoolUse {
+// runningByWorkspace returns the number of requests that each workspace runs on grants of this entry, or nil if none runs.
+func (p *pool) runningByWorkspace() *laburnumv1.PoolUse {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	use := &laburnumv1.PoolUse{Pool: p.name}
 	for _, tq := range p.fair.queues {
 		if tq.running > 0 {
-			use.Teams = append(use.Teams, &laburnumv1.TeamSlots{Team: tq.team, Running: uint32(tq.running)})
+			use.Teams = append(use.Teams, &laburnumv1.TeamSlots{Team: tq.workspace, Running: uint32(tq.running)})
 		}
 	}
 	if len(use.Teams) == 0 {
@@ -342,7 +342,7 @@
 	return use
 }
 
-// setRemoteRunning replaces the number of requests that each team runs in other data centres.
+// setRemoteRunning replaces the number of requests that each workspace runs in other data centres.
 func (p *pool) setRemoteRunning(running map[string]int, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -350,7 +350,7 @@
 	for _, tq := range p.fair.queues {
 		tq.remoteRunning = 0
 	}
-	for team, n := range running {
-		p.fair.queueOf(team, p.weight(team, p.name)).remoteRunning = n
+	for workspace, n := range running {
+		p.fair.queueOf(workspace, p.weight(workspace, p.name)).remoteRunning = n
 	}
 }
--- a/internal/request/queue/queue.go
+++ b/internal/request/queue/queue.go
@@ -1,7 +1,7 @@
 // Package queue decides which waiting request runs next, and on which instance.
 //
-// Each pool has a queue for each team. A free slot goes to the team that has used the least of the pool per unit of
-// weight; within a team, urgent requests go first. A request that can't start in time is refused at once. The same calls
+// Each pool has a queue for each workspace. A free slot goes to the workspace that has used the least of the pool per unit of
+// weight; within a workspace, urgent requests go first. A request that can't start in time is refused at once. The same calls
 // at the same times lead to the same decisions. Each pool has its own lock, under which permits and slots are taken.
 //
 // An entry is a node of the fleet that accepts requests. In each data centre, one entry schedules a pool and
@@ -32,11 +32,11 @@
 	ReasonQueueFull = "queue-full"
 )
 
-// Grant is the right to run one request. It holds a slot of an instance and a permit under the team's limit.
+// Grant is the right to run one request. It holds a slot of an instance and a permit under the workspace's limit.
 type Grant struct {
 	*routing.Slot
 	ID        requestid.ID
-	Team      string
+	Workspace string
 	GrantedAt time.Time
 
 	pool *pool
@@ -48,7 +48,7 @@
 func (g *Grant) Release(result routing.Result, took time.Duration, now time.Time) {
 	g.once.Do(func() {
 		g.pool.release(g, result, took, now)
-		g.pool.onPermitFreed(g.Team, now)
+		g.pool.onPermitFreed(g.Workspace, now)
 	})
 }
 
@@ -57,18 +57,18 @@
 	router  *routing.Router
 	permits escrow.Permits
 	ids     *requestid.Generator
-	weight  func(team, pool string) uint32
+	weight  func(workspace, pool string) uint32
 	now     func() time.Time
 
-	// blocked is set while any team's limit keeps a waiting request from starting.
+	// blocked is set while any workspace's limit keeps a waiting request from starting.
 	blocked atomic.Bool
 
 	mu    sync.RWMutex
 	pools map[string]*pool
 }
 
-// New returns an empty queue. weight returns a team's share in a pool.
-func New(router *routing.Router, permits escrow.Permits, ids *requestid.Generator, weight func(team, pool string) uint32, now func() time.Time) *Queue {
+// New returns an empty queue. weight returns a workspace's share in a pool.
+func New(router *routing.Router, permits escrow.Permits, ids *requestid.Generator, weight func(workspace, pool string) uint32, now func() time.Time) *Queue {
 	return &Queue{router: router, permits: permits, ids: ids, weight: weight, now: now, pools: make(map[string]*pool)}
 }
 
@@ -83,7 +83,7 @@
 	defer q.mu.Unlock()
 	if p = q.pools[name]; p == nil {
 		p = &pool{name: name, slots: q.router, permits: q.permits, ids: q.ids, weight: q.weight, fair: newFairQueue(), blocked: &q.blocked}
-		p.onPermitFreed = func(team string, now time.Time) { q.serveBlocked(p, team, now) }
+		p.onPermitFreed = func(workspace string, now time.Time) { q.serveBlocked(p, workspace, now) }
 		q.pools[name] = p
 	}
 	return p
@@ -112,13 +112,13 @@
 }
 
 // serveBlocked offers a permit that was released in one pool to the requests that wait in the others.
-func (q *Queue) serveBlocked(from *pool, team string, now time.Time) {
+func (q *Queue) serveBlocked(from *pool, workspace string, now time.Time) {
 	if !q.blocked.Load() {
 		return
 	}
 	for _, p := range q.allPools() {
 		if p != from {
-			p.permitFreed(team, now)
+			p.permitFreed(workspace, now)
 		}
 	}
 }
@@ -150,18 +150,18 @@
 	return p.waiting
 }
 
-// RunningByPool returns the number of requests that each team runs on grants of this entry, by pool.
+// RunningByPool returns the number of requests that each workspace runs on grants of this entry, by pool.
 func (q *Queue) RunningByPool() []*laburnumv1.PoolUse {
 	var list []*laburnumv1.PoolUse
 	for _, p := range q.allPools() {
-		if use := p.runningByTeam(); use != nil {
+		if use := p.runningByWorkspace(); use != nil {
 			list = append(list, use)
 		}
 	}
 	return list
 }
 
-// SetRemoteRunning replaces the number of requests that run in other data centres, by pool and team.
+// SetRemoteRunning replaces the number of requests that run in other data centres, by pool and workspace.
 func (q *Queue) SetRemoteRunning(running map[string]map[string]int) {
 	now := q.now()
 	for _, p := range q.allPools() {
--- a/internal/request/queue/queue_test.go
+++ b/internal/request/queue/queue_test.go
@@ -32,33 +32,33 @@
 
 func (s *fakeSlots) Return(string, string, routing.Result, time.Duration, time.Time) { s.used-- }
 
-// fakePermits is a permitSource with a limit for some teams; the others are unlimited.
+// fakePermits is a permitSource with a limit for some workspaces; the others are unlimited.
 type fakePermits struct{ limit, running map[string]int }
 
-func (l *fakePermits) TryAcquireWithoutDemand(team string) bool { return l.TryAcquire(team) }
+func (l *fakePermits) TryAcquireWithoutDemand(workspace string) bool { return l.TryAcquire(workspace) }
 
-func (l *fakePermits) TryAcquire(team string) bool {
-	if limit, ok := l.limit[team]; ok && l.running[team] >= limit {
+func (l *fakePermits) TryAcquire(workspace string) bool {
+	if limit, ok := l.limit[workspace]; ok && l.running[workspace] >= limit {
 		return false
 	}
-	l.running[team]++
+	l.running[workspace]++
 	return true
 }
 
-func (l *fakePermits) Release(team string) { l.running[team]-- }
+func (l *fakePermits) Release(workspace string) { l.running[workspace]-- }
 
 // simulation drives a pool's queue in virtual time.
 type simulation struct {
 	*pool
-	slots       *fakeSlots
-	teamPermits *fakePermits
-	now         time.Time
-	running     []*runningRequest
-	undecided   map[*waiter]bool
-	slotSeconds map[string]float64 // used by team
-	refused     map[string]int     // by reason
-	granted     []*Grant
-	runTime     func(team string) time.Duration
+	slots            *fakeSlots
+	workspacePermits *fakePermits
+	now              time.Time
+	running          []*runningRequest
+	undecided        map[*waiter]bool
+	slotSeconds      map[string]float64 // used by workspace
+	refused          map[string]int     // by reason
+	granted          []*Grant
+	runTime          func(workspace string) time.Duration
 }
 
 type runningRequest struct {
@@ -68,20 +68,20 @@
 
 func newSimulation(slots int, weights, limit map[string]int) *simulation {
 	sim := &simulation{
-		slots: &fakeSlots{total: slots}, teamPermits: &fakePermits{limit: limit, running: make(map[string]int)}, now: start,
+		slots: &fakeSlots{total: slots}, workspacePermits: &fakePermits{limit: limit, running: make(map[string]int)}, now: start,
 		undecided: make(map[*waiter]bool), slotSeconds: make(map[string]float64), refused: make(map[string]int),
 		runTime: func(string) time.Duration { return 20 * time.Millisecond },
 	}
 	sim.pool = &pool{
-		name: "p", slots: sim.slots, permits: sim.teamPermits, ids: requestid.NewGenerator("e", 1), fair: newFairQueue(),
+		name: "p", slots: sim.slots, permits: sim.workspacePermits, ids: requestid.NewGenerator("e", 1), fair: newFairQueue(),
 		blocked: new(atomic.Bool), onPermitFreed: func(string, time.Time) {},
-		weight: func(team, _ string) uint32 { return uint32(weights[team]) },
+		weight: func(workspace, _ string) uint32 { return uint32(weights[workspace]) },
 	}
 	return sim
 }
 
-func (sim *simulation) ticket(team string, wait time.Duration) *admission.Ticket {
-	return &admission.Ticket{Pool: "p", Team: team, ArrivedAt: sim.now, StartBy: sim.now.Add(wait), Deadline: sim.now.Add(wait + time.Minute), MaxWaiting: 1000}
+func (sim *simulation) ticket(workspace string, wait time.Duration) *admission.Ticket {
+	return &admission.Ticket{Pool: "p", Workspace: workspace, ArrivedAt: sim.now, StartBy: sim.now.Add(wait), Deadline: sim.now.Add(wait + time.Minute), MaxWaiting: 1000}
 }
 
 func (sim *simulation) submit(t *admission.Ticket) *waiter {
@@ -100,7 +100,7 @@
 
 func (sim *simulation) startRun(g *Grant) {
 	sim.granted = append(sim.granted, g)
-	sim.running = append(sim.running, &runningRequest{grant: g, endsAt: sim.now.Add(sim.runTime(g.Team))})
+	sim.running = append(sim.running, &runningRequest{grant: g, endsAt: sim.now.Add(sim.runTime(g.Workspace))})
 }
 
 // collectDecisions receives the decisions on waiting requests made so far.
@@ -124,7 +124,7 @@
 	sim.now = sim.now.Add(d)
 	var left []*runningRequest
 	for _, active := range sim.running {
-		sim.slotSeconds[active.grant.Team] += d.Seconds()
+		sim.slotSeconds[active.grant.Workspace] += d.Seconds()
 		if active.endsAt.After(sim.now) {
 			left = append(left, active)
 			continue
@@ -142,15 +142,15 @@
 	sim.collectDecisions()
 }
 
-// topUpWaiting submits requests until each team has the given number waiting.
+// topUpWaiting submits requests until each workspace has the given number waiting.
 func (sim *simulation) topUpWaiting(level map[string]int) {
 	have := make(map[string]int)
 	for waiter := range sim.undecided {
-		have[waiter.ticket.Team]++
+		have[waiter.ticket.Workspace]++
 	}
-	for team, want := range level {
-		for i := have[team]; i < want; i++ {
-			sim.submit(sim.ticket(team, time.Minute))
+	for workspace, want := range level {
+		for i := have[workspace]; i < want; i++ {
+			sim.submit(sim.ticket(workspace, time.Minute))
 		}
 	}
 }
@@ -171,15 +171,15 @@
 		"longer runs":  {8, map[string]int{"a": 1, "b": 1}, nil, map[string]int{"a": 20, "b": 20}, nil, map[string]time.Duration{"a": 200 * time.Millisecond}, map[string]float64{"a": 0.5, "b": 0.5}},
 		"more callers": {8, map[string]int{"a": 1, "b": 1}, nil, map[string]int{"a": 200, "b": 10}, nil, nil, map[string]float64{"a": 0.5, "b": 0.5}},
 		"borrowing":    {8, map[string]int{"a": 1, "b": 3}, nil, map[string]int{"a": 20}, nil, nil, map[string]float64{"a": 1}},
-		"unused share of a limited team is split by weight": {8, map[string]int{"a": 2, "b": 1, "c": 1}, map[string]int{"a": 2}, map[string]int{"a": 20, "b": 20, "c": 20}, nil, nil, map[string]float64{"a": 0.25, "b": 0.375, "c": 0.375}},
+		"unused share of a limited workspace is split by weight": {8, map[string]int{"a": 2, "b": 1, "c": 1}, map[string]int{"a": 2}, map[string]int{"a": 20, "b": 20, "c": 20}, nil, nil, map[string]float64{"a": 0.25, "b": 0.375, "c": 0.375}},
 		"runs elsewhere": {8, map[string]int{"a": 1, "b": 1}, nil, map[string]int{"a": 20, "b": 20}, map[string]int{"a": 4}, nil, map[string]float64{"a": 0.25, "b": 0.75}},
 		"most elsewhere": {8, map[string]int{"a": 1, "b": 1}, nil, map[string]int{"a": 20, "b": 20}, map[string]int{"a": 12}, nil, map[string]float64{"a": 0, "b": 1}},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			sim := newSimulation(tc.slots, tc.weights, tc.limit)
-			sim.runTime = func(team string) time.Duration {
-				if d := tc.run[team]; d != 0 {
+			sim.runTime = func(workspace string) time.Duration {
+				if d := tc.run[workspace]; d != 0 {
 					return d
 				}
 				return 20 * time.Millisecond
@@ -190,14 +190,14 @@
 				sim.advance(4 * time.Millisecond)
 			}
 			total := float64(tc.slots) * 10
-			for team, want := range tc.want {
-				must.InDelta(t, want, sim.slotSeconds[team]/total, 0.05*want+0.01, must.Sprint(team, sim.slotSeconds))
+			for workspace, want := range tc.want {
+				must.InDelta(t, want, sim.slotSeconds[workspace]/total, 0.05*want+0.01, must.Sprint(workspace, sim.slotSeconds))
 			}
 		})
 	}
 }
 
-// A team that was idle has no claim to the slots that it did not use meanwhile.
+// A workspace that was idle has no claim to the slots that it did not use meanwhile.
 func TestNoCreditForIdleTime(t *testing.T) {
 	sim := newSimulation(4, map[string]int{"a": 1, "b": 1}, nil)
 	for range 1000 {
@@ -212,7 +212,7 @@
 	must.InDelta(t, 0.5, sim.slotSeconds["b"]/4, 0.05)
 }
 
-// A team that ran only one long request has no claim to the rest of its share, which it did not use.
+// A workspace that ran only one long request has no claim to the rest of its share, which it did not use.
 func TestNoCreditForPartlyUsedTime(t *testing.T) {
 	sim := newSimulation(4, map[string]int{"a": 1, "b": 1}, nil)
 	sim.runTime = func(string) time.Duration { return 6 * time.Second }
@@ -230,7 +230,7 @@
 	must.InDelta(t, 0.5, sim.slotSeconds["b"]/4, 0.05)
 }
 
-func TestUrgentGoesFirstWithinItsTeamOnly(t *testing.T) {
+func TestUrgentGoesFirstWithinItsWorkspaceOnly(t *testing.T) {
 	sim := newSimulation(1, map[string]int{"a": 1, "b": 1}, nil)
 	sim.submit(sim.ticket("a", time.Minute))
 	for range 3 {
@@ -245,15 +245,15 @@
 	}
 	var order []string
 	for _, g := range sim.granted {
-		order = append(order, g.Team)
+		order = append(order, g.Workspace)
 	}
 	must.Eq(t, []string{"a", "b", "a", "b", "a", "b", "a", "a"}, order)
 	must.MapEmpty(t, sim.undecided)
 	must.Eq(t, 0, sim.waitingOf("a"))
 }
 
-func (sim *simulation) waitingOf(team string) int {
-	if tq := sim.fair.queues[team]; tq != nil {
+func (sim *simulation) waitingOf(workspace string) int {
+	if tq := sim.fair.queues[workspace]; tq != nil {
 		return tq.waiting()
 	}
 	return 0
@@ -311,10 +311,10 @@
 	must.Greater(t, 40, sim.refused[ReasonTooLate])
 }
 
-func TestQueueIsBoundedAndOneTeamCannotFillIt(t *testing.T) {
+func TestQueueIsBoundedAndOneWorkspaceCannotFillIt(t *testing.T) {
 	sim := newSimulation(1, map[string]int{"a": 1, "b": 1}, nil)
-	bounded := func(team string) *admission.Ticket {
-		ticket := sim.ticket(team, time.Hour)
+	bounded := func(workspace string) *admission.Ticket {
+		ticket := sim.ticket(workspace, time.Hour)
 		ticket.MaxWaiting = 10
 		return ticket
 	}
@@ -336,22 +336,22 @@
 func TestSlotsAndPermitsAreReleasedOnceUnderMassCancellation(t *testing.T) {
 	sim := newSimulation(5, map[string]int{"a": 3, "b": 1, "c": 1}, map[string]int{"c": 2})
 	random := rand.New(rand.NewSource(7))
-	teams := []string{"a", "b", "c"}
+	workspaces := []string{"a", "b", "c"}
 	for range 400 {
 		for range random.Intn(30) {
-			sim.submit(sim.ticket(teams[random.Intn(3)], time.Duration(1+random.Intn(300))*time.Millisecond))
+			sim.submit(sim.ticket(workspaces[random.Intn(3)], time.Duration(1+random.Intn(300))*time.Millisecond))
 		}
 		if random.Intn(20) == 0 {
 			sim.cancelAll()
 		}
 		must.LessEq(t, 5, sim.slots.used)
-		must.LessEq(t, 2, sim.teamPermits.running["c"])
+		must.LessEq(t, 2, sim.workspacePermits.running["c"])
 		sim.advance(time.Duration(random.Intn(20)) * time.Millisecond)
 	}
 	sim.cancelAll()
 	sim.advance(time.Second)
 	must.Eq(t, 0, sim.slots.used)
-	must.Eq(t, map[string]int{"a": 0, "b": 0, "c": 0}, sim.teamPermits.running)
+	must.Eq(t, map[string]int{"a": 0, "b": 0, "c": 0}, sim.workspacePermits.running)
 	must.Eq(t, 0, sim.pool.waiting)
 	must.MapEmpty(t, sim.fair.queues)
 }
@@ -390,17 +390,17 @@
 	sim.granted[0].Release(routing.Answered, 0, sim.now)
 	sim.granted[0].Release(routing.Answered, 0, sim.now)
 	must.Eq(t, 0, sim.slots.used)
-	must.Eq(t, 0, sim.teamPermits.running["a"])
+	must.Eq(t, 0, sim.workspacePermits.running["a"])
 }
 
-// A permit that is released in one pool goes to a request of the same team that waits in another.
+// A permit that is released in one pool goes to a request of the same workspace that waits in another.
 func TestFreePermitServesTheOtherPools(t *testing.T) {
 	one, other := newSimulation(4, map[string]int{"a": 1}, map[string]int{"a": 1}), newSimulation(4, map[string]int{"a": 1}, nil)
 	q := &Queue{pools: map[string]*pool{"one": one.pool, "other": other.pool}}
-	other.permits = one.teamPermits
+	other.permits = one.workspacePermits
 	for _, sim := range []*simulation{one, other} {
 		sim.blocked = &q.blocked
-		sim.onPermitFreed = func(team string, now time.Time) { q.serveBlocked(sim.pool, team, now) }
+		sim.onPermitFreed = func(workspace string, now time.Time) { q.serveBlocked(sim.pool, workspace, now) }
 	}
 	one.submit(one.ticket("a", time.Minute))
 	other.submit(other.ticket("a", time.Minute))
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -80,7 +80,7 @@
 type planner struct {
 	*Input
 	serversByPool map[string][]*serverState
-	plannedUsage  map[string]ledger.Resources // needs of the planned starts, by team
+	plannedUsage  map[string]ledger.Resources // needs of the planned starts, by workspace
 	starts        []ledger.Start
 }
 
@@ -287,7 +287,7 @@
 		if t.Phase != ledger.Waiting {
 			continue
 		}
-		if !p.withinLimit(c.job.Team, step.Need) {
+		if !p.withinLimit(c.job.Workspace, step.Need) {
 			return
 		}
 		r := p.chooseServer(c, tasksOn)
@@ -320,8 +320,8 @@
 	return tasksOn
 }
 
-func (p *planner) withinLimit(team string, need ledger.Resources) bool {
-	return p.Ledger.WithinLimit(team, p.plannedUsage[team].Plus(need))
+func (p *planner) withinLimit(workspace string, need ledger.Resources) bool {
+	return p.Ledger.WithinLimit(workspace, p.plannedUsage[workspace].Plus(need))
 }
 
 func (p *planner) start(c candidate, index, run int, r *serverState) {
@@ -333,7 +333,7 @@
 	r.free = r.free.Minus(step.CapacityUse())
 	r.hasLasting = r.hasLasting || step.Lasting
 	r.runs++
-	p.plannedUsage[c.job.Team] = p.plannedUsage[c.job.Team].Plus(step.Need)
+	p.plannedUsage[c.job.Workspace] = p.plannedUsage[c.job.Workspace].Plus(step.Need)
 }
 
 // chooseServer returns the best server for one more task of a step, or nil if none fits. tasksOn is the number of the
@@ -381,7 +381,7 @@
 // capacity, otherwise on any servers.
 func (p *planner) placeGang(c candidate) {
 	step := &c.job.Steps[c.step]
-	if !p.withinLimit(c.job.Team, step.Need.Times(step.Count)) {
+	if !p.withinLimit(c.job.Workspace, step.Need.Times(step.Count)) {
 		return
 	}
 	run := 1
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -138,13 +138,13 @@
 	}
 }
 
-func TestPlanStaysWithinTeamLimit(t *testing.T) {
+func TestPlanStaysWithinWorkspaceLimit(t *testing.T) {
 	f := newFixture(t)
 	f.server("a", "p", nil)
 	limited := *f.ledger.Config
-	limited.Version, limited.Teams = 2, []accepted.Team{{Name: "lab", CPU: 2500}}
+	limited.Version, limited.Workspaces = 2, []accepted.Workspace{{Name: "lab", CPU: 2500}}
 	f.ledger.Apply(&ledger.Command{Config: &limited})
-	f.ledger.Apply(&ledger.Command{Submit: &ledger.Submission{ID: "j", Queue: "q", Team: "lab", Steps: []ledger.Step{newStep(4, 1000)}}})
+	f.ledger.Apply(&ledger.Command{Submit: &ledger.Submission{ID: "j", Queue: "q", Workspace: "lab", Steps: []ledger.Step{newStep(4, 1000)}}})
 	must.EqOp(t, 2, len(f.plan(startMS)))
 }
 
--- a/internal/request/schedule/why.go
+++ b/internal/request/schedule/why.go
@@ -26,9 +26,9 @@
 		need = need.Times(s.Count)
 	}
 	switch {
-	case !p.withinLimit(j.Team, need):
-		return fmt.Sprintf("team %s would exceed its upper limit: in use cpu %d, mem_mb %d, gpu %d; needed in addition cpu %d, mem_mb %d, gpu %d", j.Team,
-			in.Ledger.Usage(j.Team).CPU, in.Ledger.Usage(j.Team).MemMB, in.Ledger.Usage(j.Team).GPU, need.CPU, need.MemMB, need.GPU)
+	case !p.withinLimit(j.Workspace, need):
+		return fmt.Sprintf("workspace %s would exceed its upper limit: in use cpu %d, mem_mb %d, gpu %d; needed in addition cpu %d, mem_mb %d, gpu %d", j.Workspace,
+			in.Ledger.Usage(j.Workspace).CPU, in.Ledger.Usage(j.Workspace).MemMB, in.Ledger.Usage(j.Workspace).GPU, need.CPU, need.MemMB, need.GPU)
 	case len(p.serversByPool[c.pool]) == 0:
 		return fmt.Sprintf("no backend server of pool %s is usable", c.pool)
 	case s.Gang && p.chooseGangServers(c, func(*serverState) bool { return true }) == nil, !s.Gang && p.chooseServer(c, liveTasksByServer(c)) == nil:
--- a/internal/standin/counts.go
+++ b/internal/standin/counts.go
@@ -12,7 +12,7 @@
 // time to compute what ran concurrently.
 type Event struct {
 	AtUnixNano int64  `json:"at"`
-	Team       string `json:"team"`
+	Workspace  string `json:"team"`
 	Delta      int    `json:"delta"`
 }
 
@@ -20,7 +20,7 @@
 type Counts struct {
 	Requests int            `json:"requests"`
 	Runs     map[string]int `json:"runs"`     // by Idempotency-Key
-	Peak     map[string]int `json:"peak"`     // highest number of concurrent runs, by team
+	Peak     map[string]int `json:"peak"`     // highest number of concurrent runs, by workspace
 	ByServer map[string]int `json:"byServer"` // requests by server
 	Cut      int            `json:"cut"`      // requests that were aborted before the answer: by the caller or by a reboot
 }
@@ -29,7 +29,7 @@
 type runRecorder struct {
 	mu      sync.Mutex
 	counts  Counts
-	running map[string]int // by team
+	running map[string]int // by workspace
 	events  []Event
 }
 
@@ -40,7 +40,7 @@
 	}
 }
 
-func (r *runRecorder) start(server, team, key string) {
+func (r *runRecorder) start(server, workspace, key string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.counts.Requests++
@@ -48,25 +48,25 @@
 	if key != "" {
 		r.counts.Runs[key]++
 	}
-	r.running[team]++
-	r.record(team, 1)
-	r.counts.Peak[team] = max(r.counts.Peak[team], r.running[team])
+	r.running[workspace]++
+	r.record(workspace, 1)
+	r.counts.Peak[workspace] = max(r.counts.Peak[workspace], r.running[workspace])
 }
 
-func (r *runRecorder) end(team string, aborted bool) {
+func (r *runRecorder) end(workspace string, aborted bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.running[team]--
-	r.record(team, -1)
+	r.running[workspace]--
+	r.record(workspace, -1)
 	if aborted {
 		r.counts.Cut++
 	}
 }
 
 // record appends an event. The caller must hold r.mu.
-func (r *runRecorder) record(team string, delta int) {
+func (r *runRecorder) record(workspace string, delta int) {
 	if len(r.events) < maxEvents {
-		r.events = append(r.events, Event{AtUnixNano: time.Now().UnixNano(), Team: team, Delta: delta})
+		r.events = append(r.events, Event{AtUnixNano: time.Now().UnixNano(), Workspace: workspace, Delta: delta})
 	}
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -166,7 +166,7 @@
 // ServeHTTP runs a request. The query parameter ms sets the run time in milliseconds; the answer is the server's name and
 // the request body.
 func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	team := r.Header.Get(forward.HeaderTeam)
+	workspace := r.Header.Get(forward.HeaderWorkspace)
 	id := r.Header.Get(forward.HeaderRequestID)
 	down := b.downChannel()
 	if down == nil {
@@ -179,9 +179,9 @@
 	b.setRunning(id, true)
 	defer b.setRunning(id, false)
 	runs := b.standin.runs
-	runs.start(b.settings.Name, team, r.Header.Get("Idempotency-Key"))
+	runs.start(b.settings.Name, workspace, r.Header.Get("Idempotency-Key"))
 	aborted := false
-	defer func() { runs.end(team, aborted) }()
+	defer func() { runs.end(workspace, aborted) }()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		aborted = true
--- a/internal/version/accepted/config.go
+++ b/internal/version/accepted/config.go
@@ -1,5 +1,5 @@
-// Package accepted holds the configuration of the job programs, its queues, pools and teams, as an operator sent it,
-// and looks up the queue of a request path and the team of a key. A configuration must not be modified once it is
+// Package accepted holds the configuration of the job programs, its queues, pools and workspaces, as an operator sent it,
+// and looks up the queue of a request path and the workspace of a key. A configuration must not be modified once it is
 // indexed.
 package accepted
 
@@ -17,11 +17,11 @@
 // Config is a complete configuration and its version.
 type Config struct {
 	// Version increases with each change; the highest one is in force.
-	Version int64
-	Queues  []Queue
-	Pools   []Pool
-	Teams   []Team
-	Limits  Limits
+	Version    int64
+	Queues     []Queue
+	Pools      []Pool
+	Workspaces []Workspace `json:"Teams"`
+	Limits     Limits
 	// Raw holds the bytes in which the configuration was sent, so that it can be read back exactly.
 	Raw []byte
 }
@@ -62,13 +62,13 @@
 	Standby bool
 }
 
-// Team is a customer with its keys, its weight and its resource limits.
-type Team struct {
+// Workspace is a customer with its keys, its weight and its resource limits.
+type Workspace struct {
 	Name string
 	Keys []string
-	// Weight is the team's relative share when the pools are full.
+	// Weight is the workspace's relative share when the pools are full.
 	Weight float64
-	// CPU, MemMB and GPU limit what the team may use at a time: CPU in thousandths of a core, MemMB in MiB,
+	// CPU, MemMB and GPU limit what the workspace may use at a time: CPU in thousandths of a core, MemMB in MiB,
 	// GPU in accelerators; 0 means no limit.
 	CPU, MemMB, GPU int64
 }
@@ -107,20 +107,20 @@
 		// The space marks host and prefix as taken also if the queue has no name.
 		queueByHostPrefix[at] = q.Name + " "
 	}
-	return c.checkTeams()
+	return c.checkWorkspaces()
 }
 
-func (c *Config) checkTeams() error {
+func (c *Config) checkWorkspaces() error {
 	owner := make(map[string]string)
-	names := make(map[string]bool, len(c.Teams))
-	for _, t := range c.Teams {
+	names := make(map[string]bool, len(c.Workspaces))
+	for _, t := range c.Workspaces {
 		if t.Name == "" || names[t.Name] {
-			return Error.New("team %q has no name or is listed twice", t.Name)
+			return Error.New("workspace %q has no name or is listed twice", t.Name)
 		}
 		names[t.Name] = true
 		for _, k := range t.Keys {
 			if other, taken := owner[k]; taken && other != t.Name {
-				return Error.New("teams %q and %q share a key", other, t.Name)
+				return Error.New("workspaces %q and %q share a key", other, t.Name)
 			}
 			owner[k] = t.Name
 		}
@@ -128,14 +128,14 @@
 	return nil
 }
 
-// Index looks up queues, pools, teams and keys of a configuration by name, host, path or digest.
+// Index looks up queues, pools, workspaces and keys of a configuration by name, host, path or digest.
 type Index struct {
-	config *Config
-	queues map[string]*Queue
-	byHost map[string][]*Queue
-	pools  map[string]*Pool
-	teams  map[string]*Team
-	keys   map[[sha256.Size]byte]*Team
+	config     *Config
+	queues     map[string]*Queue
+	byHost     map[string][]*Queue
+	pools      map[string]*Pool
+	workspaces map[string]*Workspace
+	keys       map[[sha256.Size]byte]*Workspace
 }
 
 // NewIndex builds the look-up tables of a configuration.
@@ -143,8 +143,8 @@
 	x := &Index{
 		config: c,
 		queues: make(map[string]*Queue), byHost: make(map[string][]*Queue),
-		pools: make(map[string]*Pool), teams: make(map[string]*Team),
-		keys: make(map[[sha256.Size]byte]*Team),
+		pools: make(map[string]*Pool), workspaces: make(map[string]*Workspace),
+		keys: make(map[[sha256.Size]byte]*Workspace),
 	}
 	for i := range c.Queues {
 		q := &c.Queues[i]
@@ -155,9 +155,9 @@
 	for i := range c.Pools {
 		x.pools[c.Pools[i].Name] = &c.Pools[i]
 	}
-	for i := range c.Teams {
-		t := &c.Teams[i]
-		x.teams[t.Name] = t
+	for i := range c.Workspaces {
+		t := &c.Workspaces[i]
+		x.workspaces[t.Name] = t
 		for _, k := range t.Keys {
 			x.keys[sha256.Sum256([]byte(k))] = t
 		}
@@ -174,8 +174,8 @@
 // Pool returns the pool with the given name, or nil.
 func (x *Index) Pool(name string) *Pool { return x.pools[name] }
 
-// Team returns the team with the given name, or nil.
-func (x *Index) Team(name string) *Team { return x.teams[name] }
+// Workspace returns the workspace with the given name, or nil.
+func (x *Index) Workspace(name string) *Workspace { return x.workspaces[name] }
 
 // Match returns the queue of host with the longest prefix of path, and the rest of path after that prefix. It
 // returns nil if no queue matches.
@@ -191,9 +191,9 @@
 	return q, path[len(q.Prefix):]
 }
 
-// KeyOwner returns the team that owns a key, or nil. Keys are looked up by their SHA-256 digest, so that the
+// KeyOwner returns the workspace that owns a key, or nil. Keys are looked up by their SHA-256 digest, so that the
 // duration of a look-up reveals nothing about the stored keys.
-func (x *Index) KeyOwner(key string) *Team {
+func (x *Index) KeyOwner(key string) *Workspace {
 	if key == "" {
 		return nil
 	}
--- a/internal/version/accepted/config_test.go
+++ b/internal/version/accepted/config_test.go
@@ -13,8 +13,8 @@
 			{Name: "short", Host: "a.example", Prefix: "/x/", Pool: "p", TimeoutMS: 1000},
 			{Name: "long", Host: "A.example", Prefix: "/x/y/", Pool: "p", TimeoutMS: 1000},
 		},
-		Pools: []Pool{{Name: "p"}},
-		Teams: []Team{{Name: "t1", Keys: []string{"k1", "k2"}}, {Name: "t2", Keys: []string{"k3"}}},
+		Pools:      []Pool{{Name: "p"}},
+		Workspaces: []Workspace{{Name: "t1", Keys: []string{"k1", "k2"}}, {Name: "t2", Keys: []string{"k3"}}},
 	}
 }
 
@@ -25,8 +25,8 @@
 		"no timeout":             func(c *Config) { c.Queues[0].TimeoutMS = 0 },
 		"same host and prefix":   func(c *Config) { c.Queues[1].Prefix = "/x/" },
 		"prefix without a slash": func(c *Config) { c.Queues[0].Prefix = "x" },
-		"key of two teams":       func(c *Config) { c.Teams[1].Keys = []string{"k2"} },
-		"team listed twice":      func(c *Config) { c.Teams[1].Name = "t1" },
+		"key of two workspaces":  func(c *Config) { c.Workspaces[1].Keys = []string{"k2"} },
+		"workspace listed twice": func(c *Config) { c.Workspaces[1].Name = "t1" },
 		"service listed twice":   func(c *Config) { c.Pools = append(c.Pools, Pool{Name: "p"}) },
 	}
 	for name, invalidate := range cases {
--- a/internal/version/allocation/allocation.go
+++ b/internal/version/allocation/allocation.go
@@ -1,4 +1,4 @@
-// Package allocation splits the limits of teams over data centres according to the need that the holders of the
+// Package allocation splits the limits of workspaces over data centres according to the need that the holders of the
 // slices report.
 package allocation
 
@@ -14,18 +14,18 @@
 // syncLifetime is how long a data centre counts as reachable after a message from its holder.
 const syncLifetime = 5 * time.Second
 
-// Allocator runs on the leader of the control log and decides how team limits are split over data centres. It is
+// Allocator runs on the leader of the control log and decides how workspace limits are split over data centres. It is
 // deterministic and not safe for concurrent use.
 //
 // It never takes permits away from a data centre: it asks the holder to limit itself to a target, and moves only
 // permits that the holder has released. A data centre that it does not hear from keeps its slices.
 type Allocator struct {
 	dataCentres map[string]*dataCentre
-	dirty       map[string]bool // teams whose split must be computed again
-	lastInputs  planInputs      // inputs for which the split of every team was last computed
+	dirty       map[string]bool // workspaces whose split must be computed again
+	lastInputs  planInputs      // inputs for which the split of every workspace was last computed
 }
 
-// planInputs identifies the inputs that are common to the splits of all teams; the slices of a single team and the
+// planInputs identifies the inputs that are common to the splits of all workspaces; the slices of a single workspace and the
 // reports on them are left out. The zero value equals no real inputs.
 type planInputs struct {
 	valid  bool
@@ -44,7 +44,7 @@
 type dataCentre struct {
 	holder   string
 	lastSync time.Time
-	lines    map[string]*laburnumv1.SliceLine // last report on each slice, by team
+	lines    map[string]*laburnumv1.SliceLine // last report on each slice, by workspace
 	targets  map[string]*laburnumv1.SliceTarget
 }
 
@@ -53,7 +53,7 @@
 	return &Allocator{dataCentres: make(map[string]*dataCentre), dirty: make(map[string]bool)}
 }
 
-// Sync records what a holder reports of its slices, one line for each team. The holder must be the one that the
+// Sync records what a holder reports of its slices, one line for each workspace. The holder must be the one that the
 // state names.
 func (a *Allocator) Sync(now time.Time, req *laburnumv1.SyncSlicesRequest) {
 	dc := a.dataCentres[req.DataCentre]
@@ -64,7 +64,7 @@
 			targets: make(map[string]*laburnumv1.SliceTarget),
 		}
 		a.dataCentres[req.DataCentre] = dc
-		a.lastInputs = planInputs{} // all teams are split again
+		a.lastInputs = planInputs{} // all workspaces are split again
 	}
 	if now.Sub(dc.lastSync) >= syncLifetime {
 		a.lastInputs = planInputs{}
@@ -93,7 +93,7 @@
 	return false
 }
 
-// ReplanAll makes the next plan split all teams again. It is called after a plan was not applied.
+// ReplanAll makes the next plan split all workspaces again. It is called after a plan was not applied.
 func (a *Allocator) ReplanAll() { a.lastInputs = planInputs{} }
 
 // TakeTargets returns the targets for a data centre and removes them.
@@ -114,37 +114,37 @@
 func (a *Allocator) Plan(now time.Time, s *state.State) *laburnumv1.SlicePlan {
 	if current := inputsOf(s); a.lastInputs != current {
 		a.lastInputs = current
-		for team := range s.Teams {
-			a.dirty[team] = true
+		for workspace := range s.Workspaces {
+			a.dirty[workspace] = true
 		}
 		for id := range s.Slices {
-			a.dirty[id.Team] = true
+			a.dirty[id.Workspace] = true
 		}
 	}
 	plan := &laburnumv1.SlicePlan{}
 	pending := a.dirty
 	a.dirty = make(map[string]bool)
-	for team := range pending {
-		t := &teamPlan{team: team, limit: int(s.Teams[team].GetLimit())}
+	for workspace := range pending {
+		t := &workspacePlan{workspace: workspace, limit: int(s.Workspaces[workspace].GetLimit())}
 		a.collectHoldings(now, s, t)
 		slices := t.plan(now)
 		plan.Slices = append(plan.Slices, slices...)
-		// A team whose slices change is split again by the next plan, once the change is applied.
+		// A workspace whose slices change is split again by the next plan, once the change is applied.
 		if t.scarce || len(slices) > 0 {
-			a.dirty[team] = true
+			a.dirty[workspace] = true
 		}
 	}
 	return plan
 }
 
-// teamPlan is the split of one team's limit.
-type teamPlan struct {
-	team               string
+// workspacePlan is the split of one workspace's limit.
+type workspacePlan struct {
+	workspace          string
 	limit              int
 	unreachablePermits int // held by data centres that are not reachable
 	holdings           []*holding
 	// scarce is true if a data centre needs permits and holds none. Balance changes its split with time alone, so the
-	// team is planned again each time.
+	// workspace is planned again each time.
 	scarce bool
 }
 
@@ -157,7 +157,7 @@
 	need  int
 }
 
-func (a *Allocator) collectHoldings(now time.Time, s *state.State, t *teamPlan) {
+func (a *Allocator) collectHoldings(now time.Time, s *state.State, t *workspacePlan) {
 	names := make([]string, 0, len(s.RecordGroups))
 	for name := range s.RecordGroups {
 		names = append(names, name)
@@ -165,7 +165,7 @@
 	names = append(names, state.JobsSlice)
 	sort.Strings(names)
 	for _, name := range names {
-		slice := s.Slices[state.SliceID{Team: t.team, DataCentre: name}]
+		slice := s.Slices[state.SliceID{Workspace: t.workspace, DataCentre: name}]
 		dc := a.dataCentres[name]
 		members := s.RecordGroups[name].GetMembers()
 		if name == state.JobsSlice {
@@ -177,7 +177,7 @@
 			continue
 		}
 		p := &holding{name: name, dc: dc, slice: slice, held: int(slice.GetPermits())}
-		if line := dc.lines[t.team]; line != nil {
+		if line := dc.lines[t.workspace]; line != nil {
 			p.need = int(line.Need)
 			if line.Incarnation == slice.GetIncarnation() {
 				p.held = min(p.held, int(line.Held))
@@ -189,7 +189,7 @@
 
 // plan lowers slices by the permits that their holders have released, and raises others by the permits that are
 // free.
-func (t *teamPlan) plan(now time.Time) []*laburnumv1.Slice {
+func (t *workspacePlan) plan(now time.Time) []*laburnumv1.Slice {
 	claims := make([]escrow.Claim, len(t.holdings))
 	free := t.limit - t.unreachablePermits
 	for i, p := range t.holdings {
@@ -204,21 +204,21 @@
 		free -= extra
 		if newPermits := p.held + extra; newPermits != int(p.slice.GetPermits()) {
 			slices = append(slices, &laburnumv1.Slice{
-				Team: t.team, DataCentre: p.name, Permits: uint32(newPermits),
+				Team: t.workspace, DataCentre: p.name, Permits: uint32(newPermits),
 				Incarnation: p.slice.GetIncarnation(), Holder: p.dc.holder,
 			})
 		}
-		p.setTarget(t.team, targets[i])
+		p.setTarget(t.workspace, targets[i])
 	}
 	return slices
 }
 
 // setTarget asks the holder to limit itself to target. A target that is not below what it holds only withdraws the
 // earlier one.
-func (p *holding) setTarget(team string, target int) {
+func (p *holding) setTarget(workspace string, target int) {
 	if target >= p.held {
-		delete(p.dc.targets, team)
+		delete(p.dc.targets, workspace)
 		return
 	}
-	p.dc.targets[team] = &laburnumv1.SliceTarget{Team: team, Incarnation: p.slice.GetIncarnation(), Permits: uint32(target)}
+	p.dc.targets[workspace] = &laburnumv1.SliceTarget{Team: workspace, Incarnation: p.slice.GetIncarnation(), Permits: uint32(target)}
 }
--- a/internal/version/allocation/allocation_test.go
+++ b/internal/version/allocation/allocation_test.go
@@ -10,7 +10,7 @@
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
 
-const testTeam = "soap"
+const testWorkspace = "soap"
 
 func at(seconds int) time.Time { return time.Unix(int64(10_000+seconds), 0) }
 
@@ -22,7 +22,7 @@
 
 func newFixture(limit uint32) *fixture {
 	w := &fixture{state: state.New(), a: New()}
-	w.state.Teams[testTeam] = &laburnumv1.Team{Name: testTeam, Limit: limit}
+	w.state.Workspaces[testWorkspace] = &laburnumv1.Team{Name: testWorkspace, Limit: limit}
 	for _, dc := range []string{"dc1", "dc2"} {
 		w.state.RecordGroups[dc] = &laburnumv1.RecordGroup{DataCentre: dc, Members: []string{dc + "-e.1"}}
 	}
@@ -31,13 +31,13 @@
 }
 
 func (w *fixture) slice(dc string) *laburnumv1.Slice {
-	return w.state.Slices[state.SliceID{Team: testTeam, DataCentre: dc}]
+	return w.state.Slices[state.SliceID{Workspace: testWorkspace, DataCentre: dc}]
 }
 
 func (w *fixture) permits(dc string) int { return int(w.slice(dc).GetPermits()) }
 
 func (w *fixture) sync(second int, dc string, held, need uint32) {
-	line := &laburnumv1.SliceLine{Team: testTeam, Incarnation: w.slice(dc).GetIncarnation(), Held: held, Need: need}
+	line := &laburnumv1.SliceLine{Team: testWorkspace, Incarnation: w.slice(dc).GetIncarnation(), Held: held, Need: need}
 	w.a.Sync(at(second), &laburnumv1.SyncSlicesRequest{DataCentre: dc, Holder: dc + "-e.1", Lines: []*laburnumv1.SliceLine{line}})
 }
 
@@ -46,7 +46,7 @@
 	w.state.Index++
 	for _, s := range plan.Slices {
 		s.Incarnation = w.state.Index
-		w.state.Slices[state.SliceID{Team: s.Team, DataCentre: s.DataCentre}] = s
+		w.state.Slices[state.SliceID{Workspace: s.Team, DataCentre: s.DataCentre}] = s
 	}
 }
 
@@ -96,7 +96,7 @@
 	w.sync(0, "dc1", 0, 0)
 	w.sync(0, "dc2", 0, 0)
 	w.plan(0)
-	stale := &laburnumv1.SliceLine{Team: testTeam, Incarnation: 1, Held: 0}
+	stale := &laburnumv1.SliceLine{Team: testWorkspace, Incarnation: 1, Held: 0}
 	w.a.Sync(at(1), &laburnumv1.SyncSlicesRequest{DataCentre: "dc2", Holder: "dc2-e.1", Lines: []*laburnumv1.SliceLine{stale}})
 	w.sync(1, "dc1", 50, 200)
 	w.plan(1)
@@ -108,7 +108,7 @@
 	w.sync(0, "dc1", 0, 0)
 	w.sync(0, "dc2", 0, 0)
 	w.plan(0)
-	w.state.Teams[testTeam] = &laburnumv1.Team{Name: testTeam, Limit: 40}
+	w.state.Workspaces[testWorkspace] = &laburnumv1.Team{Name: testWorkspace, Limit: 40}
 	w.state.SheetNumber++
 	w.plan(1)
 	must.Eq(t, 20, int(w.a.TakeTargets("dc1")[0].Permits))
@@ -118,7 +118,7 @@
 	w.plan(2)
 	must.Eq(t, 20, w.permits("dc1"))
 	must.Eq(t, 45, w.permits("dc2"))
-	delete(w.state.Teams, testTeam) // the team is removed from the sheet
+	delete(w.state.Workspaces, testWorkspace) // the workspace is removed from the sheet
 	w.state.SheetNumber++
 	w.plan(3)
 	must.Eq(t, 0, int(w.a.TakeTargets("dc2")[0].Permits))
--- a/internal/version/machine/job.go
+++ b/internal/version/machine/job.go
@@ -23,13 +23,13 @@
 	jobCancelling = laburnumv1.JobState_JOB_STATE_CANCELLING
 )
 
-// maxOpenJobsPerTeam limits the jobs of a team that have not ended.
-const maxOpenJobsPerTeam = 20_000
+// maxOpenJobsPerWorkspace limits the jobs of a workspace that have not ended.
+const maxOpenJobsPerWorkspace = 20_000
 
 // jobCounts keeps running totals of jobs, so that no command has to scan all jobs.
 type jobCounts struct {
-	open    map[string]int // jobs that have not ended, by team
-	permits map[string]int // jobs that hold a permit of the team's limit, by team
+	open    map[string]int // jobs that have not ended, by workspace
+	permits map[string]int // jobs that hold a permit of the workspace's limit, by workspace
 	tasks   map[string]int // jobs that occupy a worker, by worker
 }
 
@@ -37,7 +37,7 @@
 	return &jobCounts{open: make(map[string]int), permits: make(map[string]int), tasks: make(map[string]int)}
 }
 
-// OccupiesWorker reports whether a job in state s holds its worker and a permit of its team's limit, because its task
+// OccupiesWorker reports whether a job in state s holds its worker and a permit of its workspace's limit, because its task
 // may be running.
 func OccupiesWorker(s laburnumv1.JobState) bool {
 	switch s {
@@ -72,8 +72,8 @@
 	}
 }
 
-// JobPermits returns the number of permits that the jobs of a team hold.
-func (m *Machine) JobPermits(team string) int { return m.counts.permits[team] }
+// JobPermits returns the number of permits that the jobs of a workspace hold.
+func (m *Machine) JobPermits(workspace string) int { return m.counts.permits[workspace] }
 
 // Tasks returns the number of tasks that may be running on a worker.
 func (m *Machine) Tasks(worker string) int { return m.counts.tasks[worker] }
@@ -119,11 +119,11 @@
 	case s.State.Pools[submitted.Pool] == nil:
 		s.refuse("there is no pool %s", submitted.Pool)
 		return
-	case s.State.Teams[submitted.Team] == nil:
+	case s.State.Workspaces[submitted.Team] == nil:
 		s.refuse("there is no team %s", submitted.Team)
 		return
-	case s.counts.open[submitted.Team] >= maxOpenJobsPerTeam:
-		s.refuse("team %s has %d jobs that have not ended", submitted.Team, maxOpenJobsPerTeam)
+	case s.counts.open[submitted.Team] >= maxOpenJobsPerWorkspace:
+		s.refuse("team %s has %d jobs that have not ended", submitted.Team, maxOpenJobsPerWorkspace)
 		return
 	}
 	job := proto.Clone(submitted).(*laburnumv1.Job)
@@ -229,7 +229,7 @@
 	return false
 }
 
-// verifyStart checks that the worker is assigned to the job's pool and that the team has a free permit for jobs.
+// verifyStart checks that the worker is assigned to the job's pool and that the workspace has a free permit for jobs.
 func (s *commandApplier) verifyStart(current, next *laburnumv1.Job) error {
 	if next.Attempt != current.Attempt+1 {
 		return Error.New("job %s is at attempt %d", next.Id, current.Attempt)
@@ -238,7 +238,7 @@
 	if a.GetPool() != next.Pool || a.GetState() != assigned {
 		return Error.New("worker %s does not serve pool %s", next.Worker, next.Pool)
 	}
-	slice := s.State.Slices[state.SliceID{Team: next.Team, DataCentre: state.JobsSlice}]
+	slice := s.State.Slices[state.SliceID{Workspace: next.Team, DataCentre: state.JobsSlice}]
 	if held := s.counts.permits[next.Team]; held >= int(slice.GetPermits()) {
 		return Error.New("jobs of team %s hold %d of %d permits", next.Team, held, slice.GetPermits())
 	}
--- a/internal/version/machine/job_test.go
+++ b/internal/version/machine/job_test.go
@@ -11,7 +11,7 @@
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
 
-// jobFixture returns a fixture with one worker in a pool and a team whose jobs have two permits.
+// jobFixture returns a fixture with one worker in a pool and a workspace whose jobs have two permits.
 func jobFixture(t *testing.T) *fixture {
 	t.Helper()
 	f := newFixture()
@@ -105,7 +105,7 @@
 	must.False(t, f.advance("j1", jobStarting)) // the worker drains
 }
 
-func TestJobsHoldPermitsOfTeamLimit(t *testing.T) {
+func TestJobsHoldPermitsOfWorkspaceLimit(t *testing.T) {
 	f := jobFixture(t)
 	for _, id := range []string{"j1", "j2", "j3"} {
 		f.submit(id, true)
@@ -116,7 +116,7 @@
 	must.True(t, f.advance("j1", jobUnknown)) // still holds its permit
 	must.False(t, f.advance("j3", jobStarting))
 	// The slice can't be lowered below the permits that jobs hold.
-	current := f.State.Slices[state.SliceID{Team: "soap", DataCentre: state.JobsSlice}]
+	current := f.State.Slices[state.SliceID{Workspace: "soap", DataCentre: state.JobsSlice}]
 	shrunk := &laburnumv1.Slice{Team: "soap", DataCentre: state.JobsSlice, Permits: 1, Incarnation: current.Incarnation}
 	must.True(t, f.setSlices(shrunk).Conflict)
 	must.True(t, f.advance("j2", jobDone))
--- a/internal/version/machine/machine.go
+++ b/internal/version/machine/machine.go
@@ -28,13 +28,13 @@
 	Roster    *roster.Roster
 	Decisions []*laburnumv1.Decision
 	Jobs      map[string]*laburnumv1.Job
-	Records   map[string]*laburnumv1.GlobalRecord // by team and key
+	Records   map[string]*laburnumv1.GlobalRecord // by workspace and key
 
 	// OnJobChange, if set, is called for each change of a job. old is nil for a new job; job is nil for a deleted one.
 	OnJobChange func(old, job *laburnumv1.Job)
 
 	sheets       *sheetOutcomes
-	recordCounts map[string]int // number of Records, by team
+	recordCounts map[string]int // number of Records, by workspace
 	counts       *jobCounts
 }
 
--- a/internal/version/machine/record.go
+++ b/internal/version/machine/record.go
@@ -9,9 +9,9 @@
 const (
 	// RecordRetention is how long an idempotency record whose key names no data centre is kept after its first write.
 	RecordRetention = time.Hour
-	// maxRecordsPerTeam limits the records of a team in the log.
-	maxRecordsPerTeam = 4096
-	// sweepIntervalEntries is the number of log entries between two sweeps of the expired records of all teams.
+	// maxRecordsPerWorkspace limits the records of a workspace in the log.
+	maxRecordsPerWorkspace = 4096
+	// sweepIntervalEntries is the number of log entries between two sweeps of the expired records of all workspaces.
 	sweepIntervalEntries = 1024
 )
 
@@ -64,27 +64,27 @@
 	return s.cmd.AtUnixMs/1000-r.AtUnix > int64(RecordRetention/time.Second)
 }
 
-// hasRoomForRecord reports whether the team may store one more record. A team at its limit is swept first.
-func (s *commandApplier) hasRoomForRecord(team string) bool {
-	if s.recordCounts[team] >= maxRecordsPerTeam {
-		s.sweepRecords(team)
+// hasRoomForRecord reports whether the workspace may store one more record. A workspace at its limit is swept first.
+func (s *commandApplier) hasRoomForRecord(workspace string) bool {
+	if s.recordCounts[workspace] >= maxRecordsPerWorkspace {
+		s.sweepRecords(workspace)
 	}
-	return s.recordCounts[team] < maxRecordsPerTeam
+	return s.recordCounts[workspace] < maxRecordsPerWorkspace
 }
 
-// sweepRecords drops the expired records of a team, or of all teams.
-func (s *commandApplier) sweepRecords(team string) {
+// sweepRecords drops the expired records of a workspace, or of all workspaces.
+func (s *commandApplier) sweepRecords(workspace string) {
 	for id, r := range s.Records {
-		if (team == "" || r.Team == team) && s.expired(r) {
+		if (workspace == "" || r.Team == workspace) && s.expired(r) {
 			s.dropRecord(id)
 		}
 	}
 }
 
 func (s *commandApplier) dropRecord(id string) {
-	team := s.Records[id].GetTeam()
+	workspace := s.Records[id].GetTeam()
 	delete(s.Records, id)
-	if s.recordCounts[team]--; s.recordCounts[team] <= 0 {
-		delete(s.recordCounts, team)
+	if s.recordCounts[workspace]--; s.recordCounts[workspace] <= 0 {
+		delete(s.recordCounts, workspace)
 	}
 }
--- a/internal/version/machine/slice.go
+++ b/internal/version/machine/slice.go
@@ -7,8 +7,8 @@
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
 
-// setSlices replaces slices of team limits. The whole plan is refused if it is based on an outdated slice, lowers a
-// slice without consent of its holder, or raises one so that the team's slices exceed the team's limit.
+// setSlices replaces slices of workspace limits. The whole plan is refused if it is based on an outdated slice, lowers a
+// slice without consent of its holder, or raises one so that the workspace's slices exceed the workspace's limit.
 func (s *commandApplier) setSlices(plan *laburnumv1.SlicePlan) {
 	if err := s.verifySlices(plan); err != nil {
 		s.refuse("%v", err)
@@ -28,7 +28,7 @@
 	raised := make(map[string]bool)
 	planned := make(map[state.SliceID]bool)
 	for _, slice := range plan.GetSlices() {
-		id := state.SliceID{Team: slice.Team, DataCentre: slice.DataCentre}
+		id := state.SliceID{Workspace: slice.Team, DataCentre: slice.DataCentre}
 		if planned[id] {
 			return Error.New("slice of team %s in %s is planned twice", slice.Team, slice.DataCentre)
 		}
@@ -40,13 +40,13 @@
 		raised[slice.Team] = raised[slice.Team] || slice.Permits > s.State.Slices[id].GetPermits()
 	}
 	for id, held := range s.State.Slices {
-		if _, ok := sums[id.Team]; ok && !planned[id] {
-			sums[id.Team] += uint64(held.Permits)
+		if _, ok := sums[id.Workspace]; ok && !planned[id] {
+			sums[id.Workspace] += uint64(held.Permits)
 		}
 	}
 	for name, sum := range sums {
 		// After the limit was lowered, the sum may exceed it until all slices have shrunk, but none may grow.
-		if limit := uint64(s.State.Teams[name].GetLimit()); raised[name] && sum > limit {
+		if limit := uint64(s.State.Workspaces[name].GetLimit()); raised[name] && sum > limit {
 			return Error.New("slices of team %s would add up to %d, its limit is %d", name, sum, limit)
 		}
 	}
@@ -59,7 +59,7 @@
 	current := s.State.Slices[id]
 	if to.Incarnation != current.GetIncarnation() {
 		return Error.New("slice of team %s in %s is at incarnation %d, not %d",
-			id.Team, id.DataCentre, current.GetIncarnation(), to.Incarnation)
+			id.Workspace, id.DataCentre, current.GetIncarnation(), to.Incarnation)
 	}
 	if to.Permits >= current.GetPermits() {
 		return nil
--- a/internal/version/machine/slice_test.go
+++ b/internal/version/machine/slice_test.go
@@ -33,7 +33,7 @@
 	for _, s := range list {
 		s.Team = "soap"
 		if s.Incarnation == 0 {
-			s.Incarnation = l.m.State.Slices[state.SliceID{Team: "soap", DataCentre: s.DataCentre}].GetIncarnation()
+			s.Incarnation = l.m.State.Slices[state.SliceID{Workspace: "soap", DataCentre: s.DataCentre}].GetIncarnation()
 		}
 	}
 	return !l.apply(&laburnumv1.Command{Kind: &laburnumv1.Command_Slices{Slices: &laburnumv1.SlicePlan{Slices: list}}}).Conflict
@@ -45,7 +45,7 @@
 	return !l.apply(&laburnumv1.Command{Kind: &laburnumv1.Command_RecordGroup{RecordGroup: g}}).Conflict
 }
 
-func TestSlicesNeverExceedTeamLimit(t *testing.T) {
+func TestSlicesNeverExceedWorkspaceLimit(t *testing.T) {
 	l := &commandLog{m: New()}
 	l.applyLimit(1, 10)
 	must.True(t, l.setGroup("dc1", 0, nil, "e1.1"))
@@ -97,12 +97,12 @@
 
 func TestGlobalRecordsFirstOwnerKeepsKey(t *testing.T) {
 	l := &commandLog{m: New()}
-	rec := func(team, owner string) *laburnumv1.GlobalRecord {
-		return &laburnumv1.GlobalRecord{Key: "k", Team: team, Owner: owner}
+	rec := func(workspace, owner string) *laburnumv1.GlobalRecord {
+		return &laburnumv1.GlobalRecord{Key: "k", Team: workspace, Owner: owner}
 	}
 	must.Eq(t, "a", l.putRecord(1, rec("soap", "a")).Owner)
 	must.Eq(t, "a", l.putRecord(1, rec("soap", "b")).Owner)
-	must.Eq(t, "b", l.putRecord(1, rec("drum", "b")).Owner) // keys are scoped by team
+	must.Eq(t, "b", l.putRecord(1, rec("drum", "b")).Owner) // keys are scoped by workspace
 
 	back := rec("soap", "b")
 	back.NotRun = true
@@ -123,7 +123,7 @@
 
 func TestGlobalRecordsRefuseWhenFull(t *testing.T) {
 	l := &commandLog{m: New()}
-	for i := range maxRecordsPerTeam {
+	for i := range maxRecordsPerWorkspace {
 		r := &laburnumv1.GlobalRecord{Key: fmt.Sprint(i), Team: "soap", Owner: "a"}
 		must.False(t, l.putRecord(1, r).Full)
 	}
--- a/internal/version/sheet/checks.go
+++ b/internal/version/sheet/checks.go
@@ -14,14 +14,14 @@
 	for _, pool := range p.cfg.Pools {
 		instances += uint64(pool.Instances)
 	}
-	for _, team := range p.cfg.Teams {
-		shares += uint64(team.Share)
+	for _, workspace := range p.cfg.Teams {
+		shares += uint64(workspace.Share)
 	}
 	if instances > maxCount {
 		p.fault(1, "instances", fmt.Sprint(instances), "all pools together have at most %d instances", maxCount)
 	}
 	if shares > maxCount {
-		p.fault(1, "share", fmt.Sprint(shares), "the shares of all teams add up to at most %d", maxCount)
+		p.fault(1, "share", fmt.Sprint(shares), "the shares of all workspaces add up to at most %d", maxCount)
 	}
 	p.checkMaintenanceOverlaps()
 }
@@ -60,14 +60,14 @@
 			warn("queue %s leads to pool %s, which has 0 instances in the sheet", queue.Name, queue.Pool)
 		}
 	}
-	for _, team := range cfg.Teams {
-		if !hasAccess[team.Name] {
-			warn("team %s has neither a key nor an open queue: it can send nothing", team.Name)
+	for _, workspace := range cfg.Teams {
+		if !hasAccess[workspace.Name] {
+			warn("workspace %s has neither a key nor an open queue: it can send nothing", workspace.Name)
 		}
 	}
 	for _, share := range cfg.Shares {
 		if !hasQueue[share.Pool] {
-			warn("the share of team %s in pool %s has no effect: no queue leads there", share.Team, share.Pool)
+			warn("the share of workspace %s in pool %s has no effect: no queue leads there", share.Team, share.Pool)
 		}
 	}
 	return list
--- a/internal/version/sheet/diff.go
+++ b/internal/version/sheet/diff.go
@@ -36,7 +36,7 @@
 	Moves uint32 `json:"moves"`
 	// Waves names the maintenance plans that are added, changed or removed.
 	Waves []string `json:"waves"`
-	// Risks lists changes that may lower availability or take away capacity from a team.
+	// Risks lists changes that may lower availability or take away capacity from a workspace.
 	Risks []string `json:"risks"`
 }
 
@@ -54,7 +54,7 @@
 		}
 	}
 	d.comparePools(inForce, next, available)
-	d.compareTeams(inForce, next)
+	d.compareWorkspaces(inForce, next)
 	return d
 }
 
@@ -158,19 +158,19 @@
 	sort.Strings(d.Risks)
 }
 
-func (d *Difference) compareTeams(inForce, next *laburnumv1.Configuration) {
+func (d *Difference) compareWorkspaces(inForce, next *laburnumv1.Configuration) {
 	limits := make(map[string]uint32, len(inForce.GetTeams()))
 	for _, t := range inForce.GetTeams() {
 		limits[t.Name] = t.Limit
 	}
 	for _, t := range next.GetTeams() {
 		if before, known := limits[t.Name]; known && t.Limit < before {
-			d.addRisk("team %s: limit %d -> %d; work that already runs above it is not stopped", t.Name, before, t.Limit)
+			d.addRisk("workspace %s: limit %d -> %d; work that already runs above it is not stopped", t.Name, before, t.Limit)
 		}
 		delete(limits, t.Name)
 	}
 	for name := range limits {
-		d.addRisk("team %s is removed: its keys stop working", name)
+		d.addRisk("workspace %s is removed: its keys stop working", name)
 	}
 	sort.Strings(d.Risks)
 }
--- a/internal/version/sheet/diff_test.go
+++ b/internal/version/sheet/diff_test.go
@@ -31,5 +31,5 @@
 	must.Eq(t, []string{"m removed"}, d.Waves)
 	risks := strings.Join(d.Risks, "\n")
 	must.StrContains(t, risks, "pool p: 2 instances serve now, min_available becomes 3")
-	must.StrContains(t, risks, "team t: limit 5 -> 2")
+	must.StrContains(t, risks, "workspace t: limit 5 -> 2")
 }
--- a/internal/version/sheet/kinds.go
+++ b/internal/version/sheet/kinds.go
@@ -38,7 +38,7 @@
 	"sheet":       readSheet,
 	"pool":        readPool,
 	"queue":       readQueue,
-	"team":        readTeam,
+	"team":        readWorkspace,
 	"key":         readKey,
 	"share":       readShare,
 	"limit":       readLimit,
@@ -94,29 +94,29 @@
 		Idempotent: r.flag("idempotent"),
 	}
 	if queue.Open != (queue.Team != "") {
-		r.fault("team", queue.Team, "an open queue must name the team that is charged, and no other queue may name one")
+		r.fault("team", queue.Team, "an open queue must name the workspace that is charged, and no other queue may name one")
 	}
 	r.parser.define(r.row, "queue", queue.Name)
 	r.parser.cfg.Queues = append(r.parser.cfg.Queues, queue)
 }
 
-func readTeam(r *rowReader) {
-	team := &laburnumv1.Team{Name: r.name("name"), Share: defaultShare, WhenCutOff: laburnumv1.CutOffPolicy_CUT_OFF_POLICY_SERVE}
+func readWorkspace(r *rowReader) {
+	workspace := &laburnumv1.Team{Name: r.name("name"), Share: defaultShare, WhenCutOff: laburnumv1.CutOffPolicy_CUT_OFF_POLICY_SERVE}
 	switch v := r.raw("when_cut_off"); v {
 	case "", "serve":
 	case "refuse":
-		team.WhenCutOff = laburnumv1.CutOffPolicy_CUT_OFF_POLICY_REFUSE
+		workspace.WhenCutOff = laburnumv1.CutOffPolicy_CUT_OFF_POLICY_REFUSE
 	default:
 		r.fault("when_cut_off", v, "must be serve or refuse")
 	}
 	if r.raw("share") != "" {
-		team.Share = r.count("share", defaultShare, 1)
+		workspace.Share = r.count("share", defaultShare, 1)
 	}
 	if r.raw("limit") != "" {
-		team.Limit = r.count("limit", 0, 1)
+		workspace.Limit = r.count("limit", 0, 1)
 	}
-	r.parser.define(r.row, "team", team.Name)
-	r.parser.cfg.Teams = append(r.parser.cfg.Teams, team)
+	r.parser.define(r.row, "team", workspace.Name)
+	r.parser.cfg.Teams = append(r.parser.cfg.Teams, workspace)
 }
 
 func readKey(r *rowReader) {
@@ -151,12 +151,12 @@
 	r.parser.cfg.Maintenance = append(r.parser.cfg.Maintenance, m)
 }
 
-// readLimit reads a limit that replaces the one in the row of the team.
+// readLimit reads a limit that replaces the one in the row of the workspace.
 func readLimit(r *rowReader) {
-	team := r.ref("team", "team")
+	workspace := r.ref("team", "team")
 	limit := r.count("limit", 0, 1)
-	r.parser.define(r.row, "limit", team)
-	r.parser.limits = append(r.parser.limits, teamLimit{team, limit})
+	r.parser.define(r.row, "limit", workspace)
+	r.parser.limits = append(r.parser.limits, workspaceLimit{workspace, limit})
 }
 
 // Sort orders all rows of cfg by their identifying fields, so that equal content has an equal encoding.
--- a/internal/version/sheet/sheet.go
+++ b/internal/version/sheet/sheet.go
@@ -105,15 +105,15 @@
 	faults         Faults
 	definedInRow   map[string]int // "kind name" -> row
 	refs           []reference
-	limits         []teamLimit
+	limits         []workspaceLimit
 	hasSheetNumber bool
 	skippedLines   int // lines before the first one that is passed to the CSV reader
 }
 
-// teamLimit is a row of kind limit. It is applied once all teams are read.
-type teamLimit struct {
-	team  string
-	limit uint32
+// workspaceLimit is a row of kind limit. It is applied once all workspaces are read.
+type workspaceLimit struct {
+	workspace string
+	limit     uint32
 }
 
 // reference is a name in one row that another row must define.
@@ -238,16 +238,16 @@
 func (p *parser) applyLimits() {
 	limits := make(map[string]uint32, len(p.limits))
 	for _, l := range p.limits {
-		limits[l.team] = l.limit
+		limits[l.workspace] = l.limit
 	}
-	for _, team := range p.cfg.Teams {
-		if limit, ok := limits[team.Name]; ok {
-			team.Limit = limit
+	for _, workspace := range p.cfg.Teams {
+		if limit, ok := limits[workspace.Name]; ok {
+			workspace.Limit = limit
 		}
 	}
-	for _, team := range p.cfg.Teams {
-		if team.Limit == 0 {
-			p.fault(p.definedInRow["team "+team.Name], "limit", "", "team %s has no limit; give one here or in a row of kind limit", team.Name)
+	for _, workspace := range p.cfg.Teams {
+		if workspace.Limit == 0 {
+			p.fault(p.definedInRow["team "+workspace.Name], "limit", "", "workspace %s has no limit; give one here or in a row of kind limit", workspace.Name)
 		}
 	}
 }
--- a/internal/version/sheet/sheet_test.go
+++ b/internal/version/sheet/sheet_test.go
@@ -224,7 +224,7 @@
 	must.SliceEmpty(t, Warnings(cfg))
 	cfg.Teams = append(cfg.Teams, &laburnumv1.Team{Name: "mute", Share: 1, Limit: 1})
 	list := strings.Join(Warnings(cfg), "\n")
-	must.StrContains(t, list, "team mute has neither a key nor an open queue")
+	must.StrContains(t, list, "workspace mute has neither a key nor an open queue")
 }
 
 func FuzzParse(f *testing.F) {
--- a/internal/version/sheet/write.go
+++ b/internal/version/sheet/write.go
@@ -63,7 +63,7 @@
 		list = append(list, queueRow(q))
 	}
 	for _, t := range cfg.Teams {
-		list = append(list, teamRow(t))
+		list = append(list, workspaceRow(t))
 	}
 	for _, k := range cfg.Keys {
 		list = append(list, row{kindColumn: "key", "team": k.Team, "sha256": hex.EncodeToString(k.Sha256)})
@@ -93,7 +93,7 @@
 	}
 }
 
-func teamRow(t *laburnumv1.Team) row {
+func workspaceRow(t *laburnumv1.Team) row {
 	policy := "serve"
 	if t.WhenCutOff == laburnumv1.CutOffPolicy_CUT_OFF_POLICY_REFUSE {
 		policy = "refuse"
--- a/internal/version/state/state.go
+++ b/internal/version/state/state.go
@@ -23,19 +23,19 @@
 	return d, copy(d[:], b) == len(d) && len(b) == len(d)
 }
 
-// SliceID identifies the slice of a team's limit that a data centre holds.
+// SliceID identifies the slice of a workspace's limit that a data centre holds.
 type SliceID struct {
-	Team       string
+	Workspace  string
 	DataCentre string
 }
 
 // JobsSlice is the DataCentre of slices that jobs hold. No data centre can have this name.
 const JobsSlice = "#jobs"
 
-// ShareID identifies the share of a team in a pool.
+// ShareID identifies the share of a workspace in a pool.
 type ShareID struct {
-	Team string
-	Pool string
+	Workspace string
+	Pool      string
 }
 
 // State is the result of all changes up to Index. Its protobuf messages are shared with views and must not be
@@ -46,7 +46,7 @@
 	SheetDigest  []byte
 	Pools        map[string]*laburnumv1.Pool
 	Queues       map[string]*laburnumv1.Queue
-	Teams        map[string]*laburnumv1.Team
+	Workspaces   map[string]*laburnumv1.Team
 	Keys         map[KeyDigest]*laburnumv1.Key
 	Shares       map[ShareID]uint32
 	Maintenance  map[string]*laburnumv1.Maintenance
@@ -62,7 +62,7 @@
 	return &State{
 		Pools:        make(map[string]*laburnumv1.Pool),
 		Queues:       make(map[string]*laburnumv1.Queue),
-		Teams:        make(map[string]*laburnumv1.Team),
+		Workspaces:   make(map[string]*laburnumv1.Team),
 		Keys:         make(map[KeyDigest]*laburnumv1.Key),
 		Shares:       make(map[ShareID]uint32),
 		Maintenance:  make(map[string]*laburnumv1.Maintenance),
@@ -121,7 +121,7 @@
 		s.Queues[q.Name] = q
 	}
 	for _, t := range upserts.GetTeams() {
-		s.Teams[t.Name] = t
+		s.Workspaces[t.Name] = t
 	}
 	for _, k := range upserts.GetKeys() {
 		if digest, ok := DigestOf(k.Sha256); ok {
@@ -144,7 +144,7 @@
 		delete(s.Queues, name)
 	}
 	for _, name := range d.RemovedTeams {
-		delete(s.Teams, name)
+		delete(s.Workspaces, name)
 	}
 	for _, sum := range d.RemovedKeys {
 		if digest, ok := DigestOf(sum); ok {
@@ -218,14 +218,14 @@
 	for _, q := range s.Queues {
 		cfg.Queues = append(cfg.Queues, q)
 	}
-	for _, t := range s.Teams {
+	for _, t := range s.Workspaces {
 		cfg.Teams = append(cfg.Teams, t)
 	}
 	for _, k := range s.Keys {
 		cfg.Keys = append(cfg.Keys, k)
 	}
 	for id, share := range s.Shares {
-		cfg.Shares = append(cfg.Shares, &laburnumv1.PoolShare{Team: id.Team, Pool: id.Pool, Share: share})
+		cfg.Shares = append(cfg.Shares, &laburnumv1.PoolShare{Team: id.Workspace, Pool: id.Pool, Share: share})
 	}
 	for _, m := range s.Maintenance {
 		cfg.Maintenance = append(cfg.Maintenance, m)
@@ -239,7 +239,7 @@
 	upserts := d.Upsert
 	upserts.Pools, d.RemovedPools = diffRows(s.Pools, next.Pools, (*laburnumv1.Pool).GetName)
 	upserts.Queues, d.RemovedQueues = diffRows(s.Queues, next.Queues, (*laburnumv1.Queue).GetName)
-	upserts.Teams, d.RemovedTeams = diffRows(s.Teams, next.Teams, (*laburnumv1.Team).GetName)
+	upserts.Teams, d.RemovedTeams = diffRows(s.Workspaces, next.Teams, (*laburnumv1.Team).GetName)
 	upserts.Maintenance, d.RemovedMaintenance = diffRows(s.Maintenance, next.Maintenance, (*laburnumv1.Maintenance).GetName)
 	keys, removedKeys := diffRows(s.Keys, next.Keys, func(k *laburnumv1.Key) KeyDigest {
 		digest, _ := DigestOf(k.Sha256)
@@ -264,7 +264,7 @@
 	}
 	for id := range s.Shares {
 		if !wanted[id] {
-			d.RemovedShares = append(d.RemovedShares, &laburnumv1.PoolShare{Team: id.Team, Pool: id.Pool})
+			d.RemovedShares = append(d.RemovedShares, &laburnumv1.PoolShare{Team: id.Workspace, Pool: id.Pool})
 		}
 	}
 }
--- a/internal/version/view/view.go
+++ b/internal/version/view/view.go
@@ -21,7 +21,7 @@
 	SheetNumber    uint64
 	queues         map[string]*laburnumv1.Queue
 	pools          map[string]*laburnumv1.Pool
-	teams          map[string]*laburnumv1.Team
+	workspaces     map[string]*laburnumv1.Team
 	shares         map[state.ShareID]uint32
 	keys           map[state.KeyDigest]*laburnumv1.Key
 	withdrawn      map[state.KeyDigest]bool
@@ -68,7 +68,7 @@
 	v.SheetNumber = s.SheetNumber
 	v.queues = maps.Clone(s.Queues)
 	v.pools = maps.Clone(s.Pools)
-	v.teams = maps.Clone(s.Teams)
+	v.workspaces = maps.Clone(s.Workspaces)
 	v.shares = maps.Clone(s.Shares)
 	v.keys = maps.Clone(s.Keys)
 }
@@ -182,28 +182,28 @@
 // Pool returns a pool by name, or nil.
 func (v *View) Pool(name string) *laburnumv1.Pool { return v.pools[name] }
 
-// Team returns a team by name, or nil.
-func (v *View) Team(name string) *laburnumv1.Team { return v.teams[name] }
+// Workspace returns a workspace by name, or nil.
+func (v *View) Workspace(name string) *laburnumv1.Team { return v.workspaces[name] }
 
-// Teams returns all teams by name. The map must not be modified.
-func (v *View) Teams() map[string]*laburnumv1.Team { return v.teams }
+// Workspaces returns all workspaces by name. The map must not be modified.
+func (v *View) Workspaces() map[string]*laburnumv1.Team { return v.workspaces }
 
 // Pools returns all pools by name. The map must not be modified.
 func (v *View) Pools() map[string]*laburnumv1.Pool { return v.pools }
 
-// Share returns the weight of a team in a pool: the share for that pool, else the team's general share.
-func (v *View) Share(team, pool string) uint32 {
-	if share, ok := v.shares[state.ShareID{Team: team, Pool: pool}]; ok {
+// Share returns the weight of a workspace in a pool: the share for that pool, else the workspace's general share.
+func (v *View) Share(workspace, pool string) uint32 {
+	if share, ok := v.shares[state.ShareID{Workspace: workspace, Pool: pool}]; ok {
 		return share
 	}
-	return v.teams[team].GetShare()
+	return v.workspaces[workspace].GetShare()
 }
 
 // Withdrawn reports whether a key was withdrawn.
 func (v *View) Withdrawn(digest state.KeyDigest) bool { return v.withdrawn[digest] }
 
-// KeyTeam returns the team that a key belongs to; ok is false if the key is unknown or withdrawn.
-func (v *View) KeyTeam(digest state.KeyDigest) (team string, ok bool) {
+// KeyWorkspace returns the workspace that a key belongs to; ok is false if the key is unknown or withdrawn.
+func (v *View) KeyWorkspace(digest state.KeyDigest) (workspace string, ok bool) {
 	key := v.keys[digest]
 	if key == nil || v.withdrawn[digest] {
 		return "", false
@@ -225,17 +225,17 @@
 // OutOfService returns the instances that are draining or released. The map must not be modified.
 func (v *View) OutOfService() map[string]*laburnumv1.Assignment { return v.outOfService }
 
-// Slice returns the slice of a team's limit that a data centre holds, or nil.
-func (v *View) Slice(team, dataCentre string) *laburnumv1.Slice {
-	return v.slices[state.SliceID{Team: team, DataCentre: dataCentre}]
+// Slice returns the slice of a workspace's limit that a data centre holds, or nil.
+func (v *View) Slice(workspace, dataCentre string) *laburnumv1.Slice {
+	return v.slices[state.SliceID{Workspace: workspace, DataCentre: dataCentre}]
 }
 
-// Slices returns the slices of a data centre by team.
+// Slices returns the slices of a data centre by workspace.
 func (v *View) Slices(dataCentre string) map[string]*laburnumv1.Slice {
 	slices := make(map[string]*laburnumv1.Slice)
 	for id, slice := range v.slices {
 		if id.DataCentre == dataCentre {
-			slices[id.Team] = slice
+			slices[id.Workspace] = slice
 		}
 	}
 	return slices
--- a/test/failure/control_test.go
+++ b/test/failure/control_test.go
@@ -132,7 +132,7 @@
 		})
 	}
 	for _, e := range f.Entries {
-		eventually(t, e.Name+" answers", func() bool { return send(e, request{team: "soap"}).answered() })
+		eventually(t, e.Name+" answers", func() bool { return send(e, request{workspace: "soap"}).answered() })
 	}
 	again, err := f.Ctl("apply", early)
 	must.NoError(t, err)
@@ -147,7 +147,7 @@
 	f.BlackholeConnections()
 	apply(t, f, 2, "key,,,,,oils,,,,,,,,"+digest("second"))
 	for _, e := range f.Entries {
-		eventually(t, "the new key works at "+e.Name, func() bool { return send(e, request{team: "second"}).answered() })
+		eventually(t, "the new key works at "+e.Name, func() bool { return send(e, request{workspace: "second"}).answered() })
 	}
 }
 
