--- a/test/failure/cutoff_test.go
+++ b/test/failure/cutoff_test.go
@@ -16,35 +16,35 @@
 	t.Parallel()
 	f := startFleet(t, twoDataCentres)
 	remote := harness.In("dc2", f.Entries)
-	eventually(t, "oils is served", func() bool { return send(remote[0], request{team: "oils"}).answered() })
+	eventually(t, "oils is served", func() bool { return send(remote[0], request{workspace: "oils"}).answered() })
 
 	f.Cut("dc2")
 	for _, e := range remote {
 		eventually(t, "oils is refused in dc2", func() bool {
-			a := send(e, request{team: "oils"})
+			a := send(e, request{workspace: "oils"})
 			return a.notRun() && a.status == http.StatusServiceUnavailable
 		})
-		must.True(t, send(e, request{team: "soap"}).answered())
+		must.True(t, send(e, request{workspace: "soap"}).answered())
 		must.True(t, e.Ready())
 	}
-	must.True(t, send(f.Entries[0], request{team: "oils"}).answered())
+	must.True(t, send(f.Entries[0], request{workspace: "oils"}).answered())
 
 	// A key that is withdrawn during the cut stops working soon in dc1, and in dc2 once the cut heals.
 	_, err := f.Ctl("key", "withdraw", digest("soap"))
 	must.NoError(t, err)
 	for _, e := range harness.In("dc1", f.Entries) {
-		eventually(t, "the key is refused in dc1", func() bool { return send(e, request{team: "soap"}).status == http.StatusUnauthorized })
+		eventually(t, "the key is refused in dc1", func() bool { return send(e, request{workspace: "soap"}).status == http.StatusUnauthorized })
 	}
 	f.Heal("dc2")
 	for _, e := range remote {
-		eventually(t, "the key is refused in dc2", func() bool { return send(e, request{team: "soap"}).status == http.StatusUnauthorized })
-		eventually(t, "oils is served again", func() bool { return send(e, request{team: "oils"}).answered() })
+		eventually(t, "the key is refused in dc2", func() bool { return send(e, request{workspace: "soap"}).status == http.StatusUnauthorized })
+		eventually(t, "oils is served again", func() bool { return send(e, request{workspace: "oils"}).answered() })
 	}
 	// A later sheet that still lists the key does not restore it.
 	apply(t, f, 2)
 	time.Sleep(2 * time.Second)
 	for _, e := range f.Entries {
-		must.Eq(t, http.StatusUnauthorized, send(e, request{team: "soap"}).status)
+		must.Eq(t, http.StatusUnauthorized, send(e, request{workspace: "soap"}).status)
 	}
 }
 
@@ -55,20 +55,20 @@
 	f := startFleet(t, twoDataCentres)
 	// A data centre can't serve on its own before it has been granted permits.
 	eventually(t, "dc2 runs soap itself", func() bool {
-		return send(f.Entries[2], request{team: "soap"}).answered() && standinCounts(t, f.Standins[1]).Requests > 0
+		return send(f.Entries[2], request{workspace: "soap"}).answered() && standinCounts(t, f.Standins[1]).Requests > 0
 	})
-	load := startLoad(f.Entries, 30, func(int) request { return request{team: "soap", ms: 100} })
+	load := startLoad(f.Entries, 30, func(int) request { return request{workspace: "soap", ms: 100} })
 	f.CutOutgoing("dc2")
 	for _, e := range harness.In("dc2", f.Entries) {
-		eventually(t, "oils is refused in dc2", func() bool { return send(e, request{team: "oils"}).notRun() })
+		eventually(t, "oils is refused in dc2", func() bool { return send(e, request{workspace: "oils"}).notRun() })
 	}
 	for _, e := range f.Entries {
-		eventually(t, "soap is served at "+e.Name, func() bool { return send(e, request{team: "soap"}).answered() })
+		eventually(t, "soap is served at "+e.Name, func() bool { return send(e, request{workspace: "soap"}).answered() })
 	}
 	apply(t, f, 2, "key,,,,,oils,,,,,,,,"+digest("second"))
 	f.Heal("dc2")
 	for _, e := range f.Entries {
-		eventually(t, "sheet 2 is in force at "+e.Name, func() bool { return send(e, request{team: "second"}).answered() })
+		eventually(t, "sheet 2 is in force at "+e.Name, func() bool { return send(e, request{workspace: "second"}).answered() })
 	}
 	answers := load.stop()
 	must.LessEq(t, limit, peakConcurrency(t, f, "soap"))
@@ -83,7 +83,7 @@
 	for _, c := range f.Controls {
 		must.NoError(t, c.Kill())
 	}
-	load := startLoad(f.Entries, 8, func(int) request { return request{team: "soap", ms: 5} })
+	load := startLoad(f.Entries, 8, func(int) request { return request{workspace: "soap", ms: 5} })
 	standin := f.Standins[0]
 	eventually(t, "the server gets requests", func() bool { return standinCounts(t, standin).ByServer["dc1-i1"] > 0 })
 	resp, err := http.Post("http://"+standin.Public+"/standin/leave/dc1-i1", "", nil)
@@ -104,7 +104,7 @@
 	t.Parallel()
 	f := startFleet(t, twoDataCentres)
 	stopping := f.Entries[0]
-	load := startLoad([]*harness.Node{stopping}, 6, func(int) request { return request{team: "soap", ms: 300} })
+	load := startLoad([]*harness.Node{stopping}, 6, func(int) request { return request{workspace: "soap", ms: 300} })
 	time.Sleep(time.Second)
 	must.NoError(t, stopping.Stop())
 	answers := load.stop()
--- a/test/failure/fleet_test.go
+++ b/test/failure/fleet_test.go
@@ -72,12 +72,12 @@
 	apply(t, f, 1, rows...)
 	for _, e := range f.Entries {
 		eventually(t, e.Name+" is ready", e.Ready)
-		eventually(t, e.Name+" answers", func() bool { return send(e, request{team: "soap"}).answered() })
+		eventually(t, e.Name+" answers", func() bool { return send(e, request{workspace: "soap"}).answered() })
 	}
 	return f
 }
 
-// sheetText returns a sheet with one pool and two teams. A data centre that is cut off serves soap and refuses oils.
+// sheetText returns a sheet with one pool and two workspaces. A data centre that is cut off serves soap and refuses oils.
 func sheetText(number int, rows ...string) string {
 	text := fmt.Sprintf(`kind,number,name,service,pool,team,instances,min_available,max_wait,max_run,share,limit,when_cut_off,sha256
 sheet,%d
@@ -129,9 +129,9 @@
 
 // request is a POST that a caller sends.
 type request struct {
-	team string
-	id   string // Idempotency-Key
-	ms   int    // how long the stand-in server takes to answer
+	workspace string
+	id        string // Idempotency-Key
+	ms        int    // how long the stand-in server takes to answer
 }
 
 // answer is the response that a caller got, or the error.
@@ -157,7 +157,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	req.Header.Set("Authorization", "Bearer "+r.team)
+	req.Header.Set("Authorization", "Bearer "+r.workspace)
 	if r.id != "" {
 		req.Header.Set("Idempotency-Key", r.id)
 	}
--- a/test/failure/limit_test.go
+++ b/test/failure/limit_test.go
@@ -12,18 +12,18 @@
 	"laburnumrouter/test/harness"
 )
 
-// limit is the upper limit of each team in the sheet of these tests.
+// limit is the upper limit of each workspace in the sheet of these tests.
 const limit = 12
 
 // event mirrors the stand-in's events.
 type event struct {
-	At    int64  `json:"at"`
-	Team  string `json:"team"`
-	Delta int    `json:"delta"`
+	At        int64  `json:"at"`
+	Workspace string `json:"team"`
+	Delta     int    `json:"delta"`
 }
 
-// peakConcurrency returns the highest number of a team's requests that ran at the same time, over all data centres.
-func peakConcurrency(t *testing.T, f *harness.Fleet, team string) int {
+// peakConcurrency returns the highest number of a workspace's requests that ran at the same time, over all data centres.
+func peakConcurrency(t *testing.T, f *harness.Fleet, workspace string) int {
 	t.Helper()
 	var all []event
 	for _, n := range f.Standins {
@@ -37,7 +37,7 @@
 	sort.SliceStable(all, func(i, j int) bool { return all[i].At < all[j].At })
 	running, highest := 0, 0
 	for _, e := range all {
-		if e.Team == team {
+		if e.Workspace == workspace {
 			running += e.Delta
 			highest = max(highest, running)
 		}
@@ -51,7 +51,7 @@
 func TestLimitHoldsThroughCutAndCrash(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, twoDataCentres)
-	load := startLoad(f.Entries, 40, func(int) request { return request{team: "soap", ms: 200} })
+	load := startLoad(f.Entries, 40, func(int) request { return request{workspace: "soap", ms: 200} })
 	time.Sleep(3 * time.Second)
 	f.Cut("dc2")
 	time.Sleep(3 * time.Second)
@@ -71,7 +71,7 @@
 func TestOneDataCentreUsesNearlyWholeLimit(t *testing.T) {
 	t.Parallel()
 	f := startFleet(t, twoDataCentres)
-	load := startLoad(harness.In("dc1", f.Entries), 30, func(int) request { return request{team: "soap", ms: 300} })
+	load := startLoad(harness.In("dc1", f.Entries), 30, func(int) request { return request{workspace: "soap", ms: 300} })
 	eventually(t, "dc1 uses nearly the whole limit", func() bool { return peakConcurrency(t, f, "soap") >= limit-1 })
 	load.stop()
 	must.LessEq(t, limit, peakConcurrency(t, f, "soap"))
--- a/test/failure/once_test.go
+++ b/test/failure/once_test.go
@@ -67,7 +67,7 @@
 				id := fmt.Sprintf("dc%d/refund-%d-%d", 1+c%2, c, i)
 				for range attempts {
 					e := f.Entries[rng.IntN(len(f.Entries))]
-					a := send(e, request{team: "soap", id: id, ms: 20})
+					a := send(e, request{workspace: "soap", id: id, ms: 20})
 					if a.err == nil && a.outcome != "" {
 						reported.set(id, a.outcome)
 					}
@@ -115,12 +115,12 @@
 		id := fmt.Sprintf("dc%d/same-%d", 1+i%2, i)
 		var wg sync.WaitGroup
 		for _, e := range f.Entries {
-			wg.Go(func() { send(e, request{team: "soap", id: id, ms: 5}) })
+			wg.Go(func() { send(e, request{workspace: "soap", id: id, ms: 5}) })
 		}
 		wg.Wait()
 		eventually(t, id+" is completed everywhere", func() bool {
 			for _, e := range f.Entries {
-				if a := send(e, request{team: "soap", id: id, ms: 5}); a.outcome != "completed" {
+				if a := send(e, request{workspace: "soap", id: id, ms: 5}); a.outcome != "completed" {
 					return false
 				}
 			}
--- a/test/failure/together_test.go
+++ b/test/failure/together_test.go
@@ -83,7 +83,7 @@
 	c.pause()
 }
 
-// TestGuaranteesHoldUnderCombinedFaults injects faults of all kinds in quick succession while teams send more requests
+// TestGuaranteesHoldUnderCombinedFaults injects faults of all kinds in quick succession while workspaces send more requests
 // than their limits allow. It checks that no limit was exceeded, that no idempotency key ran twice, or at all if it was last
 // reported as not run, that each answer belongs to its request, and that applying an accepted sheet again gets its first
 // answer.
@@ -94,9 +94,9 @@
 	c := &faultInjector{t: t, f: f, rng: rand.New(rand.NewPCG(*chaosSeed, *chaosSeed)), accepted: make(map[string]string), lastSheet: 1}
 	reported := newReportedOutcomes()
 	var mismatched sync.Map // answers that belong to another request, by idempotency key
-	plain := startLoad(f.Entries, 20, func(int) request { return request{team: "soap", ms: 60} })
+	plain := startLoad(f.Entries, 20, func(int) request { return request{workspace: "soap", ms: 60} })
 	keyed := startLoad(f.Entries, 10, func(i int) request {
-		return request{team: "oils", id: fmt.Sprintf("dc%d/chaos-%d", 1+i%2, i/3), ms: 10}
+		return request{workspace: "oils", id: fmt.Sprintf("dc%d/chaos-%d", 1+i%2, i/3), ms: 10}
 	})
 	keyed.observe(func(r request, a answer) {
 		if a.err == nil && a.outcome != "" {
@@ -137,6 +137,6 @@
 	t.Logf("%d sheets accepted, %d of %d plain requests answered, %d ids ran", len(c.accepted), count(answers, answer.answered), len(answers), len(runs))
 	must.Greater(t, 0, count(answers, answer.answered))
 	for _, e := range f.Entries {
-		eventually(t, e.Name+" answers again", func() bool { return send(e, request{team: "soap"}).answered() })
+		eventually(t, e.Name+" answers again", func() bool { return send(e, request{workspace: "soap"}).answered() })
 	}
 }
--- a/test/failure/withdraw_test.go
+++ b/test/failure/withdraw_test.go
@@ -29,7 +29,7 @@
 	must.NoError(t, err)
 	for _, e := range f.Entries {
 		eventually(t, "the key is refused at "+e.Name, func() bool {
-			return send(e, request{team: "soap"}).status == http.StatusUnauthorized
+			return send(e, request{workspace: "soap"}).status == http.StatusUnauthorized
 		})
 	}
 	for _, c := range f.Controls {
--- a/test/measure/fleet/decisions.go
+++ b/test/measure/fleet/decisions.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	rounds      = 200 // calls of each timed decision
-	designTeams = 660
+	rounds           = 200 // calls of each timed decision
+	designWorkspaces = 660
 	// linearGrowth is the exponent of a cost that is proportional to the size of the fleet.
 	linearGrowth = 1.0
 )
@@ -91,34 +91,34 @@
 	w.Step()
 	in = w.Input()
 	times["wave step"] = medianMicroseconds(func(int) { wave.Plan(in, wave.DefaultPolicy()) })
-	scheduler := backlogged(n, min(designTeams, n))
+	scheduler := backlogged(n, min(designWorkspaces, n))
 	times["job submitted and placed"] = medianMicroseconds(func(i int) { submitAndPlace(scheduler, fmt.Sprintf("u%d", i), true) })
 	times["job ended"] = medianMicroseconds(func(i int) { endJob(scheduler, fmt.Sprintf("u%d", i)) })
 	return times, nil
 }
 
-// backlogged returns a scheduler whose workers have free capacity and whose teams have many jobs waiting for permits.
-func backlogged(workers, teams int) *placement.Scheduler {
+// backlogged returns a scheduler whose workers have free capacity and whose workspaces have many jobs waiting for permits.
+func backlogged(workers, workspaces int) *placement.Scheduler {
 	s := placement.New()
 	for i := range workers {
 		s.SetWorker(placement.Worker{ID: fmt.Sprintf("w%d", i), Pool: jobPool, Capacity: workerSize})
 	}
-	for i := range teams {
+	for i := range workspaces {
 		name := fmt.Sprintf("team-%d", i)
-		s.SetTeam(placement.Team{Name: name, Share: 1, Permits: 2})
+		s.SetWorkspace(placement.Workspace{Name: name, Share: 1, Permits: 2})
 		for j := range 20 {
 			id := fmt.Sprintf("%s-%d", name, j)
 			s.ApplyJob(id, jobOf(id, name, false))
 		}
 	}
-	s.SetTeam(placement.Team{Name: "urgent", Share: 1, Permits: allPermits})
+	s.SetWorkspace(placement.Workspace{Name: "urgent", Share: 1, Permits: allPermits})
 	commitAll(s, s.Plan(time.Now(), allPermits).Start)
 	return s
 }
 
-func jobOf(id, team string, urgent bool) *laburnumv1.Job {
+func jobOf(id, workspace string, urgent bool) *laburnumv1.Job {
 	size := placement.Size{MilliCPU: 1000, Memory: gib}
-	return &laburnumv1.Job{Id: id, Team: team, Pool: jobPool, Declared: size.Resources(), State: jobWaiting, Urgent: urgent}
+	return &laburnumv1.Job{Id: id, Team: workspace, Pool: jobPool, Declared: size.Resources(), State: jobWaiting, Urgent: urgent}
 }
 
 func commitAll(s *placement.Scheduler, starts []*laburnumv1.Job) {
@@ -127,7 +127,7 @@
 	}
 }
 
-// submitAndPlace submits a job of a team that has permits and commits the planned starts. It returns their number.
+// submitAndPlace submits a job of a workspace that has permits and commits the planned starts. It returns their number.
 func submitAndPlace(s *placement.Scheduler, id string, urgent bool) int {
 	s.ApplyJob(id, jobOf(id, "urgent", urgent))
 	starts := s.Plan(time.Unix(1_800_000_000, 0), allPermits).Start
@@ -148,7 +148,7 @@
 // fleet of the size to design for: the full interval until the next survey of workers and permits, plus the decision.
 // The commit and the answer of the platform come on top.
 func measureUrgentStart(r *recorder.Recorder) error {
-	s := backlogged(4400, designTeams)
+	s := backlogged(4400, designWorkspaces)
 	worst := 0.0
 	for i := range rounds {
 		begin := time.Now()
--- a/test/measure/fleet/jobs.go
+++ b/test/measure/fleet/jobs.go
@@ -96,7 +96,7 @@
 	return v, nil
 }
 
-func teamName(class int) string { return fmt.Sprintf("team-%d", class) }
+func workspaceName(class int) string { return fmt.Sprintf("team-%d", class) }
 
 // step simulates one second: submissions, starts, progress and usage reports.
 func (v *jobRun) step(second int) {
@@ -118,10 +118,10 @@
 	}
 }
 
-// backlog returns the number of waiting jobs of all teams.
+// backlog returns the number of waiting jobs of all workspaces.
 func (v *jobRun) backlog() int {
 	sum := 0
-	for _, name := range v.scheduler.Teams() {
+	for _, name := range v.scheduler.Workspaces() {
 		_, waiting := v.scheduler.RunningAndWaiting(name)
 		sum += waiting
 	}
@@ -130,7 +130,7 @@
 
 func (v *jobRun) submit(now time.Time) {
 	class := v.next % jobClasses
-	v.scheduler.SetTeam(placement.Team{Name: teamName(class), Share: 1, Permits: allPermits})
+	v.scheduler.SetWorkspace(placement.Workspace{Name: workspaceName(class), Share: 1, Permits: allPermits})
 	size := placement.Size{MilliCPU: 500 + v.random.Int64N(4000), Memory: gib/4 + v.random.Int64N(12*gib)}
 	factor := v.declarationErrors[class]
 	declared := placement.Size{
@@ -139,7 +139,7 @@
 	}
 	id := fmt.Sprintf("j%06d", v.next)
 	v.next++
-	job := &laburnumv1.Job{Id: id, Team: teamName(class), Pool: jobPool, Declared: declared.Resources(), State: jobWaiting, SubmittedUnixMs: now.UnixMilli()}
+	job := &laburnumv1.Job{Id: id, Team: workspaceName(class), Pool: jobPool, Declared: declared.Resources(), State: jobWaiting, SubmittedUnixMs: now.UnixMilli()}
 	v.jobs[id] = &simulatedJob{job: job, size: size, leftSeconds: 20 + 100*v.random.Float64()}
 	v.commit(job)
 }
--- a/test/measure/limits/limits.go
+++ b/test/measure/limits/limits.go
@@ -1,4 +1,4 @@
-// Package limits measures how much of a team's limit is used when all its demand is in one data centre, how fast
+// Package limits measures how much of a workspace's limit is used when all its demand is in one data centre, how fast
 // slices follow a spike, and how much an idempotency record adds to the latency of a request.
 package limits
 
@@ -18,7 +18,7 @@
 
 const (
 	area               = "limits"
-	team               = "soap"
+	workspace          = "soap"
 	limit              = 40
 	service            = "refund"
 	startTimeout       = 20 * time.Second
@@ -88,14 +88,14 @@
 
 // sheet returns the sheet of the fleet as CSV.
 func sheet() string {
-	sum := sha256.Sum256([]byte(team))
+	sum := sha256.Sum256([]byte(workspace))
 	return fmt.Sprintf(`kind,number,name,service,pool,team,instances,min_available,max_wait,max_run,share,limit,when_cut_off,sha256
 sheet,1
 pool,,refund,refund,,,16,1
 queue,,refunds,,refund,,,,5s,20s
 team,,%s,,,,,,,,1,%d,serve
 key,,,,,%s,,,,,,,,%s
-`, team, limit, team, hex.EncodeToString(sum[:]))
+`, workspace, limit, workspace, hex.EncodeToString(sum[:]))
 }
 
 // await polls until ok returns true or ctx ends.
@@ -147,7 +147,7 @@
 	n := 0
 	for range len(entriesIn("dc1")) {
 		permits := escrow.NewStatic(func(string) int { return limit / entries })
-		for permits.TryAcquire(team) {
+		for permits.TryAcquire(workspace) {
 			n++
 		}
 	}
--- a/test/measure/limits/load.go
+++ b/test/measure/limits/load.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	req.Header.Set("Authorization", "Bearer "+team)
+	req.Header.Set("Authorization", "Bearer "+workspace)
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
@@ -66,9 +66,9 @@
 
 // event is an event as a stand-in reports it: the start or end of a request.
 type event struct {
-	At    int64  `json:"at"`
-	Team  string `json:"team"`
-	Delta int    `json:"delta"`
+	At        int64  `json:"at"`
+	Workspace string `json:"team"`
+	Delta     int    `json:"delta"`
 }
 
 // fetchEvents returns the starts and ends of requests at the backend servers of all data centres, ordered by time.
@@ -91,7 +91,7 @@
 	return all, nil
 }
 
-// usage describes the running requests of the team.
+// usage describes the running requests of the workspace.
 type usage struct {
 	mean    float64 // over the averaging window
 	peak    int
--- a/test/measure/limits/plan.go
+++ b/test/measure/limits/plan.go
@@ -11,13 +11,13 @@
 )
 
 const (
-	planTeams       = 660
+	planWorkspaces  = 660
 	planDataCentres = 10
 	planRounds      = 200
 )
 
-// measurePlan times the leader's slice plan for a fleet of the size to design for: the first plan for all teams, and
-// plans after the need of a single team has changed.
+// measurePlan times the leader's slice plan for a fleet of the size to design for: the first plan for all workspaces, and
+// plans after the need of a single workspace has changed.
 func measurePlan(r *recorder.Recorder) {
 	now := time.Unix(0, 0)
 	s := state.New()
@@ -27,9 +27,9 @@
 		name := fmt.Sprintf("dc%d", d)
 		s.RecordGroups[name] = &laburnumv1.RecordGroup{DataCentre: name, Members: []string{name + "-e.1"}}
 	}
-	for t := range planTeams {
+	for t := range planWorkspaces {
 		name := fmt.Sprintf("team-%d", t)
-		s.Teams[name] = &laburnumv1.Team{Name: name, Limit: 100}
+		s.Workspaces[name] = &laburnumv1.Team{Name: name, Limit: 100}
 	}
 	syncSlices := func(d int, full bool, lines ...*laburnumv1.SliceLine) {
 		name := fmt.Sprintf("dc%d", d)
@@ -43,7 +43,7 @@
 	all := time.Since(begin)
 	for _, slice := range plan.Slices {
 		slice.Incarnation = 2
-		s.Slices[state.SliceID{Team: slice.Team, DataCentre: slice.DataCentre}] = slice
+		s.Slices[state.SliceID{Workspace: slice.Team, DataCentre: slice.DataCentre}] = slice
 	}
 	allocator.Plan(now, s)
 	begin = time.Now()
@@ -53,7 +53,7 @@
 	}
 	one := time.Since(begin) / planRounds
 	r.Add(recorder.Figure{
-		Area: area, Name: fmt.Sprintf("leader's decision on one of %d teams, %d data centres", planTeams, planDataCentres), Unit: "us",
+		Area: area, Name: fmt.Sprintf("leader's decision on one of %d workspaces, %d data centres", planWorkspaces, planDataCentres), Unit: "us",
 		Value: float64(one.Nanoseconds()) / 1e3, Baseline: float64(all.Nanoseconds()) / 1e3, BaselineName: "decision on all teams",
 		Better: recorder.Lower,
 	})
--- a/test/measure/product/sizes.go
+++ b/test/measure/product/sizes.go
@@ -20,19 +20,19 @@
 // size is a fleet to measure. Its entry and control instances are no more than the number that may be set aside for
 // them.
 type size struct {
-	instances, pools, teams, dataCentres int
-	entries, controls                    int
+	instances, pools, workspaces, dataCentres int
+	entries, controls                         int
 }
 
 // sizes are the current fleet of a user, a fleet ten times as large, and the fleet to design for.
 var sizes = []size{
-	{instances: 50, pools: 5, teams: 6, dataCentres: 4, entries: 8, controls: 3},
-	{instances: 500, pools: 34, teams: 75, dataCentres: 5, entries: 10, controls: 5},
-	{instances: 4400, pools: 298, teams: 660, dataCentres: 10, entries: 16, controls: 5},
+	{instances: 50, pools: 5, workspaces: 6, dataCentres: 4, entries: 8, controls: 3},
+	{instances: 500, pools: 34, workspaces: 75, dataCentres: 5, entries: 10, controls: 5},
+	{instances: 4400, pools: 298, workspaces: 660, dataCentres: 10, entries: 16, controls: 5},
 }
 
 func (s size) String() string {
-	return fmt.Sprintf("%d instances, %d teams", s.instances, s.teams)
+	return fmt.Sprintf("%d instances, %d teams", s.instances, s.workspaces)
 }
 
 // Run records all figures of the area.
@@ -53,13 +53,13 @@
 			Name: pool, Pool: pool, MaxWaitMs: 2000, MaxRunMs: 60_000, MaxWaiting: 1000,
 		})
 	}
-	for i := range s.teams {
-		team := fmt.Sprintf("team-%03d", i)
-		sum := sha256.Sum256([]byte(team))
+	for i := range s.workspaces {
+		workspace := fmt.Sprintf("team-%03d", i)
+		sum := sha256.Sum256([]byte(workspace))
 		cfg.Teams = append(cfg.Teams, &laburnumv1.Team{
-			Name: team, Share: 1 + uint32(i%8), Limit: 100 + uint32(i), WhenCutOff: laburnumv1.CutOffPolicy_CUT_OFF_POLICY_SERVE,
+			Name: workspace, Share: 1 + uint32(i%8), Limit: 100 + uint32(i), WhenCutOff: laburnumv1.CutOffPolicy_CUT_OFF_POLICY_SERVE,
 		})
-		cfg.Keys = append(cfg.Keys, &laburnumv1.Key{Team: team, Sha256: sum[:]})
+		cfg.Keys = append(cfg.Keys, &laburnumv1.Key{Team: workspace, Sha256: sum[:]})
 	}
 	cfg.Digest = sheet.Digest(cfg)
 	return cfg
--- a/test/measure/product/store.go
+++ b/test/measure/product/store.go
@@ -60,7 +60,7 @@
 	for i := range s.instances {
 		snapshot.Assignments = append(snapshot.Assignments, s.assignment(i, 1))
 	}
-	for i := range s.teams * s.dataCentres {
+	for i := range s.workspaces * s.dataCentres {
 		snapshot.Slices = append(snapshot.Slices, &laburnumv1.Slice{
 			Team: fmt.Sprintf("team-%03d", i/s.dataCentres), DataCentre: fmt.Sprintf("dc%d", i%s.dataCentres), Permits: 10, Incarnation: 1,
 		})
--- a/test/measure/requests/fleet.go
+++ b/test/measure/requests/fleet.go
@@ -25,7 +25,7 @@
 	startDeadline = 2 * time.Second // longest wait of a request before it starts
 )
 
-// weights are the shares of the teams.
+// weights are the shares of the workspaces.
 var weights = map[string]int{"soap": 4, "oils": 2, "labels": 1, "drums": 1}
 
 // bench is a data centre with three entries and four backend servers, together with the baseline proxies.
@@ -78,10 +78,10 @@
 	return b.startProxies()
 }
 
-// warm sends one request of each team to an entry and reports whether all were answered.
+// warm sends one request of each workspace to an entry and reports whether all were answered.
 func (b *bench) warm(e *harness.Node) bool {
-	for team := range weights {
-		if send(newClient(), target{address: e.Public, team: team}) != answered {
+	for workspace := range weights {
+		if send(newClient(), target{address: e.Public, workspace: workspace}) != answered {
 			return false
 		}
 	}
@@ -92,9 +92,9 @@
 func (b *bench) apply(ctx context.Context) error {
 	text := "kind,number,name,service,pool,team,instances,min_available,max_wait,max_run,max_waiting,share,limit,sha256\n" +
 		fmt.Sprintf("sheet,1\npool,,check,check,,,%d,1\nqueue,,checks,,check,,,,%s,20s,5000\n", servers, startDeadline)
-	for team, weight := range weights {
-		sum := sha256.Sum256([]byte(team))
-		text += fmt.Sprintf("team,,%s,,,,,,,,,%d,1000\nkey,,,,,%s,,,,,,,,%s\n", team, weight, team, hex.EncodeToString(sum[:]))
+	for workspace, weight := range weights {
+		sum := sha256.Sum256([]byte(workspace))
+		text += fmt.Sprintf("team,,%s,,,,,,,,,%d,1000\nkey,,,,,%s,,,,,,,,%s\n", workspace, weight, workspace, hex.EncodeToString(sum[:]))
 	}
 	path := filepath.Join(b.dir, "sheet.csv")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/test/measure/requests/load.go
+++ b/test/measure/requests/load.go
@@ -25,9 +25,9 @@
 
 // target describes where and how the requests of a load are sent.
 type target struct {
-	address string
-	team    string
-	ms      int // run time of a request in milliseconds
+	address   string
+	workspace string
+	ms        int // run time of a request in milliseconds
 }
 
 func newClient() *http.Client {
@@ -44,7 +44,7 @@
 	if err != nil {
 		return failed
 	}
-	req.Header.Set("Authorization", "Bearer "+t.team)
+	req.Header.Set("Authorization", "Bearer "+t.workspace)
 	resp, err := client.Do(req)
 	if err != nil {
 		return failed
--- a/test/measure/requests/requests.go
+++ b/test/measure/requests/requests.go
@@ -36,7 +36,7 @@
 	baselineRoundRobin = "round robin"
 )
 
-// Run measures the request rate, the shares of the teams, a load spike and a slow backend server.
+// Run measures the request rate, the shares of the workspaces, a load spike and a slow backend server.
 func Run(ctx context.Context, r *recorder.Recorder) error {
 	b, err := start(ctx)
 	if err != nil {
@@ -64,7 +64,7 @@
 	last := make(map[string]*tally)
 	for range rateRounds {
 		for _, address := range append([]string{b.roundRobin}, addresses...) {
-			t := closedLoad(ctx, target{address: address, team: "soap"}, rateCallers, rateRound)
+			t := closedLoad(ctx, target{address: address, workspace: "soap"}, rateCallers, rateRound)
 			if t.counts[failed]+t.counts[refused] > 0 {
 				return fmt.Errorf("%d requests failed, %d were refused in the rate measurement", t.counts[failed], t.counts[refused])
 			}
@@ -90,12 +90,12 @@
 	return values[len(values)/2]
 }
 
-// measureShares fills the pool with requests of all teams and compares their answers with their weights. One team
-// has far more callers than the others; all callers of a team use the same entry.
+// measureShares fills the pool with requests of all workspaces and compares their answers with their weights. One workspace
+// has far more callers than the others; all callers of a workspace use the same entry.
 func (b *bench) measureShares(ctx context.Context, r *recorder.Recorder) {
 	fair := b.fillPool(ctx, func(i int) string { return b.fleet.Entries[i%len(b.fleet.Entries)].Public })
 	fifo := b.fillPool(ctx, func(int) string { return b.fifo })
-	r.Add(recorder.Figure{Area: area, Name: "largest share error of a team when full", Unit: "%", Value: shareError(fair), Baseline: shareError(fifo), BaselineName: baselineFIFO, Target: shareTarget, HasTarget: true})
+	r.Add(recorder.Figure{Area: area, Name: "largest share error of a workspace when full", Unit: "%", Value: shareError(fair), Baseline: shareError(fifo), BaselineName: baselineFIFO, Target: shareTarget, HasTarget: true})
 	total := 0
 	for _, n := range fair {
 		total += n
@@ -103,38 +103,38 @@
 	r.Add(recorder.Figure{Area: area, Name: "slots in use when full", Unit: "%", Value: percent * float64(total) * shareRunMs / 1000 / shareTime.Seconds() / slots, Better: recorder.Higher})
 }
 
-// fillPool sends requests of all teams for shareTime and returns the number of answers to each team.
+// fillPool sends requests of all workspaces for shareTime and returns the number of answers to each workspace.
 func (b *bench) fillPool(ctx context.Context, address func(int) string) map[string]int {
 	callers := map[string]int{"soap": 64, "oils": 48, "labels": 192, "drums": 32}
 	counts := make(map[string]int)
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	i := 0
-	for team := range weights {
+	for workspace := range weights {
 		at := address(i)
 		i++
 		group.Go(func() {
-			t := closedLoad(ctx, target{address: at, team: team, ms: shareRunMs}, callers[team], shareTime)
+			t := closedLoad(ctx, target{address: at, workspace: workspace, ms: shareRunMs}, callers[workspace], shareTime)
 			mu.Lock()
 			defer mu.Unlock()
-			counts[team] = t.counts[answered]
+			counts[workspace] = t.counts[answered]
 		})
 	}
 	group.Wait()
 	return counts
 }
 
-// shareError returns the largest deviation of a team's answers from its share by weight, in percent of that share.
+// shareError returns the largest deviation of a workspace's answers from its share by weight, in percent of that share.
 func shareError(counts map[string]int) float64 {
 	total, weight := 0, 0
-	for team, w := range weights {
-		total += counts[team]
+	for workspace, w := range weights {
+		total += counts[workspace]
 		weight += w
 	}
 	worst := 0.0
-	for team, w := range weights {
+	for workspace, w := range weights {
 		expected := float64(total) * float64(w) / float64(weight)
-		worst = max(worst, math.Abs(float64(counts[team])-expected)/expected)
+		worst = max(worst, math.Abs(float64(counts[workspace])-expected)/expected)
 	}
 	return worst * percent
 }
@@ -152,10 +152,10 @@
 	}
 	var entries []target
 	for _, e := range b.fleet.Entries {
-		entries = append(entries, target{address: e.Public, team: "soap", ms: spikeRunMs})
+		entries = append(entries, target{address: e.Public, workspace: "soap", ms: spikeRunMs})
 	}
 	ours := openLoad(ctx, entries, phases)
-	fifo := openLoad(ctx, []target{{address: b.fifo, team: "soap", ms: spikeRunMs}}, phases)
+	fifo := openLoad(ctx, []target{{address: b.fifo, workspace: "soap", ms: spikeRunMs}}, phases)
 	maxAnswered := capacity * (spikeTime + startDeadline).Seconds() * spikeRounds
 	best := min(offered, maxAnswered)
 	r.Add(recorder.Figure{Area: area, Name: "spike: answered in time, of what the pool can hold", Unit: "%", Value: percent * float64(ours.within(inTimeLimit)) / best, Baseline: percent * float64(fifo.within(inTimeLimit)) / best, BaselineName: baselineFIFO, Better: recorder.Higher})
@@ -170,8 +170,8 @@
 		return err
 	}
 	scheduler, _ := b.scheduler()
-	ours := closedLoad(ctx, target{address: scheduler.Public, team: "soap", ms: 5}, outlierCallers, outlierTime)
-	throughProxy := closedLoad(ctx, target{address: b.roundRobin, team: "soap", ms: 5}, outlierCallers, outlierTime)
+	ours := closedLoad(ctx, target{address: scheduler.Public, workspace: "soap", ms: 5}, outlierCallers, outlierTime)
+	throughProxy := closedLoad(ctx, target{address: b.roundRobin, workspace: "soap", ms: 5}, outlierCallers, outlierTime)
 	r.Add(recorder.Figure{Area: area, Name: "one slow server of four: answered", Unit: "1/s", Value: float64(ours.counts[answered]) / outlierTime.Seconds(), Baseline: float64(throughProxy.counts[answered]) / outlierTime.Seconds(), BaselineName: baselineRoundRobin, Better: recorder.Higher})
 	r.Add(recorder.Figure{Area: area, Name: "one slow server of four: p99", Unit: "ms", Value: ours.quantile(0.99), Baseline: throughProxy.quantile(0.99), BaselineName: baselineRoundRobin})
 	return b.setFault(slowServer, "none")
--- a/test/quickstart/scenario.go
+++ b/test/quickstart/scenario.go
@@ -157,11 +157,11 @@
 	return nil
 }
 
-func demoKey(team string) string { return "drenq-" + team + "-demo" }
+func demoKey(workspace string) string { return "drenq-" + workspace + "-demo" }
 
 // send sends one request and counts its result in t. The body of the answer must end with that of the request. It
 // returns the status, or 0 if there was no whole answer.
-func (s *scenario) send(e *fleet.Node, queue, team, id string, ms int, t *tally) int {
+func (s *scenario) send(e *fleet.Node, queue, workspace, id string, ms int, t *tally) int {
 	if t == nil {
 		t = &tally{}
 	}
@@ -174,7 +174,7 @@
 	if err != nil {
 		return 0
 	}
-	req.Header.Set("Authorization", "Bearer "+demoKey(team))
+	req.Header.Set("Authorization", "Bearer "+demoKey(workspace))
 	if id != "" {
 		req.Header.Set("Idempotency-Key", id)
 	}
@@ -208,15 +208,15 @@
 	*n++
 }
 
-// load sends n requests, spread over all entries, queues and teams, from concurrent callers.
+// load sends n requests, spread over all entries, queues and workspaces, from concurrent callers.
 func (s *scenario) load(n int) error {
-	teams := []string{"altiplano", "costa-sur", "verapaces", "oriente"} // not peten: withdrawKey withdraws its key
+	workspaces := []string{"altiplano", "costa-sur", "verapaces", "oriente"} // not peten: withdrawKey withdraws its key
 	var wg sync.WaitGroup
 	for w := range concurrency {
 		wg.Go(func() {
 			for i := w; i < n; i += concurrency {
 				e := s.fleet.entries[i%len(s.fleet.entries)]
-				s.send(e, queues[i/4%len(queues)], teams[i/16%len(teams)], "", 10+i%20, &s.tally)
+				s.send(e, queues[i/4%len(queues)], workspaces[i/16%len(workspaces)], "", 10+i%20, &s.tally)
 			}
 		})
 	}
