--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -107,12 +108,16 @@
 	}
 }
 
-// Stop ends the session. It is called before leadership is transferred.
+// Stop ends the session for good. It is called before a stopping process transfers its leadership.
 func (d *Dispatcher) Stop() {
-	d.leaderLease.revoke()
+	d.leaderLease.revoke(math.MaxUint64)
 	d.endSession("the process stops")
 }
 
+// Yield makes this instance act as leader no more in the current term. It is called right before the replica hands over
+// its leadership, and doesn't block.
+func (d *Dispatcher) Yield() { d.leaderLease.revoke(d.replica.Status().Term) }
+
 // activeSession returns the current session, or nil unless this instance holds the leader lease.
 func (d *Dispatcher) activeSession() *session {
 	s := d.session.Load()
--- a/internal/dispatch/leaderlease.go
+++ b/internal/dispatch/leaderlease.go
@@ -24,7 +24,8 @@
 	validFor   time.Duration
 	validUntil atomic.Int64 // boottime in nanoseconds
 	term       atomic.Uint64
-	revoked    atomic.Bool
+	// revokedThrough is the last term in which the lease must not be held any more.
+	revokedThrough atomic.Uint64
 }
 
 func newLeaderLease(election time.Duration) *leaderLease {
@@ -33,11 +34,12 @@
 
 // Held implements leaseHolder.
 func (l *leaderLease) Held() bool {
-	return !l.revoked.Load() && int64(boottime.Now()) < l.validUntil.Load()
+	return l.term.Load() > l.revokedThrough.Load() && int64(boottime.Now()) < l.validUntil.Load()
 }
 
-// revoke ends the lease permanently. It is called before leadership is transferred.
-func (l *leaderLease) revoke() { l.revoked.Store(true) }
+// revoke ends the lease for a term and all earlier ones. It is called before leadership is transferred, because the next
+// leader then doesn't wait for the lease to expire.
+func (l *leaderLease) revoke(term uint64) { l.revokedThrough.Store(term) }
 
 // run renews the lease while this instance leads, until ctx ends.
 func (l *leaderLease) run(ctx context.Context, r Replica) {
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -31,6 +31,9 @@
 	// 12 s).
 	tickInterval  = 50 * time.Millisecond
 	electionTicks = 10
+	// handoverTicks is the time after which a leader whose disk lags behind the others' hands over: 1 s. Until then the
+	// others' disks carry its commits.
+	handoverTicks = 20
 	// snapshotEntries is the number of log entries between snapshots. At 60 entries a second on a busy day, a snapshot is
 	// taken every 70 s and the journal stays under 10 MB of the 128 MB disk.
 	snapshotEntries = 4096
@@ -122,16 +125,18 @@
 	log.Info("starting", "member", name, "founder", founder, "seeds", s.Seeds, "first_start", s.FirstStart)
 	seedPeers := PeerAddresses(s.Seeds, s.PeerListen)
 	engine := dispatch.NewEngine(log.Named("engine"))
+	var d *dispatch.Dispatcher
 	node, err := replica.Open(replica.Options{
 		Voters: initialVoters(seedPeers, founder), Join: !founder, Name: name, Dir: s.DataDir, FS: deps.FS, Machine: engine,
 		Transport: transport{replication.NewLinks(peer.NewDialer, nil)}, Log: log.Named("log"),
 		Tick: tickInterval, ElectionTicks: electionTicks, SnapshotEvery: snapshotEntries, KeepEntries: snapshotEntries, LeaderLease: true,
+		HandoverTicks: handoverTicks, BeforeHandover: func() { d.Yield() },
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	registry := metrics.New("laburnum_jobs", s.Name)
-	d := dispatch.New(dispatch.Options{
+	d = dispatch.New(dispatch.Options{
 		Name: s.Name, Address: s.Listen, Engine: engine, Replica: node, Servers: deps.Servers, Machines: deps.Machines,
 		Log: log.Named("dispatch"), Scope: registry.Scope(), ElectionTime: tickInterval * electionTicks,
 		MachineLease: s.MachineLease.Std(),
--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -50,6 +50,9 @@
 	ElectionTicks int
 	// HeartbeatTicks is the number of ticks between heartbeats.
 	HeartbeatTicks int
+	// HandoverTicks is the time after which a leader whose storage lags behind a quorum's is to hand over (see
+	// StorageLags); 0 means never.
+	HandoverTicks int
 	// LeaderLease is set if a leader relies on not being replaced for ElectionTicks after a quorum confirmed it.
 	// A replica then also withholds its vote for the first ElectionTicks after its start.
 	LeaderLease bool
@@ -83,25 +86,43 @@
 
 // Ready is the work that the caller must do, in this order:
 //
-//  1. send Early;
-//  2. make Snapshot, HardState and Entries durable together; Entries replace all stored entries from their first
-//     index on;
-//  3. send Messages, which must not be sent before step 2 has made the state behind them durable;
-//  4. restore Snapshot into the state machine, apply Committed in order, and serve Reads;
-//  5. call Advance before any other method.
+//  1. send Messages, which promise nothing that isn't durable yet;
+//  2. hand Write to the storage, which makes writes durable one after the other, and call Durable with each of them,
+//     in order, once it is; this may be long after step 4;
+//  3. restore Snapshot into the state machine, apply Committed in order, and serve Reads;
+//  4. call Advance before any other method.
+//
+// Committed entries may not be durable here yet: a quorum without this replica may have committed them.
 type Ready struct {
-	// Early holds the messages that may be sent before anything is made durable: a leader's appends, which don't
-	// depend on its own entries being durable.
-	Early     []Message
-	Snapshot  *Snapshot
-	HardState *laburnumv1.HardState
-	Entries   []*laburnumv1.LogEntry
-	Messages  []Message
+	Messages []Message
+	// Write is nil if there is nothing to make durable and no message waits for an earlier write.
+	Write    *Write
+	Snapshot *Snapshot
+	// Committed are entries that are committed and to be applied.
 	Committed []*laburnumv1.LogEntry
 	// Reads are the reads that may be served once Committed is applied.
 	Reads []Read
 }
 
+// Write is state that must become durable in one step, after all earlier writes.
+type Write struct {
+	// Snapshot replaces the whole stored log; nil if there is none.
+	Snapshot *Snapshot
+	// HardState is nil if it is unchanged.
+	HardState *laburnumv1.HardState
+	// Entries replace all stored entries from their first index on.
+	Entries []*laburnumv1.LogEntry
+	// Messages must not be sent before this write and all earlier ones are durable.
+	Messages []Message
+
+	last        uint64 // last index of the log that the write makes durable; 0 if it has no entries and no snapshot
+	truncations uint64 // log.truncations when the write was made
+	begunAt     uint64 // tick
+}
+
+// Empty reports whether the write only carries messages that wait for earlier writes.
+func (w *Write) Empty() bool { return w.Snapshot == nil && w.HardState == nil && len(w.Entries) == 0 }
+
 // Read is a confirmed read. It may be served once the state machine has applied Index.
 type Read struct {
 	ID    uint64
@@ -131,6 +152,7 @@
 	heartbeatRound   uint64
 	transferee       string
 	transferStart    uint64
+	abdicating       bool // the leader steps down if the transfer fails
 	transferCampaign bool // the leader asked for this campaign, to transfer its leadership
 
 	reads            []pendingRead
@@ -138,8 +160,12 @@
 	incomingSnapshot *Snapshot // snapshot that is being received in chunks
 	pendingSnapshot  *Snapshot // received snapshot that is still to be made durable
 
-	early, messages []Message
-	persisted       *laburnumv1.HardState
+	// messages may be sent once the current term is durable. afterWrite must also wait for everything else that the core
+	// holds now.
+	messages, afterWrite []Message
+	// written is the hard state of the last write, durable that of the last durable write.
+	written, durable *laburnumv1.HardState
+	writes           []*Write // writes that are not durable yet, in order
 }
 
 // New returns a follower with the state restored from p.
@@ -151,7 +177,8 @@
 	c.log.commit = max(p.Snapshot.GetIndex(), min(hs.GetCommit(), c.log.last()))
 	c.log.applied = p.Snapshot.GetIndex()
 	c.members.load(p.Snapshot, c.log.entriesAfter(p.Snapshot.GetIndex()))
-	c.persisted = c.hardState()
+	c.written = c.hardState()
+	c.durable = c.written
 	c.resetElectionTimer()
 	return c
 }
@@ -160,42 +187,81 @@
 	return &laburnumv1.HardState{Term: c.term, Vote: c.vote, Commit: c.log.commit, Cluster: c.cluster}
 }
 
-// hardStateChanged reports whether term, vote or cluster differ from the durable ones. The commit index is left
+// hardStateChanged reports whether term, vote or cluster differ from those of the last write. The commit index is left
 // out: no message requires it to be durable.
 func (c *Core) hardStateChanged() bool {
-	p := c.persisted
-	return p.Term != c.term || p.Vote != c.vote || p.Cluster != c.cluster
+	w := c.written
+	return w.Term != c.term || w.Vote != c.vote || w.Cluster != c.cluster
 }
 
+// termDurable reports whether the current term is durable. Before that no message may be sent in it: after a restart the
+// replica could take part in the same term again and contradict what it sent.
+func (c *Core) termDurable() bool { return c.durable.Term == c.term && c.durable.Cluster == c.cluster }
+
 // HasReady reports whether Ready would return any work.
 func (c *Core) HasReady() bool {
-	return c.hardStateChanged() || c.pendingSnapshot != nil || c.log.unstableCount() > 0 || len(c.messages) > 0 ||
-		len(c.early) > 0 || c.log.commit > c.log.applied || len(c.readyReads) > 0
+	return c.hardStateChanged() || c.pendingSnapshot != nil || c.log.unwrittenCount() > 0 || len(c.messages) > 0 ||
+		len(c.afterWrite) > 0 || c.log.commit > c.log.applied || len(c.readyReads) > 0
 }
 
 // Ready returns the work that is pending. The caller must do it and then call Advance.
 func (c *Core) Ready() Ready {
-	r := Ready{Snapshot: c.pendingSnapshot, Entries: c.log.unstableEntries(), Early: c.early, Messages: c.messages, Reads: c.readyReads}
-	if c.hardStateChanged() || len(r.Entries) > 0 || r.Snapshot != nil {
-		r.HardState = c.hardState()
+	r := Ready{Snapshot: c.pendingSnapshot, Reads: c.readyReads}
+	w := &Write{
+		Snapshot: c.pendingSnapshot, Entries: c.log.unwrittenEntries(), Messages: c.afterWrite,
+		truncations: c.log.truncations, begunAt: c.now,
+	}
+	if c.hardStateChanged() || len(w.Entries) > 0 || w.Snapshot != nil {
+		w.HardState = c.hardState()
+	}
+	if w.Snapshot != nil || len(w.Entries) > 0 {
+		w.last = c.log.last()
 	}
-	if c.hardStateChanged() {
-		// Until its term is durable, the leader must not send appends in it: after a restart it could take part
-		// in the same term again and contradict them.
-		r.Messages = append(r.Messages, r.Early...)
-		r.Early = nil
+	if c.termDurable() {
+		r.Messages = c.messages
+	} else {
+		w.Messages = append(w.Messages, c.messages...)
+	}
+	switch {
+	case !w.Empty() || len(w.Messages) > 0 && len(c.writes) > 0:
+		r.Write = w
+	default:
+		r.Messages = append(r.Messages, w.Messages...)
 	}
 	r.Committed = c.log.nextToApply()
 	return r
 }
 
-// Advance confirms that the work of the last Ready has been done.
-func (c *Core) Advance() {
-	c.persisted = c.hardState()
+// Advance confirms that the work of the last Ready has been done, except that its write may not be durable yet.
+func (c *Core) Advance(r Ready) {
+	if r.Write != nil {
+		c.writes = append(c.writes, r.Write)
+		if r.Write.HardState != nil {
+			c.written = r.Write.HardState
+		}
+		c.log.written = max(c.log.written, r.Write.last)
+	}
 	c.pendingSnapshot = nil
-	c.early, c.messages, c.readyReads = nil, nil, nil
-	c.log.stable = c.log.last()
+	c.messages, c.afterWrite, c.readyReads = nil, nil, nil
 	c.log.applied = max(c.log.applied, c.log.applying)
+}
+
+// Durable confirms that a write, and with it all earlier ones, is durable.
+func (c *Core) Durable(w *Write) {
+	for len(c.writes) > 0 {
+		done := c.writes[0]
+		c.writes = c.writes[1:]
+		if done.HardState != nil {
+			c.durable = done.HardState
+		}
+		// If the log was truncated since, a later write replaces entries of this one, and its last index tells nothing.
+		if done.truncations == c.log.truncations {
+			c.log.stable = max(c.log.stable, done.last)
+		}
+		if done == w {
+			break
+		}
+	}
 	if c.role == Leader {
 		c.maybeCommit()
 	}
@@ -224,11 +290,16 @@
 	c.electionTimeout = c.cfg.ElectionTicks + c.cfg.Rand.IntN(c.cfg.ElectionTicks)
 }
 
-// send queues a message to be sent once the state of the same Ready is durable.
+// send queues a message that promises nothing but the current term.
 func (c *Core) send(to string, m *laburnumv1.ConsensusMessage) {
 	c.messages = append(c.messages, c.stamp(to, m))
 }
 
+// sendAfterWrite queues a message that must not be sent before the vote and the log as they are now are durable.
+func (c *Core) sendAfterWrite(to string, m *laburnumv1.ConsensusMessage) {
+	c.afterWrite = append(c.afterWrite, c.stamp(to, m))
+}
+
 func (c *Core) stamp(to string, m *laburnumv1.ConsensusMessage) Message {
 	if m.Term == 0 {
 		m.Term = c.term
@@ -248,7 +319,7 @@
 		c.reads = nil
 	}
 	c.role, c.leader, c.heardByLeader = Follower, leader, false
-	c.transferee, c.transferCampaign = "", false
+	c.transferee, c.transferCampaign, c.abdicating = "", false, false
 	c.votes = nil
 	c.resetElectionTimer()
 }
--- a/internal/process/replica/core/election.go
+++ b/internal/process/replica/core/election.go
@@ -30,7 +30,7 @@
 		if m.Name == c.cfg.Name || m.Learner {
 			continue
 		}
-		c.send(m.Name, &laburnumv1.ConsensusMessage{
+		c.sendAfterWrite(m.Name, &laburnumv1.ConsensusMessage{
 			Type: kind, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Transfer: c.transferCampaign,
 		})
 	}
@@ -69,7 +69,7 @@
 		c.vote = m.From
 		c.resetElectionTimer()
 	}
-	c.send(m.From, &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_VOTE_RESPONSE, Reject: !grant})
+	c.sendAfterWrite(m.From, &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_VOTE_RESPONSE, Reject: !grant})
 }
 
 func (c *Core) stepPreVoteResponse(m Message) {
@@ -131,7 +131,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role, c.leader = Leader, c.cfg.Name
-	c.votes, c.transferee, c.transferCampaign = nil, "", false
+	c.votes, c.transferee, c.transferCampaign, c.abdicating = nil, "", false, false
 	c.heartbeatElapsed = 0
 	c.reads = nil
 	c.progress = make(map[string]*progress)
@@ -146,7 +146,18 @@
 	if c.role != Leader || c.transferee != "" {
 		return
 	}
-	best := ""
+	best := c.Successor()
+	if best == "" {
+		return
+	}
+	c.transferee, c.transferStart = best, c.now
+	if !c.maybeSendTimeoutNow() {
+		c.sendAppend(best)
+	}
+}
+
+// Successor returns the active voter with the longest matching log other than this leader, or "" if there is none.
+func (c *Core) Successor() (best string) {
 	for _, m := range c.members.current() {
 		p := c.progress[m.Name]
 		if p == nil || m.Learner || !p.active(c.now, c.cfg.ElectionTicks) {
@@ -156,15 +167,29 @@
 			best = m.Name
 		}
 	}
-	if best == "" {
-		return
-	}
-	c.transferee, c.transferStart = best, c.now
-	if !c.maybeSendTimeoutNow() {
-		c.sendAppend(best)
+	return best
+}
+
+// Abdicate transfers leadership like TransferLeadership. If nobody takes over within ElectionTicks, this leader steps
+// down.
+func (c *Core) Abdicate() {
+	c.TransferLeadership()
+	c.abdicating = c.transferee != ""
+}
+
+// StorageLags reports whether this leader's oldest write has been waiting for its disk for HandoverTicks although a quorum
+// without this replica has committed its entries.
+func (c *Core) StorageLags() bool {
+	if c.cfg.HandoverTicks == 0 || c.role != Leader || c.transferee != "" || len(c.writes) == 0 {
+		return false
 	}
+	oldest := c.writes[0]
+	return oldest.last > 0 && oldest.last <= c.log.commit && c.now-oldest.begunAt >= uint64(c.cfg.HandoverTicks)
 }
 
+// Transferring reports whether a transfer of this replica's leadership is in progress.
+func (c *Core) Transferring() bool { return c.role == Leader && c.transferee != "" }
+
 // maybeSendTimeoutNow tells the transferee to campaign at once, provided that it holds the whole log. It reports
 // whether it did.
 func (c *Core) maybeSendTimeoutNow() bool {
--- a/internal/process/replica/core/follower.go
+++ b/internal/process/replica/core/follower.go
@@ -2,6 +2,10 @@
 
 import laburnumv1 "laburnumrouter/proto/laburnum/v1"
 
+// maxUnstableEntries is the number of entries that may wait for a follower's disk. Beyond it the follower takes no more,
+// so that a disk that hangs doesn't fill the memory.
+const maxUnstableEntries = 16384
+
 // recordLeaderContact follows the sender as leader of this term and restarts the election timer.
 func (c *Core) recordLeaderContact(m Message) {
 	if c.role != Follower || c.leader != m.From {
@@ -14,21 +18,35 @@
 // stepAppend appends the leader's entries if the log matches the leader's at the entry before them.
 func (c *Core) stepAppend(m Message) {
 	c.recordLeaderContact(m)
+	entries := m.Entries
+	if c.log.last()-min(c.log.stable, c.log.last()) >= maxUnstableEntries {
+		entries = nil
+	}
 	resp := &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_APPEND_RESPONSE, Round: m.Round}
 	switch {
 	case m.Index < c.log.commit:
 		// Committed entries are equal in all logs, so the log matches up to the commit index.
 		resp.Index = c.log.commit
 	case c.log.matches(m.Index, m.LogTerm):
-		resp.Index = m.Index + uint64(len(m.Entries))
-		c.appendFromLeader(m.Entries)
+		resp.Index = m.Index + uint64(len(entries))
+		c.appendFromLeader(entries)
 		c.commitTo(min(m.Commit, resp.Index))
 	default:
 		resp.Reject = true
 		resp.Index = m.Index
 		resp.HintIndex, resp.HintTerm = c.log.findConflictByTerm(m.Index, m.LogTerm)
+		c.send(m.From, resp)
+		return
+	}
+	if len(entries) == 0 {
+		// A heartbeat is answered at once, however slow the disk is: the answer confirms the leader.
+		resp.Index = min(resp.Index, c.log.stable)
+	}
+	if resp.Index <= c.log.stable {
+		c.send(m.From, resp)
+		return
 	}
-	c.send(m.From, resp)
+	c.sendAfterWrite(m.From, resp)
 }
 
 // appendFromLeader appends the entries that the log lacks. From the first conflicting entry on, the old entries
@@ -86,5 +104,5 @@
 
 // acknowledgeCommitted tells the leader that this log matches its own up to the commit index.
 func (c *Core) acknowledgeCommitted(leader string) {
-	c.send(leader, &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_APPEND_RESPONSE, Index: c.log.commit})
+	c.sendAfterWrite(leader, &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_APPEND_RESPONSE, Index: c.log.commit})
 }
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -69,6 +69,10 @@
 	}
 	if c.transferee != "" && c.now-c.transferStart >= uint64(c.cfg.ElectionTicks) {
 		c.transferee = ""
+		if c.abdicating {
+			c.becomeFollower(c.term, "")
+			return
+		}
 	}
 	c.heartbeatElapsed++
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
@@ -159,7 +163,7 @@
 		Index: after, LogTerm: term, Entries: entries, Commit: c.log.commit, Round: c.heartbeatRound,
 	}
 	c.progress[to].sentCommit = c.log.commit
-	c.early = append(c.early, c.stamp(to, m))
+	c.send(to, m)
 }
 
 func (c *Core) sendSnapshot(to string) {
--- a/internal/process/replica/core/log.go
+++ b/internal/process/replica/core/log.go
@@ -2,9 +2,9 @@
 
 import laburnumv1 "laburnumrouter/proto/laburnum/v1"
 
-// log holds the entries after baseIndex and the indexes applied, commit and stable, where
-// baseIndex <= applied <= commit <= last and stable <= last. commit exceeds stable while entries that a follower
-// received as committed have yet to be made durable by the next Ready.
+// log holds the entries after baseIndex and the indexes applied, commit, written and stable, where
+// baseIndex <= applied <= commit <= last and stable <= written <= last. commit exceeds stable while entries that a quorum
+// without this replica has committed are not durable here.
 type log struct {
 	baseIndex uint64 // entries[0] has index baseIndex+1
 	baseTerm  uint64
@@ -12,9 +12,12 @@
 
 	snapshot *laburnumv1.SnapshotMeta // newest durable snapshot
 	stable   uint64                   // last index that is durable here
+	written  uint64                   // last index that was part of a write
 	commit   uint64
 	applied  uint64
 	applying uint64 // last index that Ready returned to be applied
+	// truncations counts how often entries were replaced. A write of an earlier count may hold replaced entries.
+	truncations uint64
 }
 
 func (l *log) load(p Persisted) {
@@ -29,7 +32,7 @@
 		p.Entries = p.Entries[1:]
 	}
 	l.entries = append([]*laburnumv1.LogEntry(nil), p.Entries...)
-	l.stable = l.last()
+	l.stable, l.written = l.last(), l.last()
 }
 
 func (l *log) last() uint64 { return l.baseIndex + uint64(len(l.entries)) }
@@ -78,9 +81,9 @@
 	return entries
 }
 
-func (l *log) unstableCount() int { return int(l.last() - min(l.stable, l.last())) }
+func (l *log) unwrittenCount() int { return int(l.last() - min(l.written, l.last())) }
 
-func (l *log) unstableEntries() []*laburnumv1.LogEntry { return l.entriesAfter(l.stable) }
+func (l *log) unwrittenEntries() []*laburnumv1.LogEntry { return l.entriesAfter(l.written) }
 
 // nextToApply returns the committed entries that are not applied yet and records their last index in applying.
 func (l *log) nextToApply() []*laburnumv1.LogEntry {
@@ -92,19 +95,26 @@
 func (l *log) truncate(index uint64) {
 	kept := l.entries[:index-l.baseIndex-1]
 	l.entries = append([]*laburnumv1.LogEntry(nil), kept...)
-	l.stable = min(l.stable, l.last())
+	l.stable, l.written = min(l.stable, l.last()), min(l.written, l.last())
+	l.truncations++
 }
 
-// reset empties the log and lets it continue after a snapshot.
+// reset empties the log and lets it continue after a snapshot, which is not durable yet.
 func (l *log) reset(meta *laburnumv1.SnapshotMeta) {
 	l.snapshot = meta
 	l.baseIndex, l.baseTerm = meta.Index, meta.Term
 	l.entries = nil
-	l.stable, l.commit, l.applied, l.applying = meta.Index, meta.Index, meta.Index, meta.Index
+	l.commit, l.applied, l.applying, l.written = meta.Index, meta.Index, meta.Index, meta.Index
+	l.stable = 0
+	l.truncations++
 }
 
-// compact drops the entries before keepFrom, but none that the snapshot lacks. The last dropped one becomes the base.
+// compact drops the entries before keepFrom, but none that the snapshot lacks. The last dropped one becomes the base. A
+// snapshot that a received one has overtaken is ignored.
 func (l *log) compact(meta *laburnumv1.SnapshotMeta, keepFrom uint64) {
+	if meta.Index < l.snapshot.Index {
+		return
+	}
 	l.snapshot = meta
 	base := min(keepFrom-1, meta.Index)
 	if base <= l.baseIndex {
--- a/internal/process/replica/core/network_test.go
+++ b/internal/process/replica/core/network_test.go
@@ -23,14 +23,14 @@
 	entries   []*laburnumv1.LogEntry
 }
 
-func (d *disk) write(r Ready) {
-	if r.Snapshot != nil {
-		d.snapshot, d.data, d.entries = r.Snapshot.Meta, r.Snapshot.Data, nil
+func (d *disk) write(w *Write) {
+	if w.Snapshot != nil {
+		d.snapshot, d.data, d.entries = w.Snapshot.Meta, w.Snapshot.Data, nil
 	}
-	if r.HardState != nil {
-		d.hardState = r.HardState
+	if w.HardState != nil {
+		d.hardState = w.HardState
 	}
-	for _, e := range r.Entries {
+	for _, e := range w.Entries {
 		for len(d.entries) > 0 && d.entries[len(d.entries)-1].Index >= e.Index {
 			d.entries = d.entries[:len(d.entries)-1]
 		}
@@ -48,6 +48,28 @@
 	frozen  bool
 	applied uint64
 	reads   map[uint64]uint64 // minimum index that each pending read must return, by read
+	// slow is set while the disk does nothing until finishWrite is called.
+	slow   bool
+	queued []diskTask // in order
+}
+
+// diskTask is work of a disk: a write of the core, or a snapshot of the replica's own state.
+type diskTask struct {
+	write    *Write
+	meta     *laburnumv1.SnapshotMeta
+	data     []byte
+	keepFrom uint64
+}
+
+func (t *diskTask) do(d *disk) {
+	if t.write != nil {
+		d.write(t.write)
+		return
+	}
+	d.snapshot, d.data = t.meta, t.data
+	for len(d.entries) > 0 && d.entries[0].Index < t.keepFrom {
+		d.entries = d.entries[1:]
+	}
 }
 
 // network simulates a set of replicas and the messages between them, and checks the safety properties of Raft.
@@ -116,29 +138,67 @@
 		MaxAppendBytes: 64, Rand: rand.New(rand.NewPCG(n.rand.Uint64(), 2)),
 	}, Persisted{HardState: p.disk.hardState, Snapshot: p.disk.snapshot, Entries: p.disk.entries})
 	p.up, p.frozen, p.applied, p.reads = true, false, p.disk.snapshot.GetIndex(), make(map[uint64]uint64)
+	p.queued = nil
 	n.processReady(p)
 }
 
-// crash stops a replica. Everything that is not on its disk is lost.
-func (n *network) crash(p *peer) { p.up = false }
+// crash stops a replica. What is not on its disk is lost, but for some of the oldest queued tasks, which the disk had
+// finished without the replica knowing.
+func (n *network) crash(p *peer) {
+	p.up = false
+	if len(p.queued) == 0 {
+		return
+	}
+	for _, task := range p.queued[:n.rand.IntN(len(p.queued)+1)] {
+		task.do(p.disk)
+	}
+	p.queued = nil
+}
 
-// processReady does the pending work of a replica until there is none, or until the replica crashes at crashAt.
+// finishWrite lets the disk of a replica finish the oldest queued task, and sends what waited for it.
+func (n *network) finishWrite(p *peer, crashAt int) {
+	task := p.queued[0]
+	if crashAt == beforeWrite {
+		n.crash(p)
+		return
+	}
+	p.queued = p.queued[1:]
+	task.do(p.disk)
+	if crashAt == beforeAcknowledge {
+		n.crash(p)
+		return
+	}
+	if task.write == nil {
+		p.core.Compact(task.meta, task.keepFrom)
+		return
+	}
+	p.core.Durable(task.write)
+	n.enqueue(task.write.Messages)
+}
+
+// setSlow makes the disk of a replica slow, or fast again; then it finishes everything that is queued.
+func (n *network) setSlow(p *peer, slow bool) {
+	p.slow = slow
+	if p.up {
+		n.processReady(p)
+	}
+}
+
+// processReady does the pending work of a replica until there is none, or until the replica crashes at crashAt. A slow
+// disk leaves writes queued.
 func (n *network) processReady(p *peer) {
-	for p.up && p.core.HasReady() {
+	for p.up && (p.core.HasReady() || !p.slow && len(p.queued) > 0) {
 		crashAt := n.crashAt
 		n.crashAt = noCrash
-		r := p.core.Ready()
-		n.enqueue(r.Early)
-		if crashAt == beforeWrite {
-			n.crash(p)
-			return
-		}
-		p.disk.write(r)
-		if crashAt == beforeAcknowledge {
-			n.crash(p)
-			return
+		if !p.slow && len(p.queued) > 0 {
+			n.finishWrite(p, crashAt)
+			continue
 		}
+		r := p.core.Ready()
 		n.enqueue(r.Messages)
+		if r.Write != nil {
+			p.queued = append(p.queued, diskTask{write: r.Write})
+		}
 		if crashAt == beforeApply {
 			n.crash(p)
 			return
@@ -162,7 +222,7 @@
 		n.finishedReads++
 		delete(p.reads, read.ID)
 	}
-	p.core.Advance()
+	p.core.Advance(r)
 }
 
 // apply applies an entry. It checks that a replica applies consecutive indexes and that all replicas apply the same
@@ -359,10 +419,6 @@
 	data := fmt.Appendf(nil, "state of the machine at %d", p.applied)
 	meta := p.core.SnapshotMetaAt(p.applied)
 	meta.Size = uint64(len(data))
-	p.disk.snapshot, p.disk.data = meta, data
-	keepFrom := p.applied - min(p.applied-1, keep)
-	for len(p.disk.entries) > 0 && p.disk.entries[0].Index < keepFrom {
-		p.disk.entries = p.disk.entries[1:]
-	}
-	p.core.Compact(meta, keepFrom)
+	p.queued = append(p.queued, diskTask{meta: meta, data: data, keepFrom: p.applied - min(p.applied-1, keep)})
+	n.processReady(p)
 }
--- a/internal/process/replica/core/safety_test.go
+++ b/internal/process/replica/core/safety_test.go
@@ -108,7 +108,7 @@
 		a.core.Tick()
 	}
 	r := a.core.Ready()
-	must.SliceEmpty(t, r.Early)
-	must.SliceNotEmpty(t, r.Messages)
-	must.Eq(t, a.core.term, r.HardState.Term)
+	must.SliceEmpty(t, r.Messages)
+	must.SliceNotEmpty(t, r.Write.Messages)
+	must.Eq(t, a.core.term, r.Write.HardState.Term)
 }
--- a/internal/process/replica/core/schedule_test.go
+++ b/internal/process/replica/core/schedule_test.go
@@ -10,12 +10,15 @@
 )
 
 // TestRandomSchedules runs replicas through random schedules of ticks, proposals, reads, lost, repeated and reordered
-// messages, partitions, pauses, crashes at every point of Ready, snapshots, leadership transfers and membership
-// changes. The network checks election safety, log matching, leader completeness, state-machine safety and reads.
+// messages, partitions, pauses, slow disks, crashes at every point of Ready and of a write, snapshots, leadership transfers
+// and membership changes. The network checks election safety, log matching, leader completeness, state-machine safety and reads.
 func TestRandomSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.SampledFrom([]int{1, 2, 3, 5}).Draw(t, "size")
 		n := newNetwork(rapid.Uint64().Draw(t, "seed"), []string{"a", "b", "c", "d", "e"}[:size]...)
+		for _, name := range n.names {
+			n.setSlow(n.peers[name], rapid.Bool().Draw(t, "slow"))
+		}
 		steps := rapid.IntRange(100, 800).Draw(t, "steps")
 		for range steps {
 			n.randomStep(t)
@@ -47,10 +50,15 @@
 		n.crashAt = rapid.IntRange(beforeWrite, beforeApply).Draw(t, "point")
 	case action < 88 && !p.up:
 		n.start(p)
+	case action < 89 && p.up && len(p.queued) > 0:
+		n.finishWrite(p, noCrash)
+		n.processReady(p)
 	case action < 90:
 		n.compact(p, uint64(rapid.IntRange(1, 4).Draw(t, "keep")))
 	case action < 91:
 		p.frozen = !p.frozen
+	case action < 92:
+		n.setSlow(p, !p.slow)
 	case action < 94:
 		other := rapid.SampledFrom(n.names).Draw(t, "other")
 		n.cutLinks[[2]string{p.name, other}] = !n.cutLinks[[2]string{p.name, other}]
@@ -115,6 +123,7 @@
 	for _, name := range n.names {
 		p := n.peers[name]
 		p.frozen = false
+		n.setSlow(p, false)
 		if !p.up {
 			n.start(p)
 		}
--- a/internal/process/replica/node.go
+++ b/internal/process/replica/node.go
@@ -62,6 +62,11 @@
 	// LeaderLease is set if the leader relies on not being replaced for ElectionTicks after a successful ReadIndex.
 	// Each replica then also withholds its vote for the first ElectionTicks after its start.
 	LeaderLease bool
+	// HandoverTicks is the time after which a leader hands over if its disk lags behind those of a quorum; 0 means never.
+	HandoverTicks int
+	// BeforeHandover is called on a leader right before it hands over of its own accord, because its disk lags or fails. It
+	// must not block. Afterwards this replica doesn't lead in the same term again.
+	BeforeHandover func()
 	// SerialCommits makes each command durable by a separate write, as a baseline for measurements.
 	SerialCommits bool
 }
@@ -73,6 +78,9 @@
 	if o.Log == nil {
 		o.Log = hclog.NewNullLogger()
 	}
+	if o.BeforeHandover == nil {
+		o.BeforeHandover = func() {}
+	}
 	if o.Tick == 0 {
 		o.Tick = DefaultTick
 	}
@@ -95,6 +103,7 @@
 type Node struct {
 	opts    Options
 	journal *journal.Journal
+	storage *storage
 	core    *core.Core
 	calls   chan func()
 	status  atomic.Pointer[Status]
@@ -124,6 +133,7 @@
 	n := &Node{
 		opts:            opts,
 		journal:         j,
+		storage:         newStorage(j, opts.SerialCommits, opts.Log),
 		calls:           make(chan func(), callQueueSize),
 		stopped:         make(chan struct{}),
 		proposalWaiters: make(map[uint64]*proposalWaiter),
@@ -186,6 +196,7 @@
 		Replica:        c.Replica,
 		ElectionTicks:  n.opts.ElectionTicks,
 		HeartbeatTicks: n.opts.HeartbeatTicks,
+		HandoverTicks:  n.opts.HandoverTicks,
 		LeaderLease:    n.opts.LeaderLease,
 		MaxAppendBytes: maxAppendBytes,
 		Rand:           rand.New(rand.NewPCG(c.Replica, randomID())),
@@ -204,6 +215,7 @@
 // Run operates the node until ctx ends. If the node fails, for example because the journal cannot be written, it
 // acknowledges nothing more; its status stays readable, and Run returns the error once ctx ends.
 func (n *Node) Run(ctx context.Context) error {
+	go n.storage.run()
 	err := n.loop(ctx)
 	close(n.stopped)
 	n.failAllWaiters()
@@ -212,6 +224,7 @@
 		n.publishFailure(err)
 		<-ctx.Done()
 	}
+	n.storage.stop()
 	closeErr := n.journal.Close(n.core.HardState())
 	if err == nil {
 		err = closeErr
@@ -231,9 +244,17 @@
 			return nil
 		case <-ticker.C:
 			n.core.Tick()
+			if n.core.StorageLags() {
+				n.handOver("the disk of this instance lags behind the others'")
+			}
 		case call := <-n.calls:
 			call()
 			n.drainCalls()
+		case result := <-n.storage.finished:
+			if result.err != nil {
+				return n.finishWithoutStorage(ctx, ticker, result.err)
+			}
+			n.completeTasks(result.tasks)
 		}
 		if err := n.processReady(); err != nil {
 			return err
@@ -241,7 +262,41 @@
 	}
 }
 
-// drainCalls runs the calls that are already queued, at most maxBatch, so that one write makes their effects durable.
+// handOver lets this leader hand over to the best of the other replicas, if any is active.
+func (n *Node) handOver(reason string) {
+	successor := n.core.Successor()
+	if successor == "" || n.core.Transferring() {
+		return
+	}
+	n.opts.Log.Warn("leadership is handed over", "successor", successor, "reason", reason)
+	n.opts.BeforeHandover()
+	n.core.Abdicate()
+}
+
+// finishWithoutStorage is called once nothing can be made durable any more. A leader hands over first, which needs no
+// storage, so that the others don't have to wait for an election timeout. It returns the cause.
+func (n *Node) finishWithoutStorage(ctx context.Context, ticker *time.Ticker, cause error) error {
+	if n.core.Status().Role == core.Leader {
+		n.handOver("the disk of this instance has failed")
+	}
+	for n.core.Transferring() {
+		if err := n.processReady(); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return cause
+		case <-ticker.C:
+			n.core.Tick()
+		case call := <-n.calls:
+			call()
+		}
+	}
+	return cause
+}
+
+// drainCalls runs the calls that are already queued, at most maxBatch, so that one write and one message make their
+// effects known.
 func (n *Node) drainCalls() {
 	if n.opts.SerialCommits {
 		return
--- a/internal/process/replica/process.go
+++ b/internal/process/replica/process.go
@@ -13,15 +13,14 @@
 func (n *Node) processReady() error {
 	for n.core.HasReady() {
 		r := n.core.Ready()
-		n.send(r.Early)
-		if err := n.persist(r); err != nil {
-			return err
-		}
 		n.send(r.Messages)
+		if r.Write != nil {
+			n.storage.enqueue(storageTask{write: r.Write})
+		}
 		if err := n.apply(r); err != nil {
 			return err
 		}
-		n.core.Advance()
+		n.core.Advance(r)
 	}
 	if err := n.maybeSnapshot(); err != nil {
 		return err
@@ -30,26 +29,40 @@
 	return nil
 }
 
-func (n *Node) persist(r core.Ready) error {
-	if r.Snapshot != nil {
-		if err := n.journal.InstallSnapshot(r.HardState, r.Snapshot.Meta, r.Snapshot.Data); err != nil {
-			return err
+// completeTasks acts on what the storage has finished.
+func (n *Node) completeTasks(tasks []storageTask) {
+	for _, t := range tasks {
+		switch {
+		case t.write != nil:
+			n.core.Durable(t.write)
+			n.send(t.write.Messages)
+		case t.save != nil:
+			n.core.Compact(t.save.meta, t.save.keepFrom)
+			n.opts.Log.Debug("snapshot saved", "index", t.save.meta.Index, "bytes", len(t.save.data))
+		case t.chunk.Chunk != nil:
+			n.transmit([]core.Message{*t.chunk})
 		}
 	}
-	if r.HardState == nil && len(r.Entries) == 0 {
-		return nil
-	}
-	return n.journal.Append(r.HardState, r.Entries)
 }
 
-// send encodes messages and passes those to the same receiver to the transport in one call.
+// send sends messages. The bytes of a snapshot are read by the storage first.
 func (n *Node) send(messages []core.Message) {
-	byReceiver := make(map[string][]*laburnumv1.ReplicaMessage)
-	var order []string
+	var ready []core.Message
 	for _, m := range messages {
-		if m.Type == laburnumv1.ConsensusType_CONSENSUS_TYPE_SNAPSHOT && !n.fillChunk(m) {
+		if m.Type == laburnumv1.ConsensusType_CONSENSUS_TYPE_SNAPSHOT {
+			n.storage.enqueue(storageTask{chunk: &m})
 			continue
 		}
+		ready = append(ready, m)
+	}
+	n.transmit(ready)
+}
+
+// transmit encodes messages and passes those to the same receiver to the transport in one call.
+func (n *Node) transmit(messages []core.Message) {
+	byReceiver := make(map[string][]*laburnumv1.ReplicaMessage)
+	var order []string
+	for _, m := range messages {
 		data, err := proto.Marshal(m.ConsensusMessage)
 		if err != nil {
 			n.opts.Log.Error("consensus message cannot be encoded", "error", err)
@@ -65,17 +78,6 @@
 	}
 }
 
-// fillChunk adds the bytes of the snapshot from the message's offset on. It returns false if a newer snapshot has
-// replaced it or if it can't be read.
-func (n *Node) fillChunk(m core.Message) bool {
-	data, ok, err := n.journal.ReadSnapshot(m.Snapshot.Index, m.Offset, snapshotChunkBytes)
-	if err != nil {
-		n.opts.Log.Error("snapshot cannot be read", "index", m.Snapshot.Index, "error", err)
-	}
-	m.Chunk = data
-	return ok
-}
-
 // member returns a member of the membership in force, or one with only a name if there is none of that name.
 func (n *Node) member(name string) *laburnumv1.Member {
 	for _, m := range n.core.Status().Members {
@@ -140,12 +142,8 @@
 	meta := n.core.SnapshotMetaAt(n.applied)
 	meta.Size = uint64(len(data))
 	keepFrom := n.applied - min(n.applied-1, n.opts.KeepEntries)
-	if err := n.journal.SaveSnapshot(meta, data, keepFrom); err != nil {
-		return err
-	}
-	n.core.Compact(meta, keepFrom)
+	n.storage.enqueue(storageTask{save: &ownSnapshot{meta: meta, data: data, keepFrom: keepFrom}})
 	n.snapshotIndex, n.bytesSinceSnapshot = n.applied, 0
-	n.opts.Log.Debug("snapshot saved", "index", n.applied, "bytes", len(data))
 	return nil
 }
 
--- a/internal/process/replica/propose.go
+++ b/internal/process/replica/propose.go
@@ -99,8 +99,9 @@
 			return
 		}
 		if old, ok := n.proposalWaiters[index]; ok {
-			// This leader's log now holds another entry at that index, so the earlier command was not committed.
-			old.done <- outcome{err: ErrNotLeader}
+			// This log now holds another entry at that index. The earlier one may still be on another replica and be
+			// committed by its leadership.
+			old.done <- outcome{err: ErrOutcomeUnknown}
 		}
 		n.proposalWaiters[index] = &proposalWaiter{term: term, done: done}
 	})
--- /dev/null
+++ b/internal/process/replica/storage.go
@@ -0,0 +1,176 @@
+package replica
+
+import (
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+
+	"laburnumrouter/internal/process/journal"
+	"laburnumrouter/internal/process/replica/core"
+	laburnumv1 "laburnumrouter/proto/laburnum/v1"
+)
+
+// storage does the node's work on the journal on a goroutine of its own, in order, so that a slow disk doesn't hold up
+// the consensus. Its methods may be called from any goroutine.
+type storage struct {
+	journal *journal.Journal
+	log     hclog.Logger
+	// serial makes each write durable by itself; otherwise all queued ones become durable together.
+	serial bool
+	// finished delivers the tasks that are done, in order. After an error nothing more is delivered.
+	finished chan storageResult
+	wake     chan struct{}
+	stopping chan struct{}
+	stopped  chan struct{}
+
+	mu    sync.Mutex
+	queue []storageTask
+}
+
+// storageTask is one piece of work; exactly one field is set.
+type storageTask struct {
+	write *core.Write
+	save  *ownSnapshot
+	// chunk is a snapshot message whose bytes are to be read.
+	chunk *core.Message
+}
+
+// ownSnapshot is a snapshot of this replica's state machine. The log keeps its entries from keepFrom on.
+type ownSnapshot struct {
+	meta     *laburnumv1.SnapshotMeta
+	data     []byte
+	keepFrom uint64
+}
+
+// storageResult holds tasks that are done, or the error that ended the storage.
+type storageResult struct {
+	tasks []storageTask
+	err   error
+}
+
+func newStorage(j *journal.Journal, serial bool, log hclog.Logger) *storage {
+	return &storage{
+		journal: j, log: log, serial: serial, finished: make(chan storageResult), wake: make(chan struct{}, 1),
+		stopping: make(chan struct{}), stopped: make(chan struct{}),
+	}
+}
+
+// enqueue queues a task; it never blocks. A chunk for a receiver is dropped while another one for it is queued: the core
+// repeats it.
+func (s *storage) enqueue(t storageTask) {
+	s.mu.Lock()
+	if t.chunk == nil || !s.chunkQueuedLocked(t.chunk.To) {
+		s.queue = append(s.queue, t)
+	}
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *storage) chunkQueuedLocked(to string) bool {
+	for _, t := range s.queue {
+		if t.chunk != nil && t.chunk.To == to {
+			return true
+		}
+	}
+	return false
+}
+
+// run works through the queue until stop is called or a task fails.
+func (s *storage) run() {
+	defer close(s.stopped)
+	for {
+		select {
+		case <-s.stopping:
+			return
+		case <-s.wake:
+		}
+		for batch := s.nextBatch(); len(batch) > 0; batch = s.nextBatch() {
+			err := s.do(batch)
+			select {
+			case s.finished <- storageResult{batch, err}:
+			case <-s.stopping:
+				return
+			}
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+// stop ends run after the task in progress.
+func (s *storage) stop() {
+	close(s.stopping)
+	<-s.stopped
+}
+
+// nextBatch takes the longest run of tasks that can be done by one write, or a single task.
+func (s *storage) nextBatch() []storageTask {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for n < len(s.queue) && s.queue[n].appendsOnly() {
+		n++
+	}
+	if n == 0 || s.serial {
+		n = min(1, len(s.queue))
+	}
+	batch := s.queue[:n:n]
+	s.queue = s.queue[n:]
+	return batch
+}
+
+// appendsOnly reports whether the task only appends to the journal.
+func (t *storageTask) appendsOnly() bool { return t.write != nil && t.write.Snapshot == nil }
+
+func (s *storage) do(batch []storageTask) error {
+	switch first := batch[0]; {
+	case first.save != nil:
+		return s.journal.SaveSnapshot(first.save.meta, first.save.data, first.save.keepFrom)
+	case first.chunk != nil:
+		s.readChunk(first.chunk)
+		return nil
+	case first.write.Snapshot != nil:
+		snapshot := first.write.Snapshot
+		if err := s.journal.InstallSnapshot(first.write.HardState, snapshot.Meta, snapshot.Data); err != nil {
+			return err
+		}
+	}
+	hardState, entries := mergeWrites(batch)
+	if hardState == nil && len(entries) == 0 {
+		return nil
+	}
+	return s.journal.Append(hardState, entries)
+}
+
+// mergeWrites returns the newest hard state of a batch and the entries that remain of it: those of a later write replace
+// all from their first index on.
+func mergeWrites(batch []storageTask) (hardState *laburnumv1.HardState, entries []*laburnumv1.LogEntry) {
+	for _, t := range batch {
+		if t.write.HardState != nil {
+			hardState = t.write.HardState
+		}
+		for _, e := range t.write.Entries {
+			for len(entries) > 0 && entries[len(entries)-1].Index >= e.Index {
+				entries = entries[:len(entries)-1]
+			}
+			entries = append(entries, e)
+		}
+	}
+	return hardState, entries
+}
+
+// readChunk adds the bytes of the snapshot from the message's offset on. The chunk stays nil if a newer snapshot has
+// replaced it or if it can't be read.
+func (s *storage) readChunk(m *core.Message) {
+	data, ok, err := s.journal.ReadSnapshot(m.Snapshot.Index, m.Offset, snapshotChunkBytes)
+	if err != nil {
+		s.log.Error("snapshot cannot be read", "index", m.Snapshot.Index, "error", err)
+	}
+	if ok {
+		m.Chunk = append([]byte{}, data...)
+	}
+}
--- /dev/null
+++ b/internal/process/replica/storage_test.go
@@ -0,0 +1,126 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumrouter/internal/process/journal"
+	"laburnumrouter/internal/process/replica/core"
+	laburnumv1 "laburnumrouter/proto/laburnum/v1"
+)
+
+// stallingFS is a file system whose syncs wait while it is stalled.
+type stallingFS struct {
+	journal.OS
+	mu      sync.Mutex
+	stalled chan struct{} // closed when the stall ends; nil if there is none
+}
+
+type stallingFile struct {
+	journal.File
+	fs *stallingFS
+}
+
+func (f *stallingFS) Create(path string) (journal.File, error) {
+	file, err := f.OS.Create(path)
+	return &stallingFile{File: file, fs: f}, err
+}
+
+func (f *stallingFile) Sync() error {
+	f.fs.mu.Lock()
+	stalled := f.fs.stalled
+	f.fs.mu.Unlock()
+	if stalled != nil {
+		<-stalled
+	}
+	return f.File.Sync()
+}
+
+func (f *stallingFS) stall() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stalled = make(chan struct{})
+}
+
+func (f *stallingFS) resume() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.stalled)
+	f.stalled = nil
+}
+
+// The disk of the leader stalls. The other two replicas commit what it proposes, and after HandoverTicks one of them
+// leads. Before that the leader is told to stop acting as one.
+func TestLeaderWithStalledDiskCommitsAndHandsOver(t *testing.T) {
+	c := newCluster(t)
+	names := []string{"a", "b", "c"}
+	fs := make(map[string]*stallingFS)
+	yielded := make(chan string, 8)
+	for _, name := range names {
+		fs[name] = &stallingFS{}
+		c.start(Options{Name: name, Voters: voters(names...), FS: fs[name], HandoverTicks: 400, BeforeHandover: func() { yielded <- name }})
+	}
+	c.await("a leader", func() bool { return c.leader() != "" })
+	c.propose(c.leader(), "before")
+	old := c.leader()
+	fs[old].stall()
+	defer fs[old].resume()
+	for i := range 20 {
+		c.propose(old, fmt.Sprint("during ", i))
+	}
+	must.Eq(t, old, c.leader())
+	c.await("another leader", func() bool { l := c.leader(); return l != "" && l != old })
+	must.Eq(t, old, <-yielded)
+	c.propose(c.leader(), "after")
+}
+
+// TestReplacedProposalHasUnknownOutcome checks that a proposal whose entry was replaced in the log of a leader that lost
+// its leadership and leads again isn't reported as not committed: another replica may still hold it.
+func TestReplacedProposalHasUnknownOutcome(t *testing.T) {
+	n := &Node{calls: make(chan func(), 2), stopped: make(chan struct{}), proposalWaiters: make(map[uint64]*proposalWaiter)}
+	t.Cleanup(func() { close(n.stopped) })
+	results := make(chan error, 2)
+	for term := uint64(1); term <= 2; term++ {
+		go func() {
+			_, _, err := n.proposeAndWait(context.Background(), func() (uint64, uint64, error) { return 7, term, nil })
+			results <- err
+		}()
+		(<-n.calls)()
+	}
+	must.True(t, errors.Is(<-results, ErrOutcomeUnknown))
+}
+
+func TestMergedWritesKeepNewestEntries(t *testing.T) {
+	write := func(term uint64, indexes ...uint64) storageTask {
+		w := &core.Write{HardState: &laburnumv1.HardState{Term: term}}
+		for _, i := range indexes {
+			w.Entries = append(w.Entries, &laburnumv1.LogEntry{Index: i, Term: term})
+		}
+		return storageTask{write: w}
+	}
+	tests := map[string]struct {
+		batch []storageTask
+		want  []uint64 // term of each entry
+		first uint64
+	}{
+		"consecutive":             {[]storageTask{write(1, 4, 5), write(1, 6)}, []uint64{1, 1, 1}, 4},
+		"the end is replaced":     {[]storageTask{write(1, 4, 5, 6), write(2, 5)}, []uint64{1, 2}, 4},
+		"all entries replaced":    {[]storageTask{write(1, 4, 5), write(2, 3)}, []uint64{2}, 3},
+		"replaced more than once": {[]storageTask{write(1, 4, 5), write(2, 4), write(3, 5, 6), write(4, 6)}, []uint64{2, 3, 4}, 4},
+	}
+	for name, tt := range tests {
+		hardState, entries := mergeWrites(tt.batch)
+		var terms []uint64
+		for i, e := range entries {
+			terms = append(terms, e.Term)
+			must.Eq(t, tt.first+uint64(i), e.Index, must.Sprint(name))
+		}
+		must.Eq(t, tt.want, terms, must.Sprint(name))
+		must.Eq(t, tt.batch[len(tt.batch)-1].write.HardState.Term, hardState.Term, must.Sprint(name))
+	}
+}
--- a/test/measure/controllog/commits.go
+++ b/test/measure/controllog/commits.go
@@ -55,11 +55,11 @@
 
 // measureCommits compares group commit with one write per command, on three nodes that write to real files.
 func measureCommits(ctx context.Context, r *recorder.Recorder, dir string) error {
-	serial, err := runCommits(ctx, filepath.Join(dir, "serial"), true)
+	serial, err := runCommits(ctx, filepath.Join(dir, "serial"), fleet{names: []string{"a", "b", "c"}, serial: true})
 	if err != nil {
 		return err
 	}
-	group, err := runCommits(ctx, filepath.Join(dir, "group"), false)
+	group, err := runCommits(ctx, filepath.Join(dir, "group"), fleet{names: []string{"a", "b", "c"}})
 	if err != nil {
 		return err
 	}
@@ -75,23 +75,55 @@
 	return nil
 }
 
+// measureSlowDisk compares commits with one slow disk, that of the leader, among six nodes with those without.
+func measureSlowDisk(ctx context.Context, r *recorder.Recorder, dir string) error {
+	six := fleet{names: []string{"a", "b", "c", "d", "e", "f"}}
+	even, err := runCommits(ctx, filepath.Join(dir, "even"), six)
+	if err != nil {
+		return err
+	}
+	six.slow = true
+	slow, err := runCommits(ctx, filepath.Join(dir, "slow"), six)
+	if err != nil {
+		return err
+	}
+	const baseline = "all disks alike"
+	r.Add(recorder.Figure{
+		Area: area, Name: fmt.Sprintf("commits a second, leader's sync takes %s, 6 nodes", slowSync), Unit: "1/s",
+		Value: slow.perSecond, Baseline: even.perSecond, BaselineName: baseline, Better: recorder.Higher,
+	})
+	r.Add(recorder.Figure{
+		Area: area, Name: fmt.Sprintf("commit p99, leader's sync takes %s, 6 nodes", slowSync), Unit: "ms",
+		Value: milliseconds(slow.p99), Baseline: milliseconds(even.p99), BaselineName: baseline,
+	})
+	return nil
+}
+
 func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-// runCommits starts three nodes in dir and measures commits at their leader. serial turns group commit off.
-func runCommits(ctx context.Context, dir string, serial bool) (commitFigures, error) {
+// fleet describes the nodes of a run.
+type fleet struct {
+	names  []string
+	serial bool // no group commit
+	slow   bool // each sync of the leader takes slowSync
+}
+
+// runCommits starts nodes in dir and measures commits at their leader.
+func runCommits(ctx context.Context, dir string, f fleet) (commitFigures, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	net := &memoryTransport{nodes: make(map[string]*replica.Node)}
-	names := []string{"a", "b", "c"}
+	disks := make(map[string]*delayedFS)
 	var voters []*laburnumv1.Member
-	for _, name := range names {
+	for _, name := range f.names {
 		voters = append(voters, &laburnumv1.Member{Name: name, Address: name})
 	}
 	var running errgroup.Group
-	for _, name := range names {
+	for _, name := range f.names {
+		disks[name] = &delayedFS{}
 		n, err := replica.Open(replica.Options{
 			Name: name, Voters: voters, Dir: filepath.Join(dir, name), Machine: newAdapter(), Transport: net,
-			SerialCommits: serial,
+			FS: disks[name], SerialCommits: f.serial,
 		})
 		if err != nil {
 			return commitFigures{}, err
@@ -105,6 +137,7 @@
 	if err != nil {
 		return commitFigures{}, err
 	}
+	disks[leader.Status().Node].slow.Store(f.slow)
 	figures, err := proposeFor(ctx, leader)
 	cancel()
 	if stopErr := running.Wait(); err == nil {
--- a/test/measure/controllog/controllog.go
+++ b/test/measure/controllog/controllog.go
@@ -24,7 +24,7 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	for _, measure := range []func(context.Context, *recorder.Recorder, string) error{measureCommits, measureRestarts, measureCosts} {
+	for _, measure := range []func(context.Context, *recorder.Recorder, string) error{measureCommits, measureSlowDisk, measureRestarts, measureCosts} {
 		if err := measure(ctx, r, dir); err != nil {
 			return err
 		}
