Entries let calls wait for an election instead of using up the callers' tries

Cause: an entry that had just lost the leader answered 503 within 16 ms, although a new leader is there half a second to a second later. A caller has four tries and three seconds; where the outcome of the lost call was unknown it got 504 and could not try again. Ruled out: callers that ignore Retry-After (in the model of the test they honour it, and jobs are still started a second late). Change: internal/leader/gap.go decides, without I/O, which calls wait: only after a leader was lost, until 1.5 s after it, while a majority of control answers, for at most half of the caller's time, 1,024 calls and 16 MB. Calls are sent again under their id. Everything else is rejected at once, with Retry-After spread over 1 to 2 s. Each wait is logged with its bound and end. Test: a turn of 500 jobs a second through gaps of 0.6 to 4.5 s in virtual time: up to 1.4 s all 1,000 jobs are accepted at their first try (1,300 to 1,731 tries before); at 2.5 s 921 are accepted, 782 before; longest wait 1.5 s; nothing waits without a majority.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -42,10 +43,10 @@
 	searchTimeout = 250 * time.Millisecond
 	// searchBackoff is the pause after a search that found no leader. Calls made meanwhile fail at once.
 	searchBackoff = 100 * time.Millisecond
-	// retryAfter is the retry delay reported to callers while there is no leader: an election takes 0.5 to 1 s.
-	retryAfter = time.Second
 	// maxConns bounds the connections to one control instance. Each call takes a few milliseconds.
 	maxConns = 32
+	// defaultCallTime is the time of a call without a deadline.
+	defaultCallTime = 2 * time.Second
 	// idleTimeout is how long an unused connection stays open.
 	idleTimeout = 30 * time.Second
 	// maxBodyBytes bounds the size of a request or response body; the largest one carries a configuration.
@@ -79,11 +80,14 @@
 	// timeoutPerAttempt bounds one attempt of a call; attemptTimeout except in tests.
 	timeoutPerAttempt time.Duration
 
+	startedAt time.Time
+
 	mu             sync.Mutex
 	seeds          []string
 	members        []string
 	leader         string
-	leaderLostAt   time.Time
+	gap            gap           // its times are since startedAt
+	leaderFound    chan struct{} // closed when a leader is found
 	searchFailedAt time.Time
 	lastContact    time.Time
 	limits         accepted.Limits
@@ -99,7 +103,8 @@
 		DialContext: dialer.DialContext, MaxConnsPerHost: maxConns, MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
-	return &Client{http: &http.Client{Transport: transport}, log: log, local: local, seeds: seeds, timeoutPerAttempt: attemptTimeout}
+	return &Client{http: &http.Client{Transport: transport}, log: log, local: local, seeds: seeds, timeoutPerAttempt: attemptTimeout,
+		startedAt: time.Now(), leaderFound: make(chan struct{})}
 }
 
 // SetSeeds replaces the seed addresses after the settings were reloaded.
@@ -132,8 +137,8 @@
 }
 
 // Do forwards a call to the leader. All operations are idempotent, so a call with an unknown outcome is sent again until
-// it is answered, no leader is found or ctx ends. The reply's outcome is Unavailable only if the call was certainly not executed, and OutcomeUnknown if it may
-// have been.
+// it is answered, no leader is to be expected soon or ctx ends. The reply's outcome is Unavailable only if the call was
+// certainly not executed, and OutcomeUnknown if it may have been.
 func (c *Client) Do(ctx context.Context, call *dispatch.Call) *dispatch.Reply {
 	if call.RequestID == "" {
 		call.RequestID = uuid.NewString()
@@ -149,17 +154,72 @@
 		if err == nil {
 			return reply
 		}
+		if errors.Is(err, errNoLeader) && c.awaitLeader(ctx, call, len(body)) {
+			continue
+		}
 		if errors.Is(err, errNoLeader) || ctx.Err() != nil {
 			return failedReply(anyMayHaveRun, err)
 		}
 	}
 }
 
+// awaitLeader waits for a leader if one is to be expected soon, and reports whether one was found.
+func (c *Client) awaitLeader(ctx context.Context, call *dispatch.Call, bytes int) bool {
+	began := time.Since(c.startedAt)
+	deadline := began + defaultCallTime
+	if d, ok := ctx.Deadline(); ok {
+		deadline = d.Sub(c.startedAt)
+	}
+	c.mu.Lock()
+	if c.leader != "" {
+		c.mu.Unlock()
+		return true
+	}
+	until, admitted := c.gap.admit(began, deadline, bytes, !c.cutOff)
+	waiting := c.gap.waiting
+	c.mu.Unlock()
+	if !admitted {
+		return false
+	}
+	found := c.waitForLeader(ctx, until)
+	c.mu.Lock()
+	c.gap.release(bytes)
+	c.mu.Unlock()
+	c.log.Info("call waited for a leader", "op", call.Op, "request", call.RequestID, "path", call.Path, "found", found,
+		"waited", time.Since(c.startedAt)-began, "bound", until-began, "waiting", waiting)
+	return found
+}
+
+// waitForLeader searches until a leader is found or the time since startedAt is until.
+func (c *Client) waitForLeader(ctx context.Context, until time.Duration) bool {
+	bound := time.NewTimer(until - time.Since(c.startedAt))
+	defer bound.Stop()
+	for {
+		c.mu.Lock()
+		leader, found := c.leader, c.leaderFound
+		if leader == "" && time.Since(c.searchFailedAt) >= searchBackoff {
+			c.ensureSearchLocked()
+		}
+		c.mu.Unlock()
+		if leader != "" {
+			return true
+		}
+		select {
+		case <-found:
+		case <-time.After(searchBackoff):
+		case <-bound.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func failedReply(anyMayHaveRun bool, err error) *dispatch.Reply {
 	if anyMayHaveRun {
 		return &dispatch.Reply{Outcome: dispatch.OutcomeUnknown, Reason: err.Error()}
 	}
-	return &dispatch.Reply{Outcome: dispatch.Unavailable, Reason: err.Error(), RetryAfterMS: retryAfter.Milliseconds()}
+	return &dispatch.Reply{Outcome: dispatch.Unavailable, Reason: err.Error(), RetryAfterMS: retryAfter(rand.Float64()).Milliseconds()}
 }
 
 // errNoLeader is returned when no reachable instance reports that it leads.
@@ -273,7 +333,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader == target {
-		c.leader, c.leaderLostAt = "", time.Now()
+		c.leader = ""
+		c.gap.begin(time.Since(c.startedAt))
 		c.log.Warn("leader lost", "leader", target, "error", err)
 	}
 }
@@ -319,11 +380,14 @@
 		c.searchFailedAt = now
 	case found != c.leader:
 		lost := time.Duration(0)
-		if !c.leaderLostAt.IsZero() {
-			lost = now.Sub(c.leaderLostAt)
+		if c.gap.open {
+			lost = now.Sub(c.startedAt) - c.gap.since
 		}
 		c.log.Info("leader found", "leader", found, "lost_for", lost)
 		c.leader, c.lastContact = found, now
+		c.gap.end()
+		close(c.leaderFound)
+		c.leaderFound = make(chan struct{})
 	}
 	c.searchDone = nil
 	close(searchDone)
