Machines of suspect and silent servers don't count for their pool

A pool of two machines, the minimum for its lasting tasks' spread, had one whose server failed three starts and became suspect. It got no trial run while another lasting task ran on it, that is never, and its machine counted as capacity, so no other came. Change: pools count only machines that can carry work. Of the suspect ones two, or a tenth, are replaced at a time, as jobs that fail everywhere make any server suspect. Silent machines are no donors. A suspect server gets one trial run each 2 s, and a lasting run that works for a second clears it.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -348,6 +348,9 @@
 			o.state, o.since = orderTaken, boottime.Now()
 		}
 		o.percent = row.Percent
+		if server := s.fleet.Get(h.serverID); row.Percent == 100 && j.Steps[row.Task.Step].Lasting {
+			server.Health.Working(o.since, boottime.Now())
+		}
 		if row.Checkpoint != "" {
 			o.checkpoint = row.Checkpoint
 		}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -94,6 +94,10 @@
 	for _, st := range starts {
 		s.orders[runKey{st.Task, st.Run}] = &order{state: orderPlanned, since: now}
 		s.planned[st.Worker]++
+		if server := s.fleet.Get(st.Worker); server.Health.Suspect() {
+			server.Health.BeginTrial(now)
+			s.log.Info("trial run on a suspect server", "server", st.Worker, "task", st.Task, "run", st.Run)
+		}
 	}
 	return starts
 }
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -10,6 +10,7 @@
 	"laburnumrouter/internal/request/forecast"
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/request/pools"
+	"laburnumrouter/internal/request/schedule"
 	"laburnumrouter/internal/version/accepted"
 )
 
@@ -168,7 +169,7 @@
 			m.Pool = "" // unavailable to its pool until its upkeep is over
 		}
 		cpu = max(cpu, s.serverCPULocked(m.Server))
-		list = append(list, pools.Machine{Name: m.Name, Pool: m.Pool, Movable: s.movableLocked(m, now)})
+		list = append(list, pools.Machine{Name: m.Name, Pool: m.Pool, Movable: s.movableLocked(m, now), State: s.serverStateLocked(m, now)})
 	}
 	s.machineCPU = max(cpu, s.machineCPU)
 	s.startForecastLocked(index.Config().Pools)
@@ -182,6 +183,20 @@
 	return moves
 }
 
+// serverStateLocked returns whether the server of a machine can carry work.
+func (s *session) serverStateLocked(m Machine, now time.Duration) pools.ServerState {
+	server := s.fleet.Get(m.Server)
+	switch {
+	case m.State != MachineUp || server == nil:
+		return pools.Fit
+	case server.Draining || now-max(server.AnnouncedAt, server.AnsweredAt) > schedule.AnnouncementTimeout:
+		return pools.Absent
+	case server.Health.Suspect():
+		return pools.Suspect
+	}
+	return pools.Fit
+}
+
 func (s *session) serverCPULocked(id string) int64 {
 	if server := s.fleet.Get(id); server != nil {
 		return server.Capacity.CPU
--- a/internal/leader/gap_test.go
+++ b/internal/leader/gap_test.go
@@ -1,7 +1,6 @@
 package leader
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -133,7 +132,7 @@
 		accepted, tries, longest := figures(l)
 		l.wait = false
 		acceptedBefore, triesBefore, _ := figures(l)
-		t.Log(fmt.Sprintf("gap %s: accepted %d (%d rejecting at once), tries %d (%d), longest wait %s", length, accepted, acceptedBefore, tries, triesBefore, longest))
+		t.Logf("gap %s: accepted %d (%d rejecting at once), tries %d (%d), longest wait %s", length, accepted, acceptedBefore, tries, triesBefore, longest)
 		must.GreaterEq(t, acceptedBefore, accepted)
 		must.LessEq(t, min(length, maxGap), longest)
 		if length <= maxGap {
--- a/internal/request/fleet/health.go
+++ b/internal/request/fleet/health.go
@@ -6,9 +6,12 @@
 	// suspectAfter is the number of consecutive failed runs after which a server gets only single trial runs. A single
 	// failure is normal: on the users' sites, less than 3% of the runs fail (error_share).
 	suspectAfter = 3
-	// trialDelay is how long after a failure a suspect server gets no trial run. The users' servers fail for 4 to 8 s at a
-	// time, so trials this far apart notice a recovery soon.
+	// trialDelay is how long after a failure or the start of a trial run a suspect server gets no trial run. The users'
+	// servers fail for 4 to 8 s at a time, so trials this far apart notice a recovery soon.
 	trialDelay = 2 * time.Second
+	// recoveryTime is how long a run that never ends by itself must have worked on a suspect server to clear it. The users'
+	// sick servers fail a run within 50 ms.
+	recoveryTime = time.Second
 	// slowThreshold is the mean ratio of actual to expected run time at which a server counts as slow. Healthy servers stay
 	// under 1.5 (remote_factor), with an error of 0.2 in the estimates.
 	slowThreshold = 2.2
@@ -20,7 +23,8 @@
 type Health struct {
 	consecutiveFailures int
 	failedAt            time.Duration
-	slowdown            float64 // moving average of actual to expected run time; 0 before the first run with an estimate
+	trialAt             time.Duration // start of the last trial run
+	slowdown            float64       // moving average of actual to expected run time; 0 before the first run with an estimate
 	slowdownAt          time.Duration
 }
 
@@ -47,8 +51,21 @@
 // Suspect reports whether the last suspectAfter runs on the server failed.
 func (h *Health) Suspect() bool { return h.consecutiveFailures >= suspectAfter }
 
+// Working records that a run which began at since works in full at now. It clears a suspect server if the run began after
+// the last failure.
+func (h *Health) Working(since, now time.Duration) {
+	if h.Suspect() && since > h.failedAt && now-since >= recoveryTime {
+		h.consecutiveFailures = 0
+	}
+}
+
+// BeginTrial records that a suspect server gets a trial run.
+func (h *Health) BeginTrial(now time.Duration) { h.trialAt = now }
+
 // TrialDue reports whether a suspect server may get a trial run.
-func (h *Health) TrialDue(now time.Duration) bool { return now-h.failedAt >= trialDelay }
+func (h *Health) TrialDue(now time.Duration) bool {
+	return now-max(h.failedAt, h.trialAt) >= trialDelay
+}
 
 // Slow reports whether runs on the server take much longer than expected. A server without a completed run for
 // slowdownTTL no longer counts as slow.
--- a/internal/request/pools/pools.go
+++ b/internal/request/pools/pools.go
@@ -19,6 +19,9 @@
 	// donorReserveMachines is the number of machines that a pool keeps beyond its current need when it gives machines to a pool
 	// with a shortage.
 	donorReserveMachines = 1
+	// minReplaced and maxReplacedShare limit how many suspect machines of a pool are replaced by others at a time.
+	minReplaced      = 2
+	maxReplacedShare = 0.1
 	// peakRetention is how long a pool keeps as many machines as it needed at a recent peak. It is about the run time of a
 	// task, after which the work of the peak is done.
 	peakRetention = 1500 * time.Millisecond
@@ -29,8 +32,23 @@
 	Name, Pool string
 	// Movable is set if the machine runs no task, has no pending order and is not about to be maintained.
 	Movable bool
+	// State tells whether the machine's server can carry work.
+	State ServerState
 }
 
+// ServerState tells whether a server can carry work.
+type ServerState int
+
+// States of a server.
+const (
+	// Fit: it can, as far as is known.
+	Fit ServerState = iota
+	// Suspect: its last runs failed. The jobs may be at fault.
+	Suspect
+	// Absent: it leaves or is silent.
+	Absent
+)
+
 // Pool is a pool with its demand and its size limits.
 type Pool struct {
 	Name string
@@ -71,10 +89,7 @@
 	if !p.started {
 		p.startedAt, p.started = now, true
 	}
-	size := make(map[string]int)
-	for _, m := range machines {
-		size[m.Pool]++
-	}
+	size := fitSizes(machines)
 	d := allocation{
 		pools: list, shortage: make(map[string]int), expectedShortage: make(map[string]int),
 		spare: make(map[string]int), lendable: make(map[string]int), beyondNeed: make(map[string]int),
@@ -102,6 +117,25 @@
 	return d.assign(machines)
 }
 
+// fitSizes returns how many machines of each pool carry work. Of the suspect ones at most maxReplacedShare of a pool count
+// as missing, so that jobs that fail everywhere don't draw in one machine after the other.
+func fitSizes(machines []Machine) map[string]int {
+	size, suspects := make(map[string]int), make(map[string]int)
+	for _, m := range machines {
+		switch m.State {
+		case Fit:
+			size[m.Pool]++
+		case Suspect:
+			suspects[m.Pool]++
+		}
+	}
+	for pool, n := range suspects {
+		replaced := max(minReplaced, int(maxReplacedShare*float64(size[pool]+n)))
+		size[pool] += max(0, n-replaced)
+	}
+	return size
+}
+
 // machinesFor returns how many machines are needed for an amount of CPU.
 func machinesFor(cpu, machineCPU int64) int {
 	return int(math.Ceil(float64(cpu) / (float64(machineCPU) * usableShare)))
@@ -137,7 +171,7 @@
 	slices.SortFunc(machines, func(a, b Machine) int { return strings.Compare(a.Name, b.Name) })
 	free := make(map[string][]string)
 	for _, m := range machines {
-		if m.Movable {
+		if m.Movable && m.State != Absent {
 			free[m.Pool] = append(free[m.Pool], m.Name)
 		}
 	}
--- a/internal/request/pools/pools_test.go
+++ b/internal/request/pools/pools_test.go
@@ -97,3 +97,42 @@
 	must.EqOp(t, 0, len(p.Plan(peakRetention, none, machines, machineCPU)))
 	must.EqOp(t, 5, len(p.Plan(peakRetention+time.Millisecond, none, machines, machineCPU)))
 }
+
+// Machines whose servers fail everything or are silent don't count for their pool: others take their place. Jobs that fail
+// everywhere draw in only a few machines.
+func TestUnfitMachinesAreReplaced(t *testing.T) {
+	const size = 20
+	tests := map[string]struct {
+		state ServerState
+		unfit int
+		want  int // machines that join
+	}{
+		"all fit":                 {Fit, 0, 0},
+		"one suspect":             {Suspect, 1, 1},
+		"all suspect":             {Suspect, size, 2},
+		"a data centre is silent": {Absent, 5, 5},
+	}
+	for name, tt := range tests {
+		p := Planner{started: true, startedAt: -peakRetention}
+		machines := fleet(map[string]int{"off": size})
+		for i := range size {
+			m := Machine{Name: fmt.Sprintf("p%02d", i), Pool: "p"}
+			if i < tt.unfit {
+				m.State = tt.state
+			}
+			machines = append(machines, m)
+		}
+		moves := p.Plan(0, []Pool{{Name: "off", Standby: true}, {Name: "p", MinMachines: size}}, machines, machineCPU)
+		must.Eq(t, tt.want, count(moves, "off", "p"), must.Sprint(name))
+	}
+}
+
+// A silent machine is no donor: its move may not be carried out while it can't be reached.
+func TestSilentMachineIsNotMoved(t *testing.T) {
+	p := Planner{started: true, startedAt: -peakRetention}
+	machines := fleet(map[string]int{"idle": 4})
+	for i := range machines {
+		machines[i].State = Absent
+	}
+	must.SliceEmpty(t, p.Plan(0, []Pool{{Name: "hot", NeedCPU: 8 * machineCPU}, {Name: "idle"}}, machines, machineCPU))
+}
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -91,7 +91,7 @@
 	hasLasting bool // it runs lasting tasks
 	trialOnly  bool // it may get a single run, to find out whether it works again
 	slow       bool
-	runs       int
+	planned    int // starts in this plan
 }
 
 func newPlanner(in *Input) *planner {
@@ -103,11 +103,10 @@
 		}
 		r := &serverState{server: s, free: s.Capacity.Minus(in.Ledger.Load(id)), slow: s.Health.Slow(in.Now)}
 		for task := range in.Ledger.LiveOn(id) {
-			r.runs++
 			r.hasLasting = r.hasLasting || in.Ledger.Job(task.Job).Steps[task.Step].Lasting
 		}
 		if s.Health.Suspect() {
-			if r.runs > 0 || !s.Health.TrialDue(in.Now) {
+			if !s.Health.TrialDue(in.Now) {
 				continue
 			}
 			r.trialOnly = true
@@ -332,7 +331,7 @@
 	})
 	r.free = r.free.Minus(step.CapacityUse())
 	r.hasLasting = r.hasLasting || step.Lasting
-	r.runs++
+	r.planned++
 	p.plannedUsage[c.job.Workspace] = p.plannedUsage[c.job.Workspace].Plus(step.Need)
 }
 
@@ -348,7 +347,7 @@
 		if step.Spread > 0 && tasksOn[r.server.ID] >= step.Spread {
 			continue
 		}
-		if r.trialOnly && r.runs > 0 {
+		if r.trialOnly && r.planned > 0 {
 			continue
 		}
 		if best == nil || preferable(step, r, best) {
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -112,6 +112,19 @@
 				f.fleet.Get("a").Health.Failed(f.now - time.Minute)
 			}
 		}, map[string]int{"a": 1, "b": 4}},
+		{"a suspect server with a lasting run gets a trial run too", newStep(8, 1000), func(f *fixture) {
+			f.submit("lasts", with(newStep(1, 1000), func(s *ledger.Step) { s.Lasting = true }))
+			f.ledger.Apply(&ledger.Command{Starts: []ledger.Start{{Task: ledger.TaskID{Job: "lasts"}, Run: 1, Worker: "a"}}})
+			for range 3 {
+				f.fleet.Get("a").Health.Failed(f.now - time.Minute)
+			}
+		}, map[string]int{"a": 1, "b": 4}},
+		{"a suspect server gets no second trial run at once", newStep(8, 1000), func(f *fixture) {
+			for range 3 {
+				f.fleet.Get("a").Health.Failed(f.now - time.Minute)
+			}
+			f.fleet.Get("a").Health.BeginTrial(f.now - 1)
+		}, map[string]int{"b": 4}},
 		{"a slow server is chosen last", newStep(2, 2000), func(f *fixture) {
 			for range 10 {
 				f.fleet.Get("a").Health.Done(5*time.Second, time.Second, f.now)
