Waves end in time: lasting tasks leave early, and machines that left are not waited for

Lasting tasks leave a machine only while their step may miss one more, so those of a job leave one after the other, some 2 s apart: seven tasks need 14 s. Draining began 8 s before the end, and tasks were placed again on machines that were due themselves. Of the 2 s, one passed until the next hold told that the task works. Change: upkeep.Next begins with the machines of a step as soon as its serial time demands it, twice as many at a time as the step may miss; lasting tasks prefer machines that are not due; a server with a starting lasting task is asked each 150 ms; a machine that the list lacks for twice 6 s and whose upkeep is refused as busy leaves the wave.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -16,6 +16,10 @@
 	holdRetryDelay = 100 * time.Millisecond
 	// unresolvedOrderWait is how long a hold call may wait while it is unknown whether an order was carried out.
 	unresolvedOrderWait = 100 * time.Millisecond
+	// startupWait is how long a hold call may wait while a lasting task has started less than startupTime ago and doesn't work
+	// in full yet. Others of its step can be stopped for an upkeep only after it does.
+	startupWait = 150 * time.Millisecond
+	startupTime = 3 * time.Second
 	// minHoldInterval is the minimum time between hold calls to one server, so that runs that end close together arrive
 	// in one report.
 	minHoldInterval = 15 * time.Millisecond
@@ -160,13 +164,23 @@
 	if !h.contacted || len(live) == 0 {
 		return 0
 	}
+	wait := holdWait
 	for id, t := range live {
 		o := s.orders[runKey{id, t.Run}]
 		if o != nil && (o.state == orderUnanswered || o.state == orderStopped) {
 			return unresolvedOrderWait
 		}
+		if o != nil && s.startingLocked(id, o) {
+			wait = startupWait
+		}
 	}
-	return holdWait
+	return wait
+}
+
+// startingLocked reports whether a run of a lasting task has started but doesn't work in full yet.
+func (s *session) startingLocked(id ledger.TaskID, o *order) bool {
+	lasting := s.engine.ledger.Job(id.Job).Steps[id.Step].Lasting
+	return lasting && o.state == orderTaken && o.percent < 100 && boottime.Now()-o.since < startupTime
 }
 
 // handleFailure records a failed hold call and waits. It reports whether to call again.
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/uber-go/tally/v4"
 
+	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/request/pools"
 )
@@ -21,6 +22,7 @@
 	list   []Machine
 	hidden map[string]bool // machines missing from the list
 	gone   map[string]bool // machines that no longer exist
+	busy   map[string]bool // machines that refuse orders for now
 	orders []string
 }
 
@@ -43,6 +45,9 @@
 	if f.gone[name] {
 		return MachineRefused
 	}
+	if f.busy[name] {
+		return MachineBusy
+	}
 	return MachineAccepted
 }
 
@@ -96,6 +101,41 @@
 	must.Eq(t, []string{"upkeep m1", "upkeep m2"}, m.ordered())
 }
 
+// A machine that the list has lacked for long and that refuses its upkeep as busy leaves for good: the wave ends without it.
+// One that was missing only once may come back.
+func TestWaveEndsWithoutMachineThatLeaves(t *testing.T) {
+	for checks, ended := range map[int]bool{gonePeriods - 1: false, gonePeriods: true} {
+		m := &fakeMachines{hidden: map[string]bool{"m1": true}, busy: map[string]bool{"m1": true}}
+		r := newMachineRig(t, m)
+		wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+		must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
+		s := r.d.session.Load()
+		s.engine.mu.Lock()
+		s.missingChecks["m1"] = checks
+		s.engine.mu.Unlock()
+		s.orderUpkeep(ledger.UpkeepTransition{Wave: 1, Machine: "m1", Phase: ledger.UpkeepOrdered}, "")
+		must.Eq(t, ended, r.do(&Call{Op: OpWaveState, Wave: wave}).WaveCompleted)
+	}
+}
+
+// A server on which a lasting task starts is asked often until the task works in full, as others of its step can be stopped
+// only after that; other servers are asked at the usual interval.
+func TestStartOfLastingTaskIsSeenSoon(t *testing.T) {
+	r := newMachineRig(t, &fakeMachines{})
+	r.submit("lasts", ledger.Step{Count: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+	r.submit("ends", small)
+	s := r.d.session.Load()
+	at := func(job string, percent int, age time.Duration) bool {
+		s.engine.mu.Lock()
+		defer s.engine.mu.Unlock()
+		return s.startingLocked(ledger.TaskID{Job: job}, &order{state: orderTaken, percent: percent, since: boottime.Now() - age})
+	}
+	must.True(t, at("lasts", 0, 0))
+	must.False(t, at("lasts", 100, 0))
+	must.False(t, at("lasts", 50, startupTime))
+	must.False(t, at("ends", 0, 0))
+}
+
 // Only machines without runs are moved to another pool.
 func TestBusyMachinesAreNotMoved(t *testing.T) {
 	m := &fakeMachines{
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -84,6 +84,10 @@
 	// missingSince is since when a machine of a wave has been missing from the platform's list, or when that last led to a
 	// check by an upkeep order.
 	missingSince map[string]time.Duration
+	// missingChecks counts how often in a row such a machine was found missing for missingTimeout.
+	missingChecks map[string]int
+	// dueServers are the servers, by ID, whose machines still have an upkeep before them.
+	dueServers map[string]bool
 	// planned counts the planned starts per server that are not yet committed.
 	planned map[string]int
 	// movedAt, movedTo and moveUnanswered record when a machine was last moved, to which pool, and whether the call went
@@ -129,8 +133,8 @@
 		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop),
 		reserved: make(map[string]bool), sentPaces: make(map[runKey]int), pacers: make(map[string]*pacing.Pacer),
 		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[string]time.Duration),
-		missingSince: make(map[string]time.Duration),
-		planned:      make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
+		missingSince: make(map[string]time.Duration), missingChecks: make(map[string]int),
+		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
 		moveUnanswered: make(map[string]bool), moveNotBefore: make(map[string]time.Duration), cachedMachines: &machineCache{},
 		loggedOutlooks: make(map[string]forecast.Outlook),
 		wake:           make(chan struct{}, 1), ctx: ctx, cancel: cancel,
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -15,6 +15,9 @@
 	// missingTimeout is how long a machine must be missing from the platform's list before an upkeep order is sent to find
 	// out from its answer whether the machine still exists: the duration of two upkeeps or moves.
 	missingTimeout = 6 * time.Second
+	// gonePeriods is the number of times that a machine must be missing for missingTimeout and refuse its upkeep as busy
+	// before it counts as gone.
+	gonePeriods = 2
 	// waveCheckInterval is the time between checks of the waves.
 	waveCheckInterval = 200 * time.Millisecond
 )
@@ -32,9 +35,11 @@
 		if s.machines == nil || !s.mayOrder() {
 			continue
 		}
-		for _, number := range s.openWaves() {
+		open := s.openWaves()
+		for _, number := range open {
 			s.advanceWave(number)
 		}
+		s.updateDueServers(open)
 	}
 }
 
@@ -50,6 +55,23 @@
 	return open
 }
 
+// updateDueServers records the servers whose machines still have their upkeep in an open wave before them.
+func (s *session) updateDueServers(open []int64) {
+	byName, _ := s.cachedMachines.snapshot()
+	due := make(map[string]bool)
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	for _, number := range open {
+		w := s.engine.ledger.Wave(number)
+		for _, name := range w.Machines {
+			if server := byName[name].Server; server != "" && w.Phases[name] != ledger.UpkeepDone {
+				due[server] = true
+			}
+		}
+	}
+	s.dueServers = due
+}
+
 // advanceWave takes the next steps of a wave.
 func (s *session) advanceWave(number int64) {
 	if s.machinesStale() && !s.refreshMachines(s.cachedMachines) {
@@ -109,6 +131,7 @@
 			continue
 		}
 		delete(s.missingSince, name)
+		delete(s.missingChecks, name)
 		if w.Phases[name] == ledger.UpkeepOrdered {
 			if s.upkeepAcceptedAt[name] == 0 && s.orderableLocked(m) && s.mayOrderMachineLocked(name) {
 				recheck = append(recheck, name) // already ordered, by this leader or an earlier one, but not answered
@@ -148,6 +171,7 @@
 		return false
 	}
 	s.missingSince[name] = now
+	s.missingChecks[name]++
 	return true
 }
 
@@ -159,6 +183,7 @@
 		d.Runs++
 		if step.Lasting {
 			d.Lasting++
+			d.Steps = append(d.Steps, upkeep.LastingStep{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, MayMiss: step.MayMiss})
 			if !s.mayStopLocked(id, t) {
 				d.Unstoppable++
 			}
@@ -270,13 +295,31 @@
 		}
 		s.engine.mu.Unlock()
 	case MachineNotInWave, MachineRefused:
-		m.Phase = ledger.UpkeepDone
-		if _, err := s.propose(&ledger.Command{Upkeep: []ledger.UpkeepTransition{m}}); err != nil {
-			s.log.Warn("upkeep progress not committed", "wave", m.Wave, "machine", m.Machine, "error", err)
+		s.endUpkeep(m)
+	case MachineBusy:
+		if s.hasLeft(m.Machine) {
+			// The list shows machines in every state, so one that it lacks and that can't be taken down leaves for good.
+			s.log.Info("machine of a wave leaves", "wave", m.Wave, "machine", m.Machine)
+			s.endUpkeep(m)
 		}
 	}
 }
 
+// endUpkeep commits that nothing more is to be done for a machine of a wave.
+func (s *session) endUpkeep(m ledger.UpkeepTransition) {
+	m.Phase = ledger.UpkeepDone
+	if _, err := s.propose(&ledger.Command{Upkeep: []ledger.UpkeepTransition{m}}); err != nil {
+		s.log.Warn("upkeep progress not committed", "wave", m.Wave, "machine", m.Machine, "error", err)
+	}
+}
+
+// hasLeft reports whether the platform's list has lacked a machine in all reads since gonePeriods of missingTimeout.
+func (s *session) hasLeft(name string) bool {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	return s.missingChecks[name] >= gonePeriods
+}
+
 // inParallel calls f for each element, at most maxParallelCalls at a time, and waits for all.
 func inParallel[T any](list []T, f func(T)) {
 	var group sync.WaitGroup
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -35,6 +35,8 @@
 	// Reserved is the set of servers, by ID, that get no new work because their machines are about to be taken down for
 	// upkeep or moved to another pool.
 	Reserved map[string]bool
+	// Due is the set of servers, by ID, whose machines have an upkeep before them. Lasting tasks avoid them.
+	Due map[string]bool
 }
 
 // Plan returns the starts to order now, the most urgent first.
@@ -91,7 +93,8 @@
 	hasLasting bool // it runs lasting tasks
 	trialOnly  bool // it may get a single run, to find out whether it works again
 	slow       bool
-	planned    int // starts in this plan
+	due        bool // its machine has an upkeep before it
+	planned    int  // starts in this plan
 }
 
 func newPlanner(in *Input) *planner {
@@ -101,7 +104,7 @@
 		if s.Draining || in.Reserved[id] || !s.Clock.Known() || !s.Usable(in.Now, AnnouncementTimeout) {
 			continue
 		}
-		r := &serverState{server: s, free: s.Capacity.Minus(in.Ledger.Load(id)), slow: s.Health.Slow(in.Now)}
+		r := &serverState{server: s, free: s.Capacity.Minus(in.Ledger.Load(id)), slow: s.Health.Slow(in.Now), due: in.Due[id]}
 		for task := range in.Ledger.LiveOn(id) {
 			r.hasLasting = r.hasLasting || in.Ledger.Job(task.Job).Steps[task.Step].Lasting
 		}
@@ -358,8 +361,8 @@
 }
 
 // preferable reports whether a is preferred to b. The criteria in order are: a server that isn't suspect, one that isn't
-// slow, the rack of the data, for lasting tasks a server that already runs some, and the least free CPU, so that other
-// servers stay empty for large tasks and for upkeep.
+// slow, the rack of the data, for lasting tasks one whose machine is not due for upkeep and then one that already runs
+// some, and the least free CPU, so that other servers stay empty for large tasks and for upkeep.
 func preferable(step *ledger.Step, a, b *serverState) bool {
 	if a.trialOnly != b.trialOnly {
 		return b.trialOnly
@@ -370,6 +373,9 @@
 	if step.Rack != "" && (a.server.Rack() == step.Rack) != (b.server.Rack() == step.Rack) {
 		return a.server.Rack() == step.Rack
 	}
+	if step.Lasting && a.due != b.due {
+		return b.due
+	}
 	if step.Lasting && a.hasLasting != b.hasLasting {
 		return a.hasLasting
 	}
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -20,6 +20,7 @@
 	ledger *ledger.Ledger
 	fleet  *fleet.Table
 	now    time.Duration
+	due    map[string]bool
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -54,7 +55,7 @@
 }
 
 func (f *fixture) plan(wallMS int64) []ledger.Start {
-	return Plan(&Input{Now: f.now, WallMS: wallMS, Ledger: f.ledger, Fleet: f.fleet})
+	return Plan(&Input{Now: f.now, WallMS: wallMS, Ledger: f.ledger, Fleet: f.fleet, Due: f.due})
 }
 
 // startsByServer returns the number of a plan's starts on each server.
@@ -125,6 +126,12 @@
 			}
 			f.fleet.Get("a").Health.BeginTrial(f.now - 1)
 		}, map[string]int{"b": 4}},
+		{"lasting tasks avoid machines that are due for upkeep", with(newStep(3, 1000), func(s *ledger.Step) { s.Lasting = true }), func(f *fixture) {
+			f.due = map[string]bool{"a": true}
+		}, map[string]int{"b": 3}},
+		{"lasting tasks take them if nothing else is free", with(newStep(5, 1000), func(s *ledger.Step) { s.Lasting = true }), func(f *fixture) {
+			f.due = map[string]bool{"a": true}
+		}, map[string]int{"a": 1, "b": 4}},
 		{"a slow server is chosen last", newStep(2, 2000), func(f *fixture) {
 			for range 10 {
 				f.fleet.Get("a").Health.Done(5*time.Second, time.Second, f.now)
--- a/internal/request/upkeep/upkeep.go
+++ b/internal/request/upkeep/upkeep.go
@@ -16,6 +16,11 @@
 	downtimeMS = 3200
 	// drainMS is the time that a busy machine needs to become idle; most tasks run for one or two seconds.
 	drainMS = 2500
+	// replaceMS is the time from the stop of a lasting task until it works elsewhere. A step may miss only some of its tasks at
+	// a time, so those on machines of the wave leave one after the other.
+	replaceMS = 2200
+	// lastingMarginMS is the part of a wave's duration that is kept for lasting tasks that take longer to leave.
+	lastingMarginMS = 5000
 	// safetyMarginMS is the part of a wave's duration that is kept for faults: a new leader waits for the former leader's
 	// lease on a machine to lapse before it repeats an order, and an unanswered order delays its machine as long again.
 	safetyMarginMS = 8000
@@ -33,10 +38,20 @@
 	LongestTaskMS int64
 	// PoolInDemand is set if demand for the machine's pool is high now.
 	PoolInDemand bool
+	// Steps lists the steps whose lasting tasks run on the machine, once for each task.
+	Steps []LastingStep
 	// Reserved is set if the machine gets no new work because it is being drained for the wave.
 	Reserved bool
 }
 
+// LastingStep is a step of lasting tasks of which at most MayMiss may be away at a time; 0 means any number.
+type LastingStep struct {
+	Job        string
+	Occurrence int
+	Step       int
+	MayMiss    int
+}
+
 // Decision lists the next actions for a wave.
 type Decision struct {
 	// Order lists machines to take down now.
@@ -67,11 +82,12 @@
 	if mustDrainBusy(w, nowMS, len(due)-len(d.Order)) {
 		targetReserved = w.Bound
 	}
+	pressing := pressingSteps(w, nowMS, due)
 	for _, m := range due {
-		if reserved >= targetReserved {
-			break
+		if !m.Orderable || m.Reserved || slices.Contains(d.Order, m.Name) {
+			continue
 		}
-		if m.Orderable && !m.Reserved && !slices.Contains(d.Order, m.Name) {
+		if reserved < targetReserved || pressing.take(m) {
 			d.Reserve = append(d.Reserve, m.Name)
 			reserved++
 		}
@@ -79,6 +95,52 @@
 	return d
 }
 
+// pressing counts, by step, how many more machines with tasks of the step must be drained now.
+type pressing map[LastingStep]int
+
+// pressingSteps returns the steps whose tasks must begin to leave the machines that are due, one after the other, for the
+// wave to end in time. Of each, twice as many machines are drained at a time as it may miss tasks, so that the next is empty
+// but for them when its turn comes.
+func pressingSteps(w *ledger.Wave, nowMS int64, due []Machine) pressing {
+	tasks, drained := make(map[LastingStep]int), make(map[LastingStep]int)
+	for _, m := range due {
+		for i, s := range m.Steps {
+			tasks[s]++
+			if m.Reserved && !slices.Contains(m.Steps[:i], s) {
+				drained[s]++
+			}
+		}
+	}
+	p := make(pressing)
+	for s, n := range tasks {
+		if s.MayMiss == 0 {
+			continue
+		}
+		serialMS := int64((n+s.MayMiss-1)/s.MayMiss) * replaceMS
+		if nowMS+serialMS+downtimeMS+lastingMarginMS >= w.StartedMS+w.DurationMS {
+			p[s] = 2*s.MayMiss - drained[s]
+		}
+	}
+	return p
+}
+
+// take reports whether a machine has a task of a pressing step, and counts the machine if so.
+func (p pressing) take(m Machine) bool {
+	needed := false
+	for _, s := range m.Steps {
+		needed = needed || p[s] > 0
+	}
+	if !needed {
+		return false
+	}
+	for i, s := range m.Steps {
+		if !slices.Contains(m.Steps[:i], s) {
+			p[s]--
+		}
+	}
+	return true
+}
+
 // mustDrainBusy reports whether busy machines must be drained now for the upkeep of a wave's remaining machines to be over
 // in time. Before that, only the upkeep of idle machines is ordered, because machines become idle by themselves as demand
 // on pools falls.
--- a/internal/request/upkeep/upkeep_test.go
+++ b/internal/request/upkeep/upkeep_test.go
@@ -1,6 +1,7 @@
 package upkeep
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -23,6 +24,14 @@
 	busy := Machine{Name: "busy", Orderable: true, Runs: 3, LongestTaskMS: 900}
 	lasting := Machine{Name: "lasting", Orderable: true, Runs: 1, Lasting: 1}
 	busyPool := Machine{Name: "hot", Orderable: true, Runs: 1, PoolInDemand: true}
+	step := LastingStep{Job: "j", MayMiss: 1}
+	serial := func(n int, reserved ...int) (list []Machine) {
+		for i := range n {
+			list = append(list, Machine{Name: string(rune('a' + i)), Orderable: true, Runs: 1, Lasting: 1, Steps: []LastingStep{step},
+				Reserved: slices.Contains(reserved, i)})
+		}
+		return list
+	}
 	drained := Machine{Name: "drained", Orderable: true, Reserved: true}
 	cases := []struct {
 		name    string
@@ -37,6 +46,10 @@
 		{"upkeep of a reserved machine is ordered first", wave(1), 0, []Machine{idle, drained}, []string{"drained"}, nil},
 		{"busy machines are not reserved while there is time", wave(2), 5_000, []Machine{busy, lasting}, nil, nil},
 		{"busy machines are reserved once time runs short", wave(2), 17_000, []Machine{busyPool, lasting, busy}, nil, []string{"busy", "lasting"}},
+		{"lasting tasks that leave one after the other begin early", wave(9), 5_000, serial(8), nil, []string{"a", "b"}},
+		{"not before their time demands it", wave(9), 1_000, serial(8), nil, nil},
+		{"the next is drained as one is done", wave(9), 5_000, serial(8, 1), nil, []string{"a"}},
+		{"no more than needed", wave(9), 5_000, serial(8, 0, 1), nil, nil},
 		{"no upkeep is ordered for a machine that is not up", wave(2), 0, []Machine{{Name: "moving"}}, nil, nil},
 	}
 	for _, c := range cases {
