New control instances join through any member, and read their seeds anew

An instance whose seeds don't include the leader never joined. A running one kept its first seeds for ever. Change: a request to join is answered with the members' addresses, and the newcomer asks these too (at most 64). Entry and control instances read the seeds from the settings file again while they find no leader, at most once a second, without a signal.

--- a/cmd/laburnum-control/main.go
+++ b/cmd/laburnum-control/main.go
@@ -12,6 +12,7 @@
 	"laburnumrouter/internal/dispatch"
 	"laburnumrouter/internal/jobcontrol"
 	"laburnumrouter/internal/process/program"
+	"laburnumrouter/internal/process/settings"
 	"laburnumrouter/platform"
 )
 
@@ -26,16 +27,21 @@
 			return c.Run(p.Context)
 		}},
 		program.Mode{Name: "jobs", Settings: j, Node: &j.Node, Run: func(p *program.Process) error {
-			// The settings of this mode can't be reloaded, and the default action of SIGHUP would end the process.
+			// The seeds are read from the settings file when they are needed; the default action of SIGHUP would end the process.
 			signal.Ignore(syscall.SIGHUP)
-			return jobcontrol.Run(p.Context, j, jobDependencies(j), p.Log)
+			return jobcontrol.Run(p.Context, j, jobDependencies(j, p.SettingsPath), p.Log)
 		}},
 	)
 }
 
 // jobDependencies returns the dependencies of package jobcontrol, implemented for the users' platform.
-func jobDependencies(s *jobcontrol.Settings) jobcontrol.Dependencies {
+func jobDependencies(s *jobcontrol.Settings, settingsPath string) jobcontrol.Dependencies {
 	deps := jobcontrol.Dependencies{
+		ReloadSeeds: func() ([]string, error) {
+			fresh := jobcontrol.DefaultSettings()
+			err := settings.Load(settingsPath, fresh)
+			return fresh.Seeds, err
+		},
 		Servers: platform.NewServerClient(),
 		Public: func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
 			return platform.ControlHandler(do)
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -60,6 +59,8 @@
 	Machines dispatch.Machines
 	// FS is the file system of the data folder; nil means the operating system's.
 	FS journal.FS
+	// ReloadSeeds reads the seeds from the settings file again; nil if they never change.
+	ReloadSeeds func() ([]string, error)
 	// Public builds the handler for operators and backend servers; do executes a call on the leader.
 	Public func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler
 }
@@ -143,14 +144,26 @@
 	})
 	c := &control{settings: s, log: log, node: node, dispatcher: d, metrics: registry, deps: deps}
 	c.client = leader.NewClient(seedPeers, d, log.Named("leader"))
+	if deps.ReloadSeeds != nil {
+		c.client.ReadSeedsWith(func() ([]string, error) {
+			seeds, err := deps.ReloadSeeds()
+			return PeerAddresses(seeds, s.PeerListen), err
+		})
+	}
 	c.members = &members{
-		node: node, name: name, address: s.PeerListen, targetVoters: 2*s.Losses + 1, seedPeers: func() []string { return slices.Clone(seedPeers) },
+		node: node, name: name, address: s.PeerListen, targetVoters: 2*s.Losses + 1, seedPeers: c.currentSeeds,
 		http: &http.Client{Timeout: joinInterval}, log: log.Named("members"),
 		joiners: make(map[string]joiner), lastActive: make(map[string]time.Duration),
 	}
 	return c, nil
 }
 
+// currentSeeds returns the peer addresses of the seeds, read anew from the settings.
+func (c *control) currentSeeds() []string {
+	c.client.RefreshSeeds()
+	return c.client.Seeds()
+}
+
 // initialVoters returns the voters of a new log, one for each seed, or nil for an instance that joins an existing log.
 func initialVoters(seedPeers []string, founder bool) []*laburnumv1.Member {
 	if !founder {
--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -73,13 +73,13 @@
 	servers    *fakeServers
 	publicPort int
 	peerPort   int
-	dirs       [3]string
-	stop       [3]func()
+	dirs       [4]string
+	stop       [4]func()
 	client     *leader.Client
 	seq        int64
 	log        logBuffer
 	handler    http.Handler // handles the operators' calls
-	disks      [3]disk
+	disks      [4]disk
 }
 
 // disk is a file system whose writes fail with ENOSPC while full is set.
@@ -134,7 +134,7 @@
 	return strings.Contains(l.text.String(), part)
 }
 
-// freePort returns a port that is free at all three addresses.
+// freePort returns a port that is free at all four addresses.
 func freePort(t *testing.T) int {
 	t.Helper()
 	for range 50 {
@@ -142,7 +142,7 @@
 		must.NoError(t, err)
 		port := first.Addr().(*net.TCPAddr).Port
 		free := true
-		for _, host := range []string{"127.0.0.2", "127.0.0.3"} {
+		for _, host := range []string{"127.0.0.2", "127.0.0.3", "127.0.0.4"} {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
 			if err != nil {
 				free = false
@@ -159,6 +159,9 @@
 	return 0
 }
 
+// founders is the number of instances that newCluster starts.
+const founders = 3
+
 // newCluster starts three instances. The disks of the instances listed in full are full at the start.
 func newCluster(t *testing.T, operators http.Handler, full ...int) *cluster {
 	t.Helper()
@@ -174,11 +177,15 @@
 	}
 	for i := range c.dirs {
 		c.dirs[i] = t.TempDir()
-		c.start(i, true)
+		if i < founders {
+			c.start(i, true)
+		}
 	}
 	t.Cleanup(func() {
 		for _, stop := range c.stop {
-			stop()
+			if stop != nil {
+				stop()
+			}
 		}
 	})
 	c.client = leader.NewClient(PeerAddresses(c.seeds(), c.peerAddress(0)), nil, hclog.NewNullLogger())
@@ -193,16 +200,19 @@
 	return []string{c.address(0, c.publicPort), c.address(1, c.publicPort), c.address(2, c.publicPort)}
 }
 
-func (c *cluster) start(i int, first bool) {
+func (c *cluster) start(i int, first bool) { c.startWith(i, first, c.seeds(), nil) }
+
+// startWith starts an instance with the given seeds; reload reads them anew.
+func (c *cluster) startWith(i int, first bool, seeds []string, reload func() ([]string, error)) {
 	c.t.Helper()
 	s := DefaultSettings()
 	s.Name, s.DataCentre = fmt.Sprintf("control-%d", i), "dc"
 	s.Listen, s.PeerListen, s.DataDir = c.address(i, c.publicPort), c.peerAddress(i), c.dirs[i]
-	s.Seeds, s.FirstStart = c.seeds(), first
+	s.Seeds, s.FirstStart = seeds, first
 	var faults settings.Faults
 	s.Check(&faults)
 	must.EqOp(c.t, 0, len(faults.List()))
-	deps := Dependencies{Servers: c.servers, FS: &c.disks[i], Public: func(func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
+	deps := Dependencies{Servers: c.servers, FS: &c.disks[i], ReloadSeeds: reload, Public: func(func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
 		return c.handler
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -295,6 +305,30 @@
 	}
 }
 
+// An instance whose only seed doesn't lead joins the log nevertheless: the seed names the members.
+func TestInstanceJoinsThroughFollower(t *testing.T) {
+	c := newCluster(t, http.NotFoundHandler())
+	c.waitUntil(func() bool { return c.do(&dispatch.Call{Op: dispatch.OpStatus}).Status != nil })
+	leader := c.do(&dispatch.Call{Op: dispatch.OpStatus}).Leader
+	follower := 0
+	if leader == c.address(0, c.publicPort) {
+		follower = 1
+	}
+	c.startWith(3, false, []string{c.address(follower, c.publicPort)}, nil)
+	c.waitUntil(func() bool { return c.log.has("add=" + c.peerAddress(3) + nameSeparator) })
+}
+
+// All seeds that an instance was started with are gone. It joins once its settings name others.
+func TestInstanceJoinsThroughNewSeeds(t *testing.T) {
+	c := newCluster(t, http.NotFoundHandler())
+	var seeds atomic.Pointer[[]string]
+	seeds.Store(&[]string{"127.0.0.1:1"})
+	c.startWith(3, false, *seeds.Load(), func() ([]string, error) { return *seeds.Load(), nil })
+	next := c.seeds()
+	seeds.Store(&next)
+	c.waitUntil(func() bool { return c.log.has("add=" + c.peerAddress(3) + nameSeparator) })
+}
+
 // One disk after the other is full for a while: no acknowledged job is lost, and each instance rejoins.
 func TestInstancesRejoinAfterFullDisk(t *testing.T) {
 	c := newCluster(t, http.NotFoundHandler())
--- a/internal/jobcontrol/members.go
+++ b/internal/jobcontrol/members.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -26,6 +27,8 @@
 	membershipCheckInterval = 250 * time.Millisecond
 	// changeTimeout bounds one change of the membership, which waits for a commit or for a learner to catch up.
 	changeTimeout = 3 * time.Second
+	// maxJoinReplyBytes bounds the size of a reply to a join request.
+	maxJoinReplyBytes = 64 << 10
 )
 
 // joinRequest is the body of a request to become a member of the log.
@@ -33,6 +36,15 @@
 	Name, Address string
 }
 
+// joinReply answers a request to join with the addresses of the members that the receiver knows. The seeds of a new instance
+// may not include the leader.
+type joinReply struct {
+	Members []string
+}
+
+// maxLearned bounds the addresses that an instance keeps from replies to its requests.
+const maxLearned = 64
+
 // members manages the membership of the log. On the leader it adds, promotes and removes members; on an instance that is
 // not a member it asks to join.
 type members struct {
@@ -46,6 +58,7 @@
 
 	mu             sync.Mutex
 	joiners        map[string]joiner
+	learned        []string                 // addresses of members from replies to requests to join
 	lastActive     map[string]time.Duration // boottime.Now() when each member was last active; used on the leader only
 	lastActiveTerm uint64                   // the term to which lastActive belongs
 }
@@ -65,6 +78,12 @@
 		m.mu.Lock()
 		m.joiners[req.Name] = joiner{address: req.Address, requestedAt: boottime.Now()}
 		m.mu.Unlock()
+		var reply joinReply
+		for _, member := range m.node.Status().Members {
+			reply.Members = append(reply.Members, member.Address)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(&reply) // the sender asks again if it is lost
 	})
 }
 
@@ -106,6 +125,9 @@
 	for _, member := range m.node.Status().Members {
 		targets = append(targets, member.Address)
 	}
+	m.mu.Lock()
+	targets = append(targets, m.learned...)
+	m.mu.Unlock()
 	slices.Sort(targets)
 	for _, target := range slices.Compact(targets) {
 		if target == m.address {
@@ -127,7 +149,24 @@
 		m.log.Debug("join request not delivered", "target", target, "error", err)
 		return
 	}
-	_ = resp.Body.Close()
+	defer func() { _ = resp.Body.Close() }()
+	var reply joinReply
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxJoinReplyBytes)).Decode(&reply); err != nil {
+		return // an instance of an earlier version answers without a body
+	}
+	m.learn(reply.Members)
+}
+
+// learn adds addresses of members. The oldest ones are dropped beyond maxLearned.
+func (m *members) learn(addresses []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, a := range addresses {
+		if a != "" && !slices.Contains(m.learned, a) {
+			m.learned = append(m.learned, a)
+		}
+	}
+	m.learned = m.learned[max(0, len(m.learned)-maxLearned):]
 }
 
 // changeMembership makes the next due change of the membership if this instance leads.
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -70,6 +70,10 @@
 	}
 	e := &entry{settings: s, deps: deps, log: log, metrics: metrics.New("laburnum_jobentry", s.Name)}
 	e.client = leader.NewClient(peerAddresses(s.Seeds, s.PeerListen), nil, log.Named("leader"))
+	e.client.ReadSeedsWith(func() ([]string, error) {
+		seeds, err := deps.ReloadSeeds()
+		return peerAddresses(seeds, s.PeerListen), err
+	})
 	log.Info("starting", "listen", s.Listen, "seeds", s.Seeds)
 	return e.run(ctx, peerAddresses)
 }
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -41,6 +41,8 @@
 	checkTimeout = 400 * time.Millisecond
 	// searchTimeout bounds one search for the leader.
 	searchTimeout = 250 * time.Millisecond
+	// seedReadInterval is the least time between reads of the seeds.
+	seedReadInterval = time.Second
 	// searchBackoff is the pause after a search that found no leader. Calls made meanwhile fail at once.
 	searchBackoff = 100 * time.Millisecond
 	// maxConns bounds the connections to one control instance. Each call takes a few milliseconds.
@@ -81,6 +83,8 @@
 	timeoutPerAttempt time.Duration
 
 	startedAt time.Time
+	// readSeeds reads the seeds anew while no leader is found; nil if they never change.
+	readSeeds func() ([]string, error)
 
 	mu             sync.Mutex
 	seeds          []string
@@ -89,6 +93,7 @@
 	gap            gap           // its times are since startedAt
 	leaderFound    chan struct{} // closed when a leader is found
 	searchFailedAt time.Time
+	seedsReadAt    time.Time
 	lastContact    time.Time
 	limits         accepted.Limits
 	cutOff         bool          // the last search found no leader and reached no majority of the members
@@ -107,6 +112,41 @@
 		startedAt: time.Now(), leaderFound: make(chan struct{})}
 }
 
+// ReadSeedsWith sets a function that reads the seed addresses anew. It is called at most once in seedReadInterval, and only
+// while no leader is found: all seeds may be gone. It must be set before the client is used.
+func (c *Client) ReadSeedsWith(read func() ([]string, error)) { c.readSeeds = read }
+
+// Seeds returns the seed addresses.
+func (c *Client) Seeds() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.seeds)
+}
+
+// RefreshSeeds reads the seeds anew, unless that was done within seedReadInterval.
+func (c *Client) RefreshSeeds() {
+	c.mu.Lock()
+	due := c.readSeeds != nil && time.Since(c.seedsReadAt) >= seedReadInterval
+	if due {
+		c.seedsReadAt = time.Now()
+	}
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	seeds, err := c.readSeeds()
+	if err != nil || len(seeds) == 0 {
+		c.log.Warn("seeds cannot be read anew", "error", err)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !slices.Equal(seeds, c.seeds) {
+		c.log.Info("seeds changed", "before", c.seeds, "after", seeds)
+		c.seeds = seeds
+	}
+}
+
 // SetSeeds replaces the seed addresses after the settings were reloaded.
 func (c *Client) SetSeeds(seeds []string) {
 	c.mu.Lock()
@@ -371,6 +411,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
 	defer cancel()
 	found, answered := c.probeAll(ctx)
+	if found == "" {
+		c.RefreshSeeds()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
