--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -80,6 +80,8 @@
 		Machine:   c.machine,
 		Transport: newReplicaTransport(func() *peer.Dialer { return peer.NewSecureDialer(source) }, s.Controls),
 		Log:       log.Named("replica"),
+		// Reads are confirmed one by one in this mode, so there is no leader lease to revoke.
+		HandoverTicks: replica.DefaultElectionTicks,
 	})
 	if err != nil {
 		return nil, Error.Wrap(err)
