Routing: comparing with instances that have not answered no longer panics

An instance that is ejected or leaves still answers; each 16th answer from the 20th on is compared with the median of those in service. If none of these has answered yet, as after a replacement of all, the median of nothing panicked while the table's lock was held, and the pool was dead from then on. Change: without a mean to compare with, nothing is ejected. Test first failing (panic: index out of range): TestLastAnswersOfLeavingInstanceAmongFreshOnes. Mode jobs doesn't use this package. CONTRIBUTING says what is run before a landing.

--- a/internal/request/routing/health.go
+++ b/internal/request/routing/health.go
@@ -85,13 +85,17 @@
 	if h.samples < minSamples || h.mean < minSlowMean || len(t.heap) < maxEjectedDivisor {
 		return ""
 	}
-	if h.samples%meanDivisor == 0 && h.mean > slowFactor*t.medianMean() {
+	if h.samples%meanDivisor != 0 {
+		return ""
+	}
+	if median, ok := t.medianMean(); ok && h.mean > slowFactor*median {
 		return "answers far slower than the pool"
 	}
 	return ""
 }
 
-func (t *table) medianMean() time.Duration {
+// medianMean returns the median of the means of the instances in service; ok is false if none of them has answered yet.
+func (t *table) medianMean() (median time.Duration, ok bool) {
 	means := make([]time.Duration, 0, len(t.heap))
 	for _, m := range t.heap {
 		if m.health.samples > 0 {
@@ -99,7 +103,10 @@
 		}
 	}
 	sort.Slice(means, func(i, j int) bool { return means[i] < means[j] })
-	return means[len(means)/2]
+	if len(means) == 0 {
+		return 0, false
+	}
+	return means[len(means)/2], true
 }
 
 // mayEject reports whether one more instance may be ejected.
--- a/internal/request/routing/routing_test.go
+++ b/internal/request/routing/routing_test.go
@@ -279,3 +279,12 @@
 		})
 	}
 }
+
+// An instance that leaves the pool, or is ejected, still answers requests that it has. None of those in service has answered
+// yet, as after all others were replaced, so there is no mean to compare it with.
+func TestLastAnswersOfLeavingInstanceAmongFreshOnes(t *testing.T) {
+	table := &table{heap: loadHeap{{}, {}, {}}}
+	leaving := &member{index: -1, health: health{samples: 2*meanDivisor - 1, mean: time.Second}}
+	must.SliceEmpty(t, table.recordResult(leaving, Answered, time.Second, start))
+	must.Eq(t, 2*meanDivisor, leaving.health.samples)
+}
