--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -41,8 +40,6 @@
 	checkTimeout = 400 * time.Millisecond
 	// searchTimeout bounds one search for the leader.
 	searchTimeout = 250 * time.Millisecond
-	// seedReadInterval is the least time between reads of the seeds.
-	seedReadInterval = time.Second
 	// searchBackoff is the pause after a search that found no leader. Calls made meanwhile fail at once.
 	searchBackoff = 100 * time.Millisecond
 	// maxConns bounds the connections to one control instance. Each call takes a few milliseconds.
@@ -112,48 +109,6 @@
 		startedAt: time.Now(), leaderFound: make(chan struct{})}
 }
 
-// ReadSeedsWith sets a function that reads the seed addresses anew. It is called at most once in seedReadInterval, and only
-// while no leader is found: all seeds may be gone. It must be set before the client is used.
-func (c *Client) ReadSeedsWith(read func() ([]string, error)) { c.readSeeds = read }
-
-// Seeds returns the seed addresses.
-func (c *Client) Seeds() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Clone(c.seeds)
-}
-
-// RefreshSeeds reads the seeds anew, unless that was done within seedReadInterval.
-func (c *Client) RefreshSeeds() {
-	c.mu.Lock()
-	due := c.readSeeds != nil && time.Since(c.seedsReadAt) >= seedReadInterval
-	if due {
-		c.seedsReadAt = time.Now()
-	}
-	c.mu.Unlock()
-	if !due {
-		return
-	}
-	seeds, err := c.readSeeds()
-	if err != nil || len(seeds) == 0 {
-		c.log.Warn("seeds cannot be read anew", "error", err)
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !slices.Equal(seeds, c.seeds) {
-		c.log.Info("seeds changed", "before", c.seeds, "after", seeds)
-		c.seeds = seeds
-	}
-}
-
-// SetSeeds replaces the seed addresses after the settings were reloaded.
-func (c *Client) SetSeeds(seeds []string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.seeds = seeds
-}
-
 // LastContact returns the time of the leader's last response.
 func (c *Client) LastContact() time.Time {
 	c.mu.Lock()
@@ -203,58 +158,6 @@
 	}
 }
 
-// awaitLeader waits for a leader if one is to be expected soon, and reports whether one was found.
-func (c *Client) awaitLeader(ctx context.Context, call *dispatch.Call, bytes int) bool {
-	began := time.Since(c.startedAt)
-	deadline := began + defaultCallTime
-	if d, ok := ctx.Deadline(); ok {
-		deadline = d.Sub(c.startedAt)
-	}
-	c.mu.Lock()
-	if c.leader != "" {
-		c.mu.Unlock()
-		return true
-	}
-	until, admitted := c.gap.admit(began, deadline, bytes, !c.cutOff)
-	waiting := c.gap.waiting
-	c.mu.Unlock()
-	if !admitted {
-		return false
-	}
-	found := c.waitForLeader(ctx, until)
-	c.mu.Lock()
-	c.gap.release(bytes)
-	c.mu.Unlock()
-	c.log.Info("call waited for a leader", "op", call.Op, "request", call.RequestID, "path", call.Path, "found", found,
-		"waited", time.Since(c.startedAt)-began, "bound", until-began, "waiting", waiting)
-	return found
-}
-
-// waitForLeader searches until a leader is found or the time since startedAt is until.
-func (c *Client) waitForLeader(ctx context.Context, until time.Duration) bool {
-	bound := time.NewTimer(until - time.Since(c.startedAt))
-	defer bound.Stop()
-	for {
-		c.mu.Lock()
-		leader, found := c.leader, c.leaderFound
-		if leader == "" && time.Since(c.searchFailedAt) >= searchBackoff {
-			c.ensureSearchLocked()
-		}
-		c.mu.Unlock()
-		if leader != "" {
-			return true
-		}
-		select {
-		case <-found:
-		case <-time.After(searchBackoff):
-		case <-bound.C:
-			return false
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
-
 func failedReply(anyMayHaveRun bool, err error) *dispatch.Reply {
 	if anyMayHaveRun {
 		return &dispatch.Reply{Outcome: dispatch.OutcomeUnknown, Reason: err.Error()}
@@ -332,30 +235,6 @@
 	}
 }
 
-// refreshLeader searches for the leader even if one is known, and returns its address. Concurrent callers share one search.
-func (c *Client) refreshLeader(ctx context.Context) string {
-	c.mu.Lock()
-	searchDone := c.ensureSearchLocked()
-	c.mu.Unlock()
-	select {
-	case <-searchDone:
-	case <-ctx.Done():
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leader
-}
-
-// ensureSearchLocked starts a search unless one is running, and returns the channel that is closed when it ends. The caller
-// holds c.mu.
-func (c *Client) ensureSearchLocked() chan struct{} {
-	if c.searchDone == nil {
-		c.searchDone = make(chan struct{})
-		go c.search(c.searchDone)
-	}
-	return c.searchDone
-}
-
 // dialFailed reports whether the connection could not be opened, so that nothing was sent.
 func dialFailed(err error) bool {
 	var op *net.OpError
@@ -378,204 +257,3 @@
 		c.log.Warn("leader lost", "leader", target, "error", err)
 	}
 }
-
-// findLeader returns the leader's address and searches for it if none is known. Concurrent callers share one search.
-func (c *Client) findLeader(ctx context.Context) (string, error) {
-	c.mu.Lock()
-	if c.leader != "" {
-		defer c.mu.Unlock()
-		return c.leader, nil
-	}
-	if time.Since(c.searchFailedAt) < searchBackoff {
-		c.mu.Unlock()
-		return "", errNoLeader
-	}
-	searchDone := c.ensureSearchLocked()
-	c.mu.Unlock()
-	select {
-	case <-searchDone:
-	case <-ctx.Done():
-		return "", errNoLeader
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.leader == "" {
-		return "", errNoLeader
-	}
-	return c.leader, nil
-}
-
-// search probes all known instances, and those that they name, and takes the first that reports itself as the leader.
-// It closes searchDone at the end.
-func (c *Client) search(searchDone chan struct{}) {
-	ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
-	defer cancel()
-	found, answered := c.probeAll(ctx)
-	if found == "" {
-		c.RefreshSeeds()
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	c.updateCutOffLocked(found != "", answered)
-	switch {
-	case found == "":
-		c.searchFailedAt = now
-	case found != c.leader:
-		lost := time.Duration(0)
-		if c.gap.open {
-			lost = now.Sub(c.startedAt) - c.gap.since
-		}
-		c.log.Info("leader found", "leader", found, "lost_for", lost)
-		c.leader, c.lastContact = found, now
-		c.gap.end()
-		close(c.leaderFound)
-		c.leaderFound = make(chan struct{})
-	}
-	c.searchDone = nil
-	close(searchDone)
-}
-
-// updateCutOffLocked sets cutOff from the result of a search: no leader found, and at most half of the instances answered.
-// The caller holds c.mu.
-func (c *Client) updateCutOffLocked(found bool, answered int) {
-	isCutOff := !found && 2*answered <= max(len(c.members), len(c.seeds))
-	if isCutOff != c.cutOff {
-		c.log.Warn("reach of control changed", "cut_off", isCutOff, "answered", answered, "members", len(c.members))
-	}
-	c.cutOff = isCutOff
-}
-
-// probeResult is the response of one instance to a probe.
-type probeResult struct {
-	address string
-	status  *LeaderStatus // nil if it didn't answer
-}
-
-// probeAll probes every known instance and those that they name. It returns the address of the leader, or "", and how many
-// instances answered up to then.
-func (c *Client) probeAll(ctx context.Context) (leader string, answered int) {
-	results := make(chan probeResult)
-	probed := make(map[string]bool)
-	pending := 0
-	startProbes := func(targets ...string) {
-		for _, target := range targets {
-			if target == "" || probed[target] {
-				continue
-			}
-			probed[target] = true
-			pending++
-			go func() {
-				status, err := c.probe(ctx, target)
-				if err != nil {
-					status = nil
-				}
-				select {
-				case results <- probeResult{target, status}:
-				case <-ctx.Done():
-				}
-			}()
-		}
-	}
-	startProbes(c.knownAddresses()...)
-	for ; pending > 0; pending-- {
-		select {
-		case a := <-results:
-			if a.status == nil {
-				continue
-			}
-			answered++
-			c.applyStatus(a.status)
-			if a.status.Leads {
-				return a.address, answered
-			}
-			startProbes(a.status.Leader)
-			startProbes(a.status.Members...)
-		case <-ctx.Done():
-			return "", answered
-		}
-	}
-	return "", answered
-}
-
-// knownAddresses returns the addresses of the seeds and the members, sorted and without duplicates.
-func (c *Client) knownAddresses() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := slices.Concat(c.seeds, c.members)
-	slices.Sort(list)
-	return slices.Compact(list)
-}
-
-func (c *Client) applyStatus(status *LeaderStatus) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(status.Members) > 0 {
-		c.members = status.Members
-	}
-	if status.Leads {
-		c.limits = status.Limits
-	}
-}
-
-// probe asks one instance for its report about the leader.
-func (c *Client) probe(ctx context.Context, target string) (*LeaderStatus, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target+LeaderPath, nil)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	status := &LeaderStatus{}
-	return status, Error.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(status))
-}
-
-// idleCheckInterval is the time between checks of the leader while no calls are sent. Readiness depends on these checks.
-const idleCheckInterval = time.Second
-
-// statusRefreshInterval is the longest time between checks of a leader that answers calls: the members and the limits may
-// have changed.
-const statusRefreshInterval = 5 * time.Second
-
-// MonitorLeader searches for the leader while none is known, and checks regularly that the known one still leads, until
-// ctx ends.
-func (c *Client) MonitorLeader(ctx context.Context) {
-	lastProbe := time.Time{}
-	for ctx.Err() == nil {
-		pause := idleCheckInterval
-		if time.Since(c.LastContact()) >= idleCheckInterval || time.Since(lastProbe) >= statusRefreshInterval {
-			lastProbe = time.Now()
-			if !c.checkLeader(ctx) {
-				pause = searchBackoff
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-	}
-}
-
-// checkLeader reports whether the leader answers and still leads; otherwise it drops the leader.
-func (c *Client) checkLeader(ctx context.Context) bool {
-	target, err := c.findLeader(ctx)
-	if err != nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
-	defer cancel()
-	status, err := c.probe(ctx, target)
-	if err == nil && !status.Leads {
-		err = Error.New("%s no longer leads", target)
-	}
-	if err != nil {
-		c.dropLeader(target, err)
-		return false
-	}
-	c.applyStatus(status)
-	c.recordContact()
-	return true
-}
