--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -319,6 +319,7 @@
 		if t == nil || t.Phase != ledger.Live || t.Run != f.Run || t.Worker != h.serverID {
 			continue
 		}
+		s.runBeganLocked(key, h.serverID)
 		h.recordHealthLocked(server, j, f, now)
 		ends = append(ends, ledger.End{Task: f.Task, Run: f.Run, Worker: h.serverID, How: f.How, Checkpoint: f.Checkpoint})
 	}
@@ -361,6 +362,7 @@
 		if o.state == orderUnanswered {
 			o.state, o.since = orderTaken, boottime.Now()
 		}
+		s.runBeganLocked(key, h.serverID)
 		o.percent = row.Percent
 		if server := s.fleet.Get(h.serverID); row.Percent == 100 && j.Steps[row.Task.Step].Lasting {
 			server.Health.Working(o.since, boottime.Now())
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -72,6 +72,8 @@
 	fleet     *fleet.Table
 	orders    map[runKey]*order
 	holdLoops map[string]*holdLoop
+	// begun holds the IDs of unfinished jobs of which this leader knows that a backend server has started a run.
+	begun map[string]bool
 	// reserved are servers that get no new work because their machines are to be moved or taken down.
 	reserved map[string]bool
 	// sentPaces are the percentages last sent to tasks that use spare capacity. pacers compute them, by server.
@@ -130,7 +132,7 @@
 		engine: d.engine, log: d.log.With("term", term), replica: d.replica, servers: d.servers, machines: d.machines,
 		leaderLease: d.leaderLease, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
 		startedAt: boottime.Now(), machineLease: d.machineLease,
-		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop),
+		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(map[string]bool),
 		reserved: make(map[string]bool), sentPaces: make(map[runKey]int), pacers: make(map[string]*pacing.Pacer),
 		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[string]time.Duration),
 		missingSince: make(map[string]time.Duration), missingChecks: make(map[string]int),
@@ -246,6 +248,7 @@
 		if j == nil || !j.State.Final() {
 			continue
 		}
+		delete(s.begun, id)
 		if j.FinishedMS == s.engine.ledger.ClockMS {
 			s.stats.finished(j.Queue, string(j.State), time.Duration(j.FinishedMS-j.AcceptedMS)*time.Millisecond)
 			s.log.Info("job finished", "job", id, "queue", j.Queue, "team", j.Workspace, "state", j.State, "took_ms", j.FinishedMS-j.AcceptedMS)
