A job is pending until a task is known to have begun

Cause: the ledger counted a job out of the pending ones, and called it running, when the start of a run was committed. The order may be refused, lost, not sent, or inherited by a new leader from a server that is silent; nothing took the mark back. While the rest of a queue flows, the only old jobs are such ones, so one of them is enough.

Change: a job has started once a backend server accepted a run of it, reported one, or reported an end that only a run can have. The leader notes the evidence and hands it to the log with its next starts or ends, or by itself after 0.5 s. The answer is counted over the jobs; the counter that was kept beside is gone.

Evidence: TestSchedules now asks for the count every 0.2 s and compares it with what the servers know.

Ruled out by reading (counter changed in three places by the same condition as the rebuilt one; leader lease checked after each read; entries keep no counts): drift of the counter, an old answer.

Checks changed: TestSnapshotKeepsWaitingAndLiveJobs took an ordered job for started, which is the fault; it now checks the state of both jobs at each step. TestJobRunsToCompletion and TestExplain wait for the state running, since the leader learns of the run by the server's answer.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -20,7 +20,7 @@
 	r := newRig(t, f)
 	r.submit("j", small)
 	r.until(func() bool { return len(f.runs("a")) == 1 })
-	must.EqOp(t, ledger.Running, r.state("j"))
+	r.until(func() bool { return r.state("j") == ledger.Running })
 	f.finish("a", key("j", 0, 1), ledger.EndDone)
 	r.until(func() bool { return r.state("j") == ledger.Completed })
 	// The end is acknowledged, so the server forgets it.
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -62,7 +62,8 @@
 	Version int64
 	// Open is the number of jobs that aren't in a final state or have live runs.
 	Open int
-	// Pending is the number of jobs of each queue of which no task has started. Queues without any are left out.
+	// Pending is the number of unfinished jobs of each queue of which no task is known to have begun. Queues without any are
+	// left out.
 	Pending map[string]int
 	Pools   []PoolView
 	Waves   []WaveView
@@ -77,7 +78,7 @@
 		return &Reply{Outcome: NotFound, Reason: "no such job is in the record"}
 	}
 	v := &JobView{
-		ID: j.ID, Queue: j.Queue, Workspace: j.Workspace, State: j.State, AcceptedMS: j.AcceptedMS, FirstStartMS: j.FirstStartMS,
+		ID: j.ID, Queue: j.Queue, Workspace: j.Workspace, State: s.stateLocked(j), AcceptedMS: j.AcceptedMS, FirstStartMS: j.FirstStartMS,
 		FinishedMS: j.FinishedMS, Runs: j.Runs, Ends: j.Notes,
 	}
 	in := s.planInputLocked()
@@ -113,11 +114,9 @@
 	v := &StatusView{Leader: s.holder.Name, Term: s.holder.Fence, Open: len(s.engine.ledger.Open()), Pending: make(map[string]int)}
 	if index := s.engine.ledger.Index(); index != nil {
 		v.Version = index.Config().Version
-		for _, q := range index.Config().Queues {
-			if n := s.engine.ledger.QueuedJobs(q.Name); n > 0 {
-				v.Pending[q.Name] = n
-			}
-		}
+	}
+	for queue, p := range s.pendingJobsLocked() {
+		v.Pending[queue] = p.count
 	}
 	v.Pools = s.poolViewsLocked()
 	for n, w := range s.engine.ledger.Waves {
--- a/internal/dispatch/explain_test.go
+++ b/internal/dispatch/explain_test.go
@@ -22,9 +22,8 @@
 	r := newRig(t, f)
 	wide := ledger.Step{Count: 3, Need: ledger.Resources{CPU: 3000, MemMB: 100}, EstimateMS: 100}
 	r.submit("j", wide, ledger.Step{Count: 1, Need: ledger.Resources{CPU: 100}, After: []int{0}})
-	r.until(func() bool { return len(f.runs("a")) == 2 })
+	r.until(func() bool { return len(f.runs("a")) == 2 && r.explain("j").State == ledger.Running })
 	v := r.explain("j")
-	must.EqOp(t, ledger.Running, v.State)
 	must.EqOp(t, 2, v.Runs)
 	must.SliceLen(t, 1, v.Steps) // the second step is not due yet
 	must.Eq(t, []string{"a", "a"}, v.Steps[0].Running)
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -61,7 +61,8 @@
 	finished []FinishedTask
 	lastEnd  int64
 	deadline int64
-	maxRuns  int // number of runs that fit; 0 means no limit
+	maxRuns  int  // number of runs that fit; 0 means no limit
+	refuses  bool // whether it rejects every start as if there were no room
 }
 
 // errNoAnswer is the error of a call without an answer.
@@ -128,7 +129,7 @@
 		return StartSuperseded, f.clock(), nil
 	case o.DeadlineMS <= f.clock():
 		return StartDeadlinePassed, f.clock(), nil
-	case s.maxRuns > 0 && len(s.running) >= s.maxRuns:
+	case s.refuses, s.maxRuns > 0 && len(s.running) >= s.maxRuns:
 		return StartNoRoom, f.clock(), nil
 	}
 	s.fence, s.deadline = o.Fence, max(s.deadline, o.DeadlineMS)
--- a/internal/dispatch/jobcalls.go
+++ b/internal/dispatch/jobcalls.go
@@ -2,7 +2,6 @@
 
 import (
 	"strings"
-	"time"
 
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/version/accepted"
@@ -96,7 +95,7 @@
 	if j == nil {
 		return &Reply{Outcome: NotFound, Reason: "no such job"}, nil
 	}
-	return &Reply{Outcome: OK, State: j.State}, nil
+	return &Reply{Outcome: OK, State: s.stateLocked(j)}, nil
 }
 
 func (s *session) cancelJob(c *Call) (*Reply, error) {
@@ -135,46 +134,10 @@
 	}
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	n := s.engine.ledger.QueuedJobs(q.Name)
-	s.logPendingLocked(c, q.Name, n)
-	return &Reply{Outcome: OK, Pending: n}, nil
-}
-
-// logPendingLocked logs the answer to a query for a queue's pending jobs beside what the answer rests on: the number of its
-// unfinished jobs of which no run is known to have begun, how many of these have had an order, and the age of the oldest.
-func (s *session) logPendingLocked(c *Call, queue string, pending int) {
-	now := time.Now().UnixMilli()
-	var notBegun, ordered int
-	var oldestMS int64
-	for _, j := range s.engine.ledger.Open() {
-		if j.Queue != queue || j.State.Final() || s.hasBegunLocked(j) {
-			continue
-		}
-		notBegun++
-		if j.Runs > 0 {
-			ordered++
-		}
-		if j.Times == 0 {
-			oldestMS = max(oldestMS, now-j.AcceptedMS)
-		}
-	}
-	s.log.Info("pending jobs reported", "request", c.RequestID, "queue", queue, "pending", pending, "not_begun", notBegun,
-		"ordered", ordered, "oldest_ms", oldestMS)
-}
-
-// hasBegunLocked reports whether a run of an unfinished job is known to have begun.
-func (s *session) hasBegunLocked(j *ledger.Job) bool {
-	if s.begun[j.ID] {
-		return true
-	}
-	for _, o := range j.Occurrences {
-		for n := range o.Steps {
-			if o.Steps[n].Done > 0 {
-				return true
-			}
-		}
-	}
-	return false
+	v := s.pendingJobsLocked()[q.Name]
+	s.log.Info("pending jobs reported", "request", c.RequestID, "queue", q.Name, "pending", v.count, "ordered", v.ordered,
+		"oldest_ms", v.oldestMS)
+	return &Reply{Outcome: OK, Pending: v.count}, nil
 }
 
 func (s *session) putConfig(c *Call) (*Reply, error) {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -33,8 +33,6 @@
 	state orderState
 	// since is when the state was entered.
 	since time.Duration
-	// began is set once the server has accepted the order or reported the run.
-	began bool
 	// stopping is set while the run is being stopped.
 	stopping bool
 	// checkpoint is the newest one that the server reported.
@@ -154,20 +152,6 @@
 	}
 }
 
-// runBeganLocked records that a backend server has started a run, and logs the first run of a job.
-func (s *session) runBeganLocked(key runKey, serverID string) {
-	if o := s.orders[key]; o != nil {
-		o.began = true
-	}
-	j := s.engine.ledger.Job(key.task.Job)
-	if j == nil || j.State.Final() || s.begun[j.ID] {
-		return
-	}
-	s.begun[j.ID] = true
-	s.log.Info("job began", "job", j.ID, "queue", j.Queue, "task", key.task, "run", key.run, "server", serverID,
-		"since_accepted_ms", time.Now().UnixMilli()-j.AcceptedMS)
-}
-
 // grantLeaseLocked returns a deadline on the server's clock for a lease that begins now, and records the latest deadline
 // granted.
 func (s *session) grantLeaseLocked(id string) (deadlineMS int64, known bool) {
--- /dev/null
+++ b/internal/dispatch/pending.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"time"
+
+	"laburnumrouter/internal/process/boottime"
+	"laburnumrouter/internal/request/ledger"
+)
+
+// maxRecordDelay is how long it may stay unrecorded in the log that a job has begun. Usually the next command records it.
+const maxRecordDelay = 500 * time.Millisecond
+
+// begunJobs holds when the first evidence that a job has begun arrived, by job ID.
+type begunJobs map[string]time.Duration
+
+// runBeganLocked notes that a backend server has accepted or reported a run. A committed or sent order is no evidence.
+func (s *session) runBeganLocked(key runKey, serverID string) {
+	j := s.engine.ledger.Job(key.task.Job)
+	if j == nil || s.hasBegunLocked(j) || j.State.Final() {
+		return
+	}
+	s.begun[j.ID] = boottime.Now()
+	s.log.Info("job began", "job", j.ID, "queue", j.Queue, "task", key.task, "run", key.run, "server", serverID,
+		"since_accepted_ms", time.Now().UnixMilli()-j.AcceptedMS)
+}
+
+// hasBegunLocked reports whether a run of a job is known to have begun.
+func (s *session) hasBegunLocked(j *ledger.Job) bool {
+	_, noted := s.begun[j.ID]
+	return noted || j.Started
+}
+
+// stateLocked returns the state of a job as callers see it.
+func (s *session) stateLocked(j *ledger.Job) ledger.JobState {
+	if j.State == ledger.Queued && s.hasBegunLocked(j) {
+		return ledger.Running
+	}
+	return j.State
+}
+
+// unrecorded returns the jobs that have begun and that the ledger doesn't know as started.
+func (s *session) unrecorded() []string {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	ids := make([]string, 0, len(s.begun))
+	for id := range s.begun {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// recordOverdue reports whether a job has been unrecorded for maxRecordDelay.
+func (s *session) recordOverdue() bool {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	for _, since := range s.begun {
+		if boottime.Now()-since >= maxRecordDelay {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetRecordedLocked drops the jobs that the ledger knows as started or finished.
+func (s *session) forgetRecordedLocked() {
+	for id := range s.begun {
+		if j := s.engine.ledger.Job(id); j == nil || j.Started || j.State.Final() {
+			delete(s.begun, id)
+		}
+	}
+}
+
+// pendingJobs describes the unfinished jobs of a queue of which no task is known to have begun.
+type pendingJobs struct {
+	count int
+	// ordered is the number of those of which a run was ordered.
+	ordered int
+	// oldestMS is the age of the oldest, in milliseconds since its acceptance, without scheduled jobs.
+	oldestMS int64
+}
+
+// pendingJobsLocked returns the pending jobs by queue.
+func (s *session) pendingJobsLocked() map[string]pendingJobs {
+	nowMS := time.Now().UnixMilli()
+	byQueue := make(map[string]pendingJobs)
+	for _, j := range s.engine.ledger.Open() {
+		if j.State.Final() || s.hasBegunLocked(j) {
+			continue
+		}
+		p := byQueue[j.Queue]
+		p.count++
+		if j.Runs > 0 {
+			p.ordered++
+		}
+		if j.Times == 0 {
+			p.oldestMS = max(p.oldestMS, nowMS-j.AcceptedMS)
+		}
+		byQueue[j.Queue] = p
+	}
+	return byQueue
+}
--- /dev/null
+++ b/internal/dispatch/pending_test.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumrouter/internal/request/ledger"
+)
+
+func (r *rig) pending() int {
+	r.t.Helper()
+	return r.do(&Call{Op: OpPending, Host: "h", Path: "/q/"}).Pending
+}
+
+// ordered reports whether a run of a job's first task has been ordered.
+func (r *rig) ordered(job string) bool {
+	r.engine.mu.Lock()
+	defer r.engine.mu.Unlock()
+	_, task := r.engine.ledger.Task(ledger.TaskID{Job: job})
+	return task != nil && task.Run > 0
+}
+
+// Guards against jobs missing from the pending ones because a run was ordered, though no backend server has begun any: the
+// server refuses the order or doesn't answer, and then the leader is replaced.
+func TestJobWithoutBegunRunIsPending(t *testing.T) {
+	cases := []struct {
+		name string
+		set  func(f *fakeServers)
+	}{
+		{"refused for lack of room", func(f *fakeServers) { f.servers["a"].maxRuns = 1 }},
+		{"not answered", func(f *fakeServers) { f.silent["a"] = true }},
+		{"taken by another incarnation's address", func(f *fakeServers) { f.replaced["a"] = true }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFakeServers("a")
+			r := newRig(t, f)
+			r.submit("running", small)
+			r.until(func() bool { return len(f.runs("a")) == 1 && r.pending() == 0 })
+			f.mu.Lock()
+			c.set(f)
+			f.mu.Unlock()
+			r.submit("waiting", small)
+			r.until(func() bool { return r.ordered("waiting") })
+			must.EqOp(t, 1, r.pending())
+			must.EqOp(t, ledger.Queued, r.state("waiting"))
+			must.MapContainsKey(t, r.do(&Call{Op: OpStatus}).Status.Pending, "q")
+			r.log.lead(2)
+			r.until(r.d.Leads)
+			must.GreaterEq(t, 1, r.pending())
+			must.EqOp(t, ledger.Queued, r.state("waiting"))
+		})
+	}
+}
+
+// A job has begun once a backend server accepted its run, or reported a run whose order got no answer.
+func TestJobWithBegunRunIsNotPending(t *testing.T) {
+	for _, dropReplies := range []bool{false, true} {
+		f := newFakeServers("a")
+		f.dropReplies["a"] = dropReplies
+		r := newRig(t, f)
+		r.submit("j", small)
+		must.True(t, r.pending() <= 1)
+		r.until(func() bool { return len(f.runs("a")) == 1 && r.pending() == 0 })
+		must.EqOp(t, ledger.Running, r.state("j"))
+	}
+}
+
+// A job that has begun stays so: while its task waits for another run, for every cause of the first run's end, and for a
+// new leader.
+func TestBegunJobIsNotPendingAgain(t *testing.T) {
+	lost := func(f *fakeServers) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.servers["a"].running, key("j", 0, 1))
+	}
+	ends := map[string]func(f *fakeServers){
+		"failed": func(f *fakeServers) { f.finish("a", key("j", 0, 1), ledger.EndFailed) },
+		"lapsed": func(f *fakeServers) { f.finish("a", key("j", 0, 1), ledger.EndLapsed) },
+		"lost":   lost,
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeServers("a")
+			r := newRig(t, f)
+			r.submit("j", small)
+			r.until(func() bool { return len(f.runs("a")) == 1 && r.pending() == 0 })
+			f.mu.Lock()
+			f.servers["a"].refuses = true
+			f.mu.Unlock()
+			end(f)
+			r.until(func() bool {
+				r.engine.mu.Lock()
+				defer r.engine.mu.Unlock()
+				_, task := r.engine.ledger.Task(ledger.TaskID{Job: "j"})
+				return task.Run > 1
+			})
+			must.EqOp(t, 0, r.pending())
+			must.EqOp(t, ledger.Running, r.state("j"))
+			r.log.lead(2)
+			r.until(r.d.Leads)
+			must.EqOp(t, 0, r.pending())
+			must.EqOp(t, ledger.Running, r.state("j"))
+		})
+	}
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -34,10 +34,10 @@
 // planOnce makes a plan, commits its starts and sends the orders of those that were valid when they were committed.
 func (s *session) planOnce() {
 	starts := s.makePlan()
-	if len(starts) == 0 {
+	if len(starts) == 0 && !s.recordOverdue() {
 		return
 	}
-	result, err := s.propose(&ledger.Command{Starts: starts})
+	result, err := s.propose(&ledger.Command{Begun: s.unrecorded(), Starts: starts})
 	defer s.releasePlanned(starts)
 	if err != nil {
 		s.log.Warn("starts not committed", "starts", len(starts), "error", err)
--- a/internal/dispatch/schedules_test.go
+++ b/internal/dispatch/schedules_test.go
@@ -34,7 +34,8 @@
 
 // TestSchedules runs jobs under faults drawn from a seed: crashes, unreachable servers, late and lost orders, drains and
 // leader changes. It checks the guarantees to callers: no task runs twice, steps run in order, attempts and limits are
-// respected, nothing runs that was not submitted, reported states are true, and all work ends once the faults do.
+// respected, nothing runs that was not submitted, reported states and numbers of pending jobs are true, and all work ends
+// once the faults do.
 func TestSchedules(t *testing.T) {
 	for n := range *schedules {
 		seed := *firstSeed + uint64(n)
@@ -66,6 +67,7 @@
 	for range 2 + draw.IntN(8) {
 		w.spawn(w.drawFault(draw))
 	}
+	w.spawn(w.watchPending)
 	_ = sleepFor(ctx, faultPhase+5*time.Second)
 	w.awaitCompletion(t, seed)
 	cancel()
@@ -128,7 +130,7 @@
 			return
 		}
 		w.mu.Lock()
-		j.accepted = true
+		j.accepted, j.acceptedAt = true, w.now()
 		w.mu.Unlock()
 		if cancelAfter > 0 {
 			w.cancelJob(id, j, cancelAfter)
@@ -138,6 +140,9 @@
 
 func (w *simulation) cancelJob(id string, j *simJob, after time.Duration) {
 	_ = sleepFor(w.ctx, after)
+	w.mu.Lock()
+	j.cancelling = true
+	w.mu.Unlock()
 	if r := w.do(w.ctx, &Call{Op: OpCancel, Host: "h", Path: "/q/" + id, Key: "key"}); r == nil {
 		return
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -72,8 +72,8 @@
 	fleet     *fleet.Table
 	orders    map[runKey]*order
 	holdLoops map[string]*holdLoop
-	// begun holds the IDs of unfinished jobs of which this leader knows that a backend server has started a run.
-	begun map[string]bool
+	// begun holds the unfinished jobs of which this leader knows that a run has begun and the ledger doesn't.
+	begun begunJobs
 	// reserved are servers that get no new work because their machines are to be moved or taken down.
 	reserved map[string]bool
 	// sentPaces are the percentages last sent to tasks that use spare capacity. pacers compute them, by server.
@@ -132,7 +132,7 @@
 		engine: d.engine, log: d.log.With("term", term), replica: d.replica, servers: d.servers, machines: d.machines,
 		leaderLease: d.leaderLease, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
 		startedAt: boottime.Now(), machineLease: d.machineLease,
-		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(map[string]bool),
+		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(begunJobs),
 		reserved: make(map[string]bool), sentPaces: make(map[runKey]int), pacers: make(map[string]*pacing.Pacer),
 		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[string]time.Duration),
 		missingSince: make(map[string]time.Duration), missingChecks: make(map[string]int),
@@ -219,6 +219,7 @@
 		delete(s.orders, runKey{e.Task, e.Run})
 		delete(s.sentPaces, runKey{e.Task, e.Run})
 	}
+	s.forgetRecordedLocked()
 	if c.Submit != nil && r.Submit == ledger.Accepted {
 		s.recordArrivalLocked(s.engine.ledger.Job(c.Submit.ID), c.NowMS)
 	}
@@ -248,7 +249,6 @@
 		if j == nil || !j.State.Final() {
 			continue
 		}
-		delete(s.begun, id)
 		if j.FinishedMS == s.engine.ledger.ClockMS {
 			s.stats.finished(j.Queue, string(j.State), time.Duration(j.FinishedMS-j.AcceptedMS)*time.Millisecond)
 			s.log.Info("job finished", "job", id, "queue", j.Queue, "team", j.Workspace, "state", j.State, "took_ms", j.FinishedMS-j.AcceptedMS)
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -254,6 +254,7 @@
 		r.how = ledger.EndFailed
 	}
 	s.running[key] = r
+	w.jobs[o.Task.Job].begun = true
 	w.logger.Info("server: starts", "task", o.Task, "run", o.Run, "server", s.id, "life", s.incarnation, "fence", o.Fence)
 	if step.Gang {
 		w.startGangLocked(key, step, r)
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -24,6 +24,10 @@
 	minClockRate = 0.98
 	// cancelGrace is how long after an acknowledged cancellation the leader may still start a task (cancel_ms).
 	cancelGrace = 3 * time.Second
+	// pendingGrace is how long after its acceptance a job must be counted as pending if it hasn't begun (visible_ms and the
+	// 2 s for which a count may be out of date). pendingInterval is the time between queries.
+	pendingGrace    = 5 * time.Second
+	pendingInterval = 200 * time.Millisecond
 )
 
 var errUnreachable = errors.New("cut off")
@@ -59,7 +63,10 @@
 	submission     *ledger.Submission
 	submitAttempts int
 	accepted       bool
+	acceptedAt     time.Duration // when the acceptance was acknowledged
+	cancelling     bool          // a cancellation was sent
 	cancelled      time.Duration // when the cancellation was acknowledged; 0 if it wasn't
+	begun          bool          // a backend server has started a task
 	tasks          map[ledger.TaskID]*simTask
 }
 
@@ -103,6 +110,42 @@
 	}
 }
 
+// watchPending queries the number of pending jobs until ctx ends and checks it against what the servers know.
+func (w *simulation) watchPending() {
+	for sleepFor(w.ctx, pendingInterval) == nil {
+		w.mu.Lock()
+		var d *Dispatcher
+		if w.leader >= 0 {
+			d = w.instances[w.leader].d
+		}
+		waiting := w.waitingJobsLocked()
+		w.mu.Unlock()
+		if d == nil {
+			continue
+		}
+		reply, err := d.Do(w.ctx, &Call{Op: OpPending, Host: "h", Path: "/q/", Key: "key"})
+		if err != nil || reply.Outcome != OK {
+			continue
+		}
+		w.mu.Lock()
+		waiting = min(waiting, w.waitingJobsLocked()) // jobs that begin meanwhile may be counted or not
+		if 2*reply.Pending < waiting {
+			w.recordViolation("MIXED: %d jobs are said to wait; %d have waited for over %v", reply.Pending, waiting, pendingGrace)
+		}
+		w.mu.Unlock()
+	}
+}
+
+// waitingJobsLocked returns the number of jobs that are due at once, were accepted over pendingGrace ago and haven't begun.
+func (w *simulation) waitingJobsLocked() (n int) {
+	for _, j := range w.jobs {
+		if j.accepted && j.acceptedAt+pendingGrace < w.now() && j.submission.Times == 0 && !j.begun && !j.cancelling {
+			n++
+		}
+	}
+	return n
+}
+
 // do sends a call to the leader and retries until it is answered or ctx ends.
 func (w *simulation) do(ctx context.Context, c *Call) *Reply {
 	for ctx.Err() == nil {
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -21,6 +21,7 @@
 	if c.Cancel != "" {
 		r.Cancel = l.applyCancel(c.Cancel)
 	}
+	l.applyBegun(c.Begun)
 	for _, e := range c.Ends {
 		if l.applyEnd(e) {
 			r.Ended = append(r.Ended, e)
@@ -89,7 +90,6 @@
 	j := &Job{Submission: *s, State: Queued, AcceptedMS: l.ClockMS, Occurrences: make(map[int]*Occurrence), Work: s.estimatedWork()}
 	l.Jobs[s.ID] = j
 	l.open[s.ID] = j
-	l.queued[s.Queue]++
 	return Accepted
 }
 
@@ -110,9 +110,6 @@
 
 // finish moves a job to a final state. Its steps and occurrences are kept while it has live runs.
 func (l *Ledger) finish(j *Job, s JobState) {
-	if !j.Started {
-		l.queued[j.Queue]--
-	}
 	j.State, j.FinishedMS = s, l.ClockMS
 	l.finished = append(l.finished, j.ID)
 	l.releaseFinished(j)
@@ -230,14 +227,24 @@
 	t.Phase, t.Run, t.Worker, t.Born, t.OrderedMS = Live, s.Run, s.Worker, s.Born, l.ClockMS
 	j.Live++
 	j.Runs++
-	if !j.Started {
-		j.Started, j.FirstStartMS = true, l.ClockMS
-		l.queued[j.Queue]--
-		j.State = Running
-	}
 	l.addLive(j, s.Task, t)
 }
 
+func (l *Ledger) applyBegun(ids []string) {
+	for _, id := range ids {
+		if j := l.Jobs[id]; j != nil {
+			l.markStarted(j)
+		}
+	}
+}
+
+// markStarted moves a queued job to the state Running.
+func (l *Ledger) markStarted(j *Job) {
+	if !j.Started && !j.State.Final() {
+		j.Started, j.FirstStartMS, j.State = true, l.ClockMS, Running
+	}
+}
+
 // applyEnd closes a task's live run and reports whether it did. An end of any other run has no effect, because that run
 // was already closed with another outcome.
 func (l *Ledger) applyEnd(e End) bool {
@@ -247,6 +254,9 @@
 	}
 	l.dropLive(j, e.Task, t)
 	j.Live--
+	if e.How.provesBegin() {
+		l.markStarted(j)
+	}
 	t.Phase, t.EndedMS = Waiting, l.ClockMS
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -10,9 +10,11 @@
 	Submit *Submission      `json:",omitempty"`
 	// Cancel is the ID of a job to cancel. An unknown ID is recorded as cancelled, so that a submission that arrives after
 	// its cancellation doesn't run.
-	Cancel string  `json:",omitempty"`
-	Ends   []End   `json:",omitempty"`
-	Starts []Start `json:",omitempty"`
+	Cancel string `json:",omitempty"`
+	// Begun lists jobs of which a backend server has accepted or reported a run.
+	Begun  []string `json:",omitempty"`
+	Ends   []End    `json:",omitempty"`
+	Starts []Start  `json:",omitempty"`
 	// Servers lists backend servers that appeared, changed their pool or address, or announced that they are draining.
 	Servers []Server `json:",omitempty"`
 	// Gone lists incarnations of backend servers that ended.
@@ -54,6 +56,15 @@
 	EndLost EndCause = "lost"
 )
 
+// provesBegin reports whether only a run that had begun can end in this way. A lapsed or lost run may have begun or not.
+func (c EndCause) provesBegin() bool {
+	switch c {
+	case EndDone, EndFailed, EndStopped, EndGangFailed, EndGangIncomplete:
+		return true
+	}
+	return false
+}
+
 // Start orders a run of a task. Worker is the ID of the backend server, Born its incarnation.
 type Start struct {
 	Task   TaskID
--- a/internal/request/ledger/job.go
+++ b/internal/request/ledger/job.go
@@ -245,7 +245,8 @@
 	// AcceptedMS and FinishedMS are times of day of the leader, in milliseconds since 1970.
 	AcceptedMS int64
 	FinishedMS int64 `json:",omitempty"`
-	// Started is set once a run of any task was ordered.
+	// Started is set once a run of any task is known to have begun on a backend server. An order alone doesn't set it: it may
+	// be refused, lost or never sent.
 	Started bool `json:",omitempty"`
 	// Live counts the runs whose end isn't known.
 	Live int `json:",omitempty"`
@@ -256,7 +257,7 @@
 	// Work is the total CPU time of the job's tasks by its submitter's estimates, in thousandths of a core times
 	// milliseconds, without lasting and filler tasks; 0 for scheduled jobs. It is kept when the steps are dropped.
 	Work int64 `json:",omitempty"`
-	// FirstStartMS is when the first run was ordered; Runs counts the runs of all tasks.
+	// FirstStartMS is when Started was set; Runs counts the runs that were ordered, of all tasks.
 	FirstStartMS int64 `json:",omitempty"`
 	Runs         int   `json:",omitempty"`
 	// Notes lists the last maxUnsuccessfulEnds runs that ended without success, the oldest first. They are kept when the
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -65,8 +65,6 @@
 	usage map[string]Resources
 	// load is the capacity that the live runs take up, by backend server.
 	load map[string]Resources
-	// queued is the number of unfinished jobs of which no task has started, by queue.
-	queued map[string]int
 	// finished lists the IDs of finished jobs, the oldest first.
 	finished []string
 }
@@ -105,13 +103,10 @@
 	l.liveRuns = make(map[string]map[TaskID]*Task)
 	l.usage = make(map[string]Resources)
 	l.load = make(map[string]Resources)
-	l.queued = make(map[string]int)
 	l.finished = nil
 	for id, j := range l.Jobs {
 		if j.State.Final() {
 			l.finished = append(l.finished, id)
-		} else if !j.Started {
-			l.queued[j.Queue]++
 		}
 		if !j.State.Final() || j.Live > 0 {
 			l.open[id] = j
@@ -192,9 +187,6 @@
 // Usage returns the resources of a workspace's live runs.
 func (l *Ledger) Usage(workspace string) Resources { return l.usage[workspace] }
 
-// QueuedJobs returns the number of unfinished jobs of a queue of which no task has started.
-func (l *Ledger) QueuedJobs(queue string) int { return l.queued[queue] }
-
 // Load returns the capacity that the live runs of a backend server take.
 func (l *Ledger) Load(server string) Resources { return l.load[server] }
 
--- a/internal/request/ledger/ledger_test.go
+++ b/internal/request/ledger/ledger_test.go
@@ -166,13 +166,43 @@
 	submit(t, l, "begun", Step{Count: 2, Need: Resources{CPU: 1000}})
 	must.True(t, start(l, task("begun", 0, 1), 1))
 	l = reload(t, l)
-	must.EqOp(t, 1, l.QueuedJobs("checks"))
+	must.EqOp(t, Queued, l.Job("idle").State)
+	must.EqOp(t, Queued, l.Job("begun").State) // ordered only
 	must.EqOp(t, Resources{CPU: 1000}, l.Usage("lab"))
 	must.EqOp(t, Resources{CPU: 1000}, l.Load("w"))
 	must.True(t, start(l, task("idle", 0, 0), 1))
 	must.True(t, end(l, task("begun", 0, 1), 1, EndDone))
 	must.EqOp(t, Running, l.Job("begun").State)
-	must.EqOp(t, 0, l.QueuedJobs("checks"))
+	must.EqOp(t, Queued, l.Job("idle").State)
+	l.Apply(&Command{Begun: []string{"idle", "begun", "unknown"}})
+	must.EqOp(t, Running, l.Job("idle").State)
+	l = reload(t, l)
+	must.True(t, l.Job("idle").Started && l.Job("begun").Started)
+}
+
+// Guards against a job that is taken for started because a run of it was ordered: only ends that follow a run show that it
+// began.
+func TestEndShowsWhetherRunBegan(t *testing.T) {
+	cases := map[EndCause]bool{
+		EndDone: true, EndFailed: true, EndStopped: true, EndGangFailed: true, EndGangIncomplete: true,
+		EndLapsed: false, EndRefused: false, EndLost: false,
+	}
+	for how, began := range cases {
+		l := newLedger(t)
+		submit(t, l, "j", Step{Count: 2})
+		must.True(t, start(l, task("j", 0, 0), 1))
+		must.False(t, l.Job("j").Started)
+		must.True(t, end(l, task("j", 0, 0), 1, how))
+		must.EqOp(t, began, l.Job("j").Started, must.Sprint(how))
+	}
+}
+
+func TestFinishedJobDoesNotBecomeRunning(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "j", Step{Count: 1})
+	l.Apply(&Command{Cancel: "j"})
+	l.Apply(&Command{Begun: []string{"j"}})
+	must.EqOp(t, Cancelled, l.Job("j").State)
 }
 
 func TestFinishedJobsExpireAfterRetention(t *testing.T) {
