Draining is acknowledged only once it is committed, repeated or not

Backend servers would see: a draining server gets a task from the next leader, after its announcement was acknowledged (DRAIN).

Cause: an announcement changes the leader's view before its commit. If that commit fails, the same announcement sent again isn't newer than the view, so the leader took it for stale, committed nothing and acknowledged it. Only the leader's memory then knew of the draining.

Ruled out: an acknowledgement while the first copy's commit is still open. The second copy now commits by itself, and a server's announcement that is committed twice has no effect.

Why it works: whether a commit is owed follows from what the log's state lacks against the view, not from how new the announcement is.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -234,10 +234,8 @@
 			s.ensureHoldLoopLocked(c.Server.ID) // the server may be reachable again
 		}
 	}
-	recorded, known := s.engine.ledger.KnownServers()[c.Server.ID]
-	mustCommit := change != fleet.Stale && (!known || recorded.Born != server.Born || recorded.Draining != server.Draining ||
-		recorded.Pool != server.Pool || recorded.Address != server.Address)
-	announced := server.Server
+	// An announcement that isn't newer may repeat one whose commit failed.
+	announced, mustCommit := s.uncommittedLocked(server)
 	if change == fleet.Appeared || change == fleet.Leaving {
 		s.scheduleRefreshLocked(0)
 		s.log.Info("backend server announced", "server", announced.ID, "pool", announced.Pool, "address", announced.Address,
@@ -253,6 +251,15 @@
 	return &Reply{Outcome: OK}, nil
 }
 
+// uncommittedLocked returns what a server announced last, and whether the log's state lacks a part that other replicas
+// rely on.
+func (s *session) uncommittedLocked(server *fleet.Server) (announced ledger.Server, lacks bool) {
+	recorded, known := s.engine.ledger.KnownServers()[server.ID]
+	lacks = !known || recorded.Born != server.Born || recorded.Draining != server.Draining || recorded.Pool != server.Pool ||
+		recorded.Address != server.Address
+	return server.Server, lacks
+}
+
 // leave records that a backend server shuts down. Its live runs stay until they end, or until its lease has lapsed or
 // another incarnation answers.
 func (s *session) leave(c *Call) (*Reply, error) {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -25,6 +25,8 @@
 	mu     sync.Mutex
 	index  uint64
 	status replica.Status
+	// lost is the number of next commands that are not committed.
+	lost int
 }
 
 func (f *fakeLog) Status() replica.Status {
@@ -41,10 +43,21 @@
 	if !f.status.IsLeader {
 		return nil, 0, replica.ErrNotLeader
 	}
+	if f.lost > 0 {
+		f.lost--
+		return nil, 0, replica.ErrOutcomeUnknown
+	}
 	f.index++
 	return f.engine.Apply(f.index, command), f.index, nil
 }
 
+// loseNext makes the next command fail without being committed.
+func (f *fakeLog) loseNext() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = 1
+}
+
 // lead makes the replica lead in a term.
 func (f *fakeLog) lead(term uint64) {
 	f.mu.Lock()
