Departure of a server with runs is acknowledged once it is committed

Backend servers and callers would see: after a change of leader, tasks are sent to a server whose DELETE was acknowledged while runs were open there. They wait for its silence, or start on it after all (DRAIN).

Cause: with live runs, the leader set the server to draining in its own memory only and answered OK. The log's state, from which the next leader knows its servers, still said that the server takes work, unless an announcement had said otherwise before.

Ruled out: a departure without runs. It was committed before its answer already, and a repeated one is committed again if the first failed.

Why it works: the answer waits for the commit of the draining. A server that had announced its draining, as servers do before they end, is recorded already and costs no further commit.

--- a/internal/dispatch/announce_test.go
+++ b/internal/dispatch/announce_test.go
@@ -27,3 +27,18 @@
 	must.EqOp(t, OK, r.do(&Call{Op: OpAnnounce, Server: announcement}).Outcome)
 	must.True(t, r.recorded("a").Draining)
 }
+
+// Guards against a server that gets tasks from the next leader although its departure was acknowledged: with tasks still
+// running, only the leader's memory knew of it. The next leader knows the server from the log's state alone.
+func TestDepartureWithRunsIsCommittedBeforeAcknowledgement(t *testing.T) {
+	r := newRig(t, newFakeServers("a"))
+	r.submit("j", small)
+	r.until(func() bool { return len(r.servers.runs("a")) == 1 })
+	r.log.lead(2)
+	r.until(func() bool {
+		s := r.d.session.Load()
+		return s != nil && s.holder.Fence == 2
+	})
+	must.EqOp(t, OK, r.do(&Call{Op: OpLeave, Server: &ledger.Server{ID: "a"}}).Outcome)
+	must.True(t, r.recorded("a").Draining)
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -261,7 +261,7 @@
 }
 
 // leave records that a backend server shuts down. Its live runs stay until they end, or until its lease has lapsed or
-// another incarnation answers.
+// another incarnation answers; the log's state then shows it as draining.
 func (s *session) leave(c *Call) (*Reply, error) {
 	s.engine.mu.Lock()
 	server := s.fleet.Get(c.Server.ID)
@@ -271,13 +271,17 @@
 	}
 	server.Draining = true
 	gone := ledger.Incarnation{ID: server.ID, Born: server.Born}
+	draining, mustCommit := s.uncommittedLocked(server)
+	if recorded := s.engine.ledger.KnownServers()[server.ID]; recorded.Born == server.Born {
+		draining.Seq = max(draining.Seq, recorded.Seq) // a server adopted from the log's state has no sequence number
+	}
 	runs := len(s.engine.ledger.LiveOn(server.ID))
 	if runs == 0 {
 		server.Left = true
 	}
 	s.engine.mu.Unlock()
 	if runs > 0 {
-		return &Reply{Outcome: OK, Reason: "runs are open"}, nil
+		return s.commitDraining(draining, mustCommit)
 	}
 	if _, err := s.propose(&ledger.Command{Gone: []ledger.Incarnation{gone}}); err != nil {
 		return nil, err
@@ -289,3 +293,13 @@
 	s.engine.mu.Unlock()
 	return &Reply{Outcome: OK}, nil
 }
+
+// commitDraining answers a server that shuts down while it has live runs.
+func (s *session) commitDraining(draining ledger.Server, mustCommit bool) (*Reply, error) {
+	if mustCommit {
+		if _, err := s.propose(&ledger.Command{Servers: []ledger.Server{draining}}); err != nil {
+			return nil, err
+		}
+	}
+	return &Reply{Outcome: OK, Reason: "runs are open"}, nil
+}
