A move without an answer withdraws its server until its result is known

Cause: a server is reserved before its machine is moved, and after a call without an answer nothing released it. That it may be cut by the late order is true for 13 s (lateOrderBound) only; the reservation had no end.

Ruled out: release at the bound by the clock. The list may be 10 s old, and a move carried out late then cuts the work. Ordering the move again to get an answer: a late copy of the first order could then undo a later move.

Why it works: a move ends with a list that shows its result: the machine up in its new pool, read after the answer, or up after the order can no longer be carried out, read after that bound. Then whatever server the machine has may take work, and the machine may be moved. A list is read at the bound for it. A machine that is off was movable at the bound by a list from before; it now waits too.

--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -38,10 +38,11 @@
 	return v.requestedAt
 }
 
-func (v *machineCache) machines() []Machine {
+// machines returns the list and when it was requested.
+func (v *machineCache) machines() ([]Machine, time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.list
+	return v.list, v.requestedAt
 }
 
 func (v *machineCache) get(name string) Machine {
@@ -50,6 +51,15 @@
 	return v.byName[name]
 }
 
+// replace stores a list unless one that was requested later is stored already.
+func (v *machineCache) replace(list []Machine, byName map[string]Machine, requestedAt time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if requestedAt > v.requestedAt {
+		v.list, v.byName, v.requestedAt = list, byName, requestedAt
+	}
+}
+
 // snapshot returns the machines by name and when the list was requested.
 func (v *machineCache) snapshot() (map[string]Machine, time.Duration) {
 	v.mu.Lock()
@@ -96,9 +106,7 @@
 	if cache.lastRequested() == 0 {
 		s.log.Info("platform's list of machines read for the first time", "machines", len(list), "took", boottime.Now()-asked)
 	}
-	cache.mu.Lock()
-	cache.list, cache.byName, cache.requestedAt = list, byName, asked
-	cache.mu.Unlock()
+	cache.replace(list, byName, asked)
 	s.recordPoolSizes(list)
 	return true
 }
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -65,7 +65,7 @@
 	return append([]string(nil), f.orders...)
 }
 
-func newMachineRig(t *testing.T, m *fakeMachines) *rig {
+func newMachineRig(t *testing.T, m Machines) *rig {
 	t.Helper()
 	engine := NewEngine(hclog.NewNullLogger())
 	f := newFakeServers("a", "b")
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -150,7 +150,7 @@
 // planMoves plans moves and reserves the machines that are to move.
 func (s *session) planMoves() []pools.Move {
 	now := boottime.Now()
-	machines := s.cachedMachines.machines()
+	machines, listedAt := s.cachedMachines.machines()
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	index := s.engine.ledger.Index()
@@ -160,6 +160,7 @@
 	var cpu int64
 	var list []pools.Machine
 	for _, m := range machines {
+		s.settleMoveLocked(m, listedAt, now)
 		if at, ok := s.movedAt[m.Name]; ok && m.Pool != s.movedTo[m.Name] {
 			if now-at < moveTransitTime || now-at < lateOrderBound && s.moveUnanswered[m.Name] {
 				m.Pool, m.State = s.movedTo[m.Name], MachineMoving
@@ -183,6 +184,41 @@
 	return moves
 }
 
+// settleMoveLocked ends the move of a machine once its entry in the list, which was requested at listedAt, shows the result:
+// the machine is up in its new pool, or it is up and the order can't be carried out any more. Until then, its server gets no
+// work if the order got no answer.
+func (s *session) settleMoveLocked(m Machine, listedAt, now time.Duration) {
+	at, moving := s.movedAt[m.Name]
+	if !moving {
+		return
+	}
+	possibleUntil, carriedOut := at+lateOrderBound, m.Pool == s.movedTo[m.Name]
+	switch {
+	case m.State == MachineUp && (carriedOut && listedAt > at || listedAt > possibleUntil):
+		if s.moveUnanswered[m.Name] {
+			s.log.Info("result of unanswered move is known", "machine", m.Name, "server", m.Server, "pool", m.Pool, "moved", carriedOut)
+		}
+		s.endMoveLocked(m)
+	case s.moveUnanswered[m.Name] && !carriedOut:
+		if m.Server != "" {
+			s.reserved[m.Server] = true
+		}
+		if now > possibleUntil && listedAt <= possibleUntil {
+			s.scheduleRefreshLocked(0)
+		}
+	}
+}
+
+// endMoveLocked forgets the move of a machine and lets its present server take work, unless that is reserved for upkeep.
+func (s *session) endMoveLocked(m Machine) {
+	delete(s.movedAt, m.Name)
+	delete(s.movedTo, m.Name)
+	delete(s.moveUnanswered, m.Name)
+	if _, upkeep := s.upkeepServer[m.Name]; !upkeep {
+		delete(s.reserved, m.Server)
+	}
+}
+
 // serverStateLocked returns whether the server of a machine can carry work.
 func (s *session) serverStateLocked(m Machine, now time.Duration) pools.ServerState {
 	server := s.fleet.Get(m.Server)
@@ -222,12 +258,9 @@
 	if !s.orderableLocked(m) || !s.mayOrderMachineLocked(m.Name) || upkeep || now < s.moveNotBefore[m.Name] {
 		return false
 	}
-	if s.movedAt[m.Name] > s.cachedMachines.lastRequested() || s.upkeepAcceptedAt[m.Name] > s.cachedMachines.lastRequested() {
+	if _, moving := s.movedAt[m.Name]; moving || s.upkeepAcceptedAt[m.Name] > s.cachedMachines.lastRequested() {
 		return false // the list doesn't show the result of its last order yet
 	}
-	if s.moveUnanswered[m.Name] && now-s.movedAt[m.Name] < lateOrderBound {
-		return false // the unanswered order may still be carried out
-	}
 	if m.Server == "" {
 		return true // the machine is off, in a standby pool
 	}
