A machine in doubt counts neither for its new pool nor for its old one

Callers would see: work waits although machines are off or spare, for 13 s after a move into its pool got no answer.

Cause: such a machine counted for the pool it was to join for as long as the order could still be carried out, so nothing was ordered in its place. Afterwards it counted for its old pool as fit, though its server is withheld from work: that pool lent more than it had.

Evidence: TestMachineInDoubtIsNoCapacity, in virtual time: a pool of two machines has work for three, and no move is answered or carried out.

Ruled out: not counting it from the start. An order whose answer is lost may have been carried out, and the machine then arrives in time. The price: a platform that answers no move for long is asked for another machine after each such time, and each is withheld from work for 13 s; only machines beyond the need of their pool are taken. A move that is carried out late makes a pool larger than needed for a while, which costs the move and the machine's time there.

Why it works: a machine counts for its new pool for as long as a move takes; after that the list must show it there. A server that is withheld from work doesn't count for the pool that the list shows.

--- a/internal/dispatch/moves_test.go
+++ b/internal/dispatch/moves_test.go
@@ -106,3 +106,28 @@
 	must.EqOp(t, 2, requestedAt)
 	must.EqOp(t, "new", list[0].Name)
 }
+
+// Guards against work that waits because a machine whose move got no answer counts for its new pool, or for its old one,
+// where it gets no work either: another machine is ordered as soon as one that moves would have arrived.
+func TestMachineInDoubtIsNoCapacity(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		m := &unansweredMoves{&fakeMachines{list: []Machine{
+			{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}, {Name: "m2", Pool: "p", State: MachineUp, Server: "b"},
+			{Name: "m3", Pool: "off", State: MachineUp}, {Name: "m4", Pool: "off", State: MachineUp},
+		}}}
+		r := newMachineRig(t, m)
+		r.submit("j", ledger.Step{Count: 19, Need: ledger.Resources{CPU: 1000}}) // needs three machines
+		r.until(func() bool { return len(m.ordered()) == 1 })
+		orderedAt := boottime.Now()
+		r.until(func() bool { return len(m.ordered()) == 2 })
+		must.Between(t, moveTransitTime, boottime.Now()-orderedAt, moveTransitTime+time.Second)
+		must.SliceContainsAll(t, []string{"move to p m3", "move to p m4"}, m.ordered())
+
+		s := r.d.session.Load()
+		s.engine.mu.Lock()
+		defer s.engine.mu.Unlock()
+		must.EqOp(t, pools.Fit, s.serverStateLocked(m.list[0], boottime.Now()))
+		s.reserved["a"] = true
+		must.EqOp(t, pools.Absent, s.serverStateLocked(m.list[0], boottime.Now()))
+	})
+}
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -161,10 +161,8 @@
 	var list []pools.Machine
 	for _, m := range machines {
 		s.settleMoveLocked(m, listedAt, now)
-		if at, ok := s.movedAt[m.Name]; ok && m.Pool != s.movedTo[m.Name] {
-			if now-at < moveTransitTime || now-at < lateOrderBound && s.moveUnanswered[m.Name] {
-				m.Pool, m.State = s.movedTo[m.Name], MachineMoving
-			}
+		if at, ok := s.movedAt[m.Name]; ok && m.Pool != s.movedTo[m.Name] && now-at < moveTransitTime {
+			m.Pool, m.State = s.movedTo[m.Name], MachineMoving
 		}
 		if _, inUpkeep := s.upkeepServer[m.Name]; inUpkeep {
 			m.Pool = "" // unavailable to its pool until its upkeep is over
@@ -225,7 +223,7 @@
 	switch {
 	case m.State != MachineUp || server == nil:
 		return pools.Fit
-	case server.Draining || now-max(server.AnnouncedAt, server.AnsweredAt) > schedule.AnnouncementTimeout:
+	case server.Draining || s.reserved[m.Server] || now-max(server.AnnouncedAt, server.AnsweredAt) > schedule.AnnouncementTimeout:
 		return pools.Absent
 	case server.Health.Suspect():
 		return pools.Suspect
--- a/internal/request/pools/pools.go
+++ b/internal/request/pools/pools.go
@@ -45,7 +45,7 @@
 	Fit ServerState = iota
 	// Suspect: its last runs failed. The jobs may be at fault.
 	Suspect
-	// Absent: it leaves or is silent.
+	// Absent: it leaves, is silent, or is withheld from work.
 	Absent
 )
 
