A new leader takes the pace of inherited filler tasks for unknown

Cause: a leader sends no pace to a task that it has sent none and that may run in full. It took this for known of every task, also of those that ran before its term. Over the target, it sent 25 percent to a task that stood at 0, and so sped it up.

Ruled out: full pace for all inherited tasks at once. One that was throttled for good reason would slow the serving task again, without the headroom that every other raise needs. Stopping all at once: those that run in full beside tasks with headroom would lose work for nothing.

Why it works: runs that the log holds as live when a term begins are marked as of unknown pace, like those whose pace call got no answer. A pacer that begins with such tasks changes nothing until it knows what to order: a stop once a tail is over its target, full pace once all have left headroom for a second.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -31,10 +31,13 @@
 	}
 	pacer := s.pacers[serverID]
 	if pacer == nil {
-		pacer = &pacing.Pacer{}
+		pacer = s.newPacerLocked(fills)
 		s.pacers[serverID] = pacer
 	}
 	percent := pacer.Update(now, serving)
+	if !pacer.Known() {
+		return
+	}
 	for _, row := range fills {
 		key := runKey{row.Task, row.Run}
 		if before, ok := s.sentPaces[key]; before == percent && ok || !ok && percent == pacing.FullPercent {
@@ -46,6 +49,25 @@
 	}
 }
 
+// newPacerLocked returns a pacer for filler tasks that are reported on a server.
+func (s *session) newPacerLocked(fills []RunningTask) *pacing.Pacer {
+	for _, row := range fills {
+		if s.sentPaces[runKey{row.Task, row.Run}] == unknownPace {
+			return pacing.NewInherited()
+		}
+	}
+	return &pacing.Pacer{}
+}
+
+// inheritPacesLocked records that an earlier leader may have throttled the filler tasks that run on a server.
+func (s *session) inheritPacesLocked(serverID string) {
+	for id, t := range s.engine.ledger.LiveOn(serverID) {
+		if s.engine.ledger.Job(id.Job).Steps[id.Step].Fills {
+			s.sentPaces[runKey{id, t.Run}] = unknownPace
+		}
+	}
+}
+
 // sendPace sends one pace order. One that failed is sent again after the next report.
 func (s *session) sendPace(serverID string, key runKey, percent int) {
 	s.engine.mu.Lock()
@@ -69,5 +91,6 @@
 	}
 }
 
-// unknownPace marks a pace order that the server may or may not have carried out.
+// unknownPace marks a task whose pace isn't known: an order may or may not have been carried out, or an earlier leader may
+// have sent one.
 const unknownPace = -1
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -149,6 +149,7 @@
 		s.ensureHoldLoopLocked(known.ID) // reads its clock and raises its fencing token
 	}
 	for _, id := range s.engine.ledger.ServersWithRuns() {
+		s.inheritPacesLocked(id)
 		s.ensureHoldLoopLocked(id)
 	}
 	s.engine.mu.Unlock()
--- a/internal/request/pacing/pacing.go
+++ b/internal/request/pacing/pacing.go
@@ -34,6 +34,8 @@
 
 // Pacer throttles the filler tasks of one backend server. The zero value doesn't throttle.
 type Pacer struct {
+	// unknown is set until the first change if an earlier leader may have throttled the filler tasks.
+	unknown bool
 	// throttledPercent is by how many percentage points filler tasks are throttled.
 	throttledPercent int
 	// throttledAt is when throttling was last increased. headroomSince is when all tail latencies began to leave headroom; 0
@@ -44,6 +46,14 @@
 	ineffective bool
 }
 
+// NewInherited returns a Pacer for filler tasks that an earlier leader may have throttled. It leaves them as they are until
+// a tail latency is over its target, which stops them, or all have left headroom, which gives them their full speed.
+func NewInherited() *Pacer { return &Pacer{unknown: true} }
+
+// Known reports whether Percent is known: filler tasks that an earlier leader may have throttled are to stay as they are
+// while it isn't.
+func (p *Pacer) Known() bool { return !p.unknown }
+
 // Percent returns the percentage of their full speed at which filler tasks may run.
 func (p *Pacer) Percent() int { return FullPercent - p.throttledPercent }
 
@@ -75,12 +85,12 @@
 		return
 	}
 	percent := p.Percent() / throttleDivisor
-	if percent < minPercent {
+	if percent < minPercent || p.unknown {
 		percent = 0
 	}
 	if percent > 0 || p.throttledPercent < FullPercent {
 		p.throttledPercent = FullPercent - percent
-		p.throttledAt = now
+		p.throttledAt, p.unknown = now, false
 		return
 	}
 	if now-p.throttledAt >= ineffectiveAfter {
@@ -94,6 +104,7 @@
 		p.headroomSince = now
 	}
 	if now-p.headroomSince >= releaseDelay {
+		p.unknown = false
 		p.throttledPercent = max(0, p.throttledPercent-releaseStepPercent)
 	}
 }
--- a/internal/request/pacing/pacing_test.go
+++ b/internal/request/pacing/pacing_test.go
@@ -37,6 +37,33 @@
 	}
 }
 
+// Filler tasks that an earlier leader may have throttled keep their pace until the tail latency calls for a change.
+func TestInheritedPace(t *testing.T) {
+	const unchanged = -1
+	cases := []struct {
+		name      string
+		latencies []int64
+		want      []int
+	}{
+		{"unchanged without headroom", []int64{95, 95, 95}, []int{unchanged, unchanged, unchanged}},
+		{"full with lasting headroom", []int64{70, 70}, []int{unchanged, 100}},
+		{"stopped over the target, then as usual", []int64{150, 95, 70, 70}, []int{0, 0, 0, 20}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, got := NewInherited(), []int(nil)
+			for i, tail := range c.latencies {
+				percent := observe(s, time.Hour+time.Duration(i)*reportInterval, tail)[0]
+				if !s.Known() {
+					percent = unchanged
+				}
+				got = append(got, percent)
+			}
+			must.Eq(t, c.want, got)
+		})
+	}
+}
+
 // The serving task with the worst latency decides.
 func TestOneTaskOverItsTargetIsEnough(t *testing.T) {
 	var s Pacer
