A pace order that wasn't sent is not taken for sent

Operators would see: a filler task keeps its old pace, beside a serving task that is over its target, though the log says that it is paced.

Cause: the leader notes a pace when it decides on it, and took the note back only after a call without an answer. If its lease wasn't held at that moment, or the server was just dropped, it made no call and kept the note. No report corrects it: the leader believes its note.

Evidence: TestUnsentPaceIsNotTakenForSent failed before: 25 noted after an order without the lease, -1 (unknown) expected.

With it: a stop order that fails after its run has ended no longer recreates the note (a missing note read as 0 percent). Without the check the same test fails at its last line.

Why it works: every way in which the order doesn't reach the server now takes the note back, and the next report sends it again.

--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -70,27 +70,34 @@
 
 // sendPace sends one pace order. One that failed is sent again after the next report.
 func (s *session) sendPace(serverID string, key runKey, percent int) {
-	s.engine.mu.Lock()
-	server := s.fleet.Get(serverID)
-	s.engine.mu.Unlock()
-	if server == nil || !s.mayOrder() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-	defer cancel()
-	o := PaceOrder{Task: key.task, Run: key.run, Percent: percent, Fence: s.holder.Fence}
-	err := s.servers.Pace(ctx, Target{ID: serverID, Address: server.Address}, o)
+	err := s.trySendPace(serverID, key, percent)
 	if err == nil {
 		return
 	}
 	s.log.Warn("pace order failed; it is sent again after the next report", "task", key.task, "run", key.run, "server", serverID, "error", err)
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	if s.sentPaces[key] == percent {
+	if sent, ok := s.sentPaces[key]; ok && sent == percent {
 		s.sentPaces[key] = unknownPace
 	}
 }
 
+func (s *session) trySendPace(serverID string, key runKey, percent int) error {
+	s.engine.mu.Lock()
+	server := s.fleet.Get(serverID)
+	s.engine.mu.Unlock()
+	switch {
+	case server == nil:
+		return Error.New("the server is not known any more")
+	case !s.mayOrder():
+		return ErrNotLeader
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	o := PaceOrder{Task: key.task, Run: key.run, Percent: percent, Fence: s.holder.Fence}
+	return s.servers.Pace(ctx, Target{ID: serverID, Address: server.Address}, o)
+}
+
 // unknownPace marks a task whose pace isn't known: an order may or may not have been carried out, or an earlier leader may
 // have sent one.
 const unknownPace = -1
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -65,3 +65,24 @@
 		})
 	}
 }
+
+// lapsedLease is a leader lease that isn't held.
+type lapsedLease struct{}
+
+func (lapsedLease) Held() bool { return false }
+
+// Guards against a filler task that keeps its pace although the leader believes that it has changed it: the lease wasn't held
+// when the order was due, so it wasn't sent.
+func TestUnsentPaceIsNotTakenForSent(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	leads := r.d.session.Load()
+	s := &session{
+		engine: leads.engine, fleet: leads.fleet, servers: f, log: leads.log, leaderLease: lapsedLease{}, ctx: t.Context(),
+		sentPaces: map[runKey]int{key("j", 0, 1): 25},
+	}
+	s.sendPace("a", key("j", 0, 1), 25)
+	must.EqOp(t, unknownPace, s.sentPaces[key("j", 0, 1)])
+	s.sendPace("a", key("ended", 0, 1), 0)
+	must.MapNotContainsKey(t, s.sentPaces, key("ended", 0, 1))
+}
