Throttling is judged once the filler tasks are known to be stopped

Callers would see: a serving task stays over its target while a filler task beside it works on (HARM), after pace calls to that server went unanswered for two seconds.

Cause: the pacer counted the time without effect (1.5 s) from its decision to stop the filler tasks, whether or not the order reached them. With the calls lost it found throttling ineffective, ordered full pace and throttled no more while the tail stayed over the target.

Evidence: TestThrottlingIsNotJudgedBeforeItIsAcknowledged loses eight pace calls, in virtual time. TestThrottlingLastsUntilItIsApplied shows the same for the pacer alone; it is new with the argument.

Ruled out: one filler task out of several being stopped.

Changed tests: the pacer's existing ones pass the time at which a percentage was applied, which is that of the decision, as before. No expected value changed.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -228,6 +228,13 @@
 	return -1
 }
 
+// losePaces lets the next n pace calls get no answer.
+func (f *fakeServers) losePaces(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unansweredPaces = n
+}
+
 // setFigure sets the figure that is reported for a task.
 func (f *fakeServers) setFigure(id ledger.TaskID, figure int64) {
 	f.mu.Lock()
--- a/internal/dispatch/pace_test.go
+++ b/internal/dispatch/pace_test.go
@@ -79,10 +79,27 @@
 	leads := r.d.session.Load()
 	s := &session{
 		engine: leads.engine, fleet: leads.fleet, servers: f, log: leads.log, leaderLease: lapsedLease{}, ctx: t.Context(),
-		sentPaces: map[runKey]int{key("j", 0, 1): 25},
+		sentPaces: map[runKey]sentPace{key("j", 0, 1): {percent: 25}},
 	}
 	s.sendPace("a", key("j", 0, 1), 25)
-	must.EqOp(t, unknownPace, s.sentPaces[key("j", 0, 1)])
+	must.EqOp(t, unknownPace, s.sentPaces[key("j", 0, 1)].percent)
 	s.sendPace("a", key("ended", 0, 1), 0)
 	must.MapNotContainsKey(t, s.sentPaces, key("ended", 0, 1))
 }
+
+// Guards against a serving task that stays slow because the leader gave up throttling as without effect, although the orders
+// that stop the filler task got no answer and it ran on.
+func TestThrottlingIsNotJudgedBeforeItIsAcknowledged(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newFakeServers("a")
+		r := newRig(t, f)
+		r.submit("serves", ledger.Step{Count: 1, Need: ledger.Resources{CPU: 1000}, Lasting: true, TargetMS: 100})
+		r.submit("fills", ledger.Step{Count: 1, Need: ledger.Resources{CPU: 1000}, Lasting: true, Fills: true})
+		serves, fills := key("serves", 0, 1).task, key("fills", 0, 1).task
+		r.until(func() bool { return len(f.runs("a")) == 2 })
+		f.losePaces(8)
+		f.setFigure(serves, 150)
+		r.until(func() bool { return f.pace(fills) >= 0 })
+		must.EqOp(t, 0, f.pace(fills))
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -76,8 +76,8 @@
 	begun map[string]bool
 	// reserved are servers that get no new work because their machines are to be moved or taken down.
 	reserved map[string]bool
-	// sentPaces are the percentages last sent to tasks that use spare capacity. pacers compute them, by server.
-	sentPaces map[runKey]int
+	// sentPaces are the paces last sent to tasks that use spare capacity. pacers compute them, by server.
+	sentPaces map[runKey]sentPace
 	pacers    map[string]*pacing.Pacer
 	// upkeepServer is the server of each machine reserved for upkeep. upkeepAcceptedAt is when the platform accepted its
 	// upkeep order.
@@ -133,7 +133,7 @@
 		leaderLease: d.leaderLease, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
 		startedAt: boottime.Now(), machineLease: d.machineLease,
 		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(map[string]bool),
-		reserved: make(map[string]bool), sentPaces: make(map[runKey]int), pacers: make(map[string]*pacing.Pacer),
+		reserved: make(map[string]bool), sentPaces: make(map[runKey]sentPace), pacers: make(map[string]*pacing.Pacer),
 		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[string]time.Duration),
 		missingSince: make(map[string]time.Duration), missingChecks: make(map[string]int),
 		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
--- a/internal/request/pacing/pacing.go
+++ b/internal/request/pacing/pacing.go
@@ -22,8 +22,8 @@
 	// releaseDelay is how long all tail latencies must leave headroom before throttling is reduced: interference changes
 	// within seconds.
 	releaseDelay = time.Second
-	// ineffectiveAfter is how long a tail latency must stay over its target while filler tasks are stopped before throttling
-	// counts as ineffective and ends. The reported latency covers the last half second, and reports come once a second.
+	// ineffectiveAfter is how long a tail latency must stay over its target after the last filler task was stopped before
+	// throttling counts as ineffective and ends. The reported latency covers the last half second, and reports come once a second.
 	ineffectiveAfter = 1500 * time.Millisecond
 )
 
@@ -38,9 +38,8 @@
 	unknown bool
 	// throttledPercent is by how many percentage points filler tasks are throttled.
 	throttledPercent int
-	// throttledAt is when throttling was last increased. headroomSince is when all tail latencies began to leave headroom; 0
-	// if they don't.
-	throttledAt, headroomSince time.Duration
+	// headroomSince is when all tail latencies began to leave headroom; 0 if they don't.
+	headroomSince time.Duration
 	// ineffective is set while a tail latency stays over its target although stopping the filler tasks didn't help.
 	// Filler tasks aren't throttled then.
 	ineffective bool
@@ -59,7 +58,8 @@
 
 // Update processes a report on the serving tasks and returns the percentage at which filler tasks may run from now on. It
 // quarters the percentage while a tail latency is over its target, and raises it in steps while all leave headroom.
-func (p *Pacer) Update(now time.Duration, serving []Serving) int {
+// appliedAt is when the last filler task got the present percentage; 0 if one may still run at another.
+func (p *Pacer) Update(now time.Duration, serving []Serving, appliedAt time.Duration) int {
 	over, headroom := false, true
 	for _, t := range serving {
 		over = over || t.TailLatencyMS > t.TargetMS
@@ -68,7 +68,7 @@
 	switch {
 	case over:
 		p.headroomSince = 0
-		p.throttle(now)
+		p.throttle(now, appliedAt)
 	case headroom:
 		p.ineffective = false
 		p.release(now)
@@ -80,7 +80,7 @@
 
 // throttle quarters the percentage. If filler tasks have been stopped for ineffectiveAfter without effect, it restores
 // the full percentage.
-func (p *Pacer) throttle(now time.Duration) {
+func (p *Pacer) throttle(now, appliedAt time.Duration) {
 	if p.ineffective {
 		return
 	}
@@ -89,11 +89,10 @@
 		percent = 0
 	}
 	if percent > 0 || p.throttledPercent < FullPercent {
-		p.throttledPercent = FullPercent - percent
-		p.throttledAt, p.unknown = now, false
+		p.throttledPercent, p.unknown = FullPercent-percent, false
 		return
 	}
-	if now-p.throttledAt >= ineffectiveAfter {
+	if appliedAt > 0 && now-appliedAt >= ineffectiveAfter {
 		p.throttledPercent, p.ineffective = 0, true
 	}
 }
--- a/internal/request/pacing/pacing_test.go
+++ b/internal/request/pacing/pacing_test.go
@@ -9,14 +9,35 @@
 
 const reportInterval = time.Second
 
-// observe reports tail latencies of one task with a target of 100 ms, a second apart, and returns the percentages.
+// observe reports tail latencies of one task with a target of 100 ms, a second apart, and returns the percentages. Filler
+// tasks get each percentage at once.
 func observe(s *Pacer, start time.Duration, latencies ...int64) (percent []int) {
+	var appliedAt time.Duration
 	for i, f := range latencies {
-		percent = append(percent, s.Update(start+time.Duration(i)*reportInterval, []Serving{{TailLatencyMS: f, TargetMS: 100}}))
+		now, before := start+time.Duration(i)*reportInterval, s.Percent()
+		percent = append(percent, s.Update(now, []Serving{{TailLatencyMS: f, TargetMS: 100}}, appliedAt))
+		if s.Percent() != before {
+			appliedAt = now
+		}
 	}
 	return percent
 }
 
+// Guards against throttling that ends as ineffective while a filler task still runs at an earlier percentage.
+func TestThrottlingLastsUntilItIsApplied(t *testing.T) {
+	var s Pacer
+	over := []Serving{{TailLatencyMS: 200, TargetMS: 100}}
+	update := func(seconds int, appliedAt time.Duration) int {
+		return s.Update(time.Hour+time.Duration(seconds)*time.Second, over, appliedAt)
+	}
+	must.EqOp(t, 25, update(0, 0))
+	for seconds := range 20 {
+		must.EqOp(t, 0, update(seconds, 0))
+	}
+	must.EqOp(t, 0, update(20, time.Hour+19*time.Second))
+	must.EqOp(t, FullPercent, update(21, time.Hour+19*time.Second))
+}
+
 func TestPercentageFollowsTailLatency(t *testing.T) {
 	cases := []struct {
 		name      string
@@ -67,14 +88,15 @@
 // The serving task with the worst latency decides.
 func TestOneTaskOverItsTargetIsEnough(t *testing.T) {
 	var s Pacer
-	must.EqOp(t, FullPercent/throttleDivisor, s.Update(time.Hour, []Serving{{TailLatencyMS: 10, TargetMS: 100}, {TailLatencyMS: 101, TargetMS: 100}}))
-	must.EqOp(t, FullPercent, new(Pacer).Update(time.Hour, nil))
+	must.EqOp(t, FullPercent/throttleDivisor, s.Update(time.Hour, []Serving{{TailLatencyMS: 10, TargetMS: 100}, {TailLatencyMS: 101, TargetMS: 100}}, 0))
+	must.EqOp(t, FullPercent, new(Pacer).Update(time.Hour, nil, 0))
 }
 
 // With a report every 500 ms, interference that starts and stops every few seconds keeps a tail latency over its target for
 // at most 3 reports in a row (1.5 s), well within the limit of 4 s.
 func TestChangingInterferenceIsThrottledInTime(t *testing.T) {
 	var s Pacer
+	var appliedAt time.Duration
 	percent, overReports, longestOverReports := FullPercent, 0, 0
 	for i := range 200 {
 		interferes := i/7%2 == 0
@@ -88,7 +110,11 @@
 			overReports = 0
 		}
 		longestOverReports = max(longestOverReports, overReports)
-		percent = s.Update(time.Hour+time.Duration(i)*500*time.Millisecond, []Serving{{TailLatencyMS: latency, TargetMS: 100}})
+		now, before := time.Hour+time.Duration(i)*500*time.Millisecond, percent
+		percent = s.Update(now, []Serving{{TailLatencyMS: latency, TargetMS: 100}}, appliedAt)
+		if percent != before {
+			appliedAt = now
+		}
 	}
 	must.LessEq(t, 3, longestOverReports)
 }
