An accepted upkeep order counts for its wave only

Operators would see: a wave is `completed` although a machine of it has not begun its upkeep (MIXED), where the same leader had taken the machine down in an earlier wave and the order of the later wave was refused as busy, throttled or not answered. Lasting tasks on the machine were not stopped in the later wave, and its order was not repeated.

Cause: the leader kept the time of the platform's acceptance by machine and never cleared it. In the next wave the machine, ordered, listed as up and "accepted", counted as back.

Evidence: TestAcceptedUpkeepCountsForItsWaveOnly on the code before: machines_test.go:140: expected condition to be false; is true orders: [upkeep m1 upkeep m1] the second wave was completed after one order that the platform had refused as busy. It passes now.

Change: the acceptance is kept by wave and machine. A new wave has none of its own, so all three uses (back, repeated, lasting tasks) start afresh. The pool planner no longer looks at it: a machine with an accepted order has a reservation until a list requested later shows it up.

Ruled out: a new leader, which starts without acceptances and repeats the order.

--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -118,6 +118,30 @@
 	}
 }
 
+// Guards against a later wave that counts the accepted order of an earlier one as its own: it was completed although the
+// platform had carried out none of its orders.
+func TestAcceptedUpkeepCountsForItsWaveOnly(t *testing.T) {
+	m := &fakeMachines{list: []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}}, busy: make(map[string]bool)}
+	r := newMachineRig(t, m)
+	first := &ledger.WaveOrder{Number: 1, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+	must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: first}).Outcome)
+	r.until(func() bool { return r.do(&Call{Op: OpWaveState, Wave: first}).WaveCompleted })
+	must.Eq(t, []string{"upkeep m1"}, m.ordered())
+	setBusy := func(busy bool) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.busy["m1"] = busy
+	}
+	setBusy(true)
+	second := &ledger.WaveOrder{Number: 2, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+	must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: second}).Outcome)
+	completed := func() bool { return r.do(&Call{Op: OpWaveState, Wave: second}).WaveCompleted }
+	r.until(func() bool { return completed() || len(m.ordered()) >= 4 })
+	must.False(t, completed(), must.Sprintf("orders: %v", m.ordered()))
+	setBusy(false)
+	r.until(completed)
+}
+
 // A server on which a lasting task starts is asked often until the task works in full, as others of its step can be stopped
 // only after that; other servers are asked at the usual interval.
 func TestStartOfLastingTaskIsSeenSoon(t *testing.T) {
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -222,7 +222,7 @@
 	if !s.orderableLocked(m) || !s.mayOrderMachineLocked(m.Name) || upkeep || now < s.moveNotBefore[m.Name] {
 		return false
 	}
-	if s.movedAt[m.Name] > s.cachedMachines.lastRequested() || s.upkeepAcceptedAt[m.Name] > s.cachedMachines.lastRequested() {
+	if s.movedAt[m.Name] > s.cachedMachines.lastRequested() {
 		return false // the list doesn't show the result of its last order yet
 	}
 	if s.moveUnanswered[m.Name] && now-s.movedAt[m.Name] < lateOrderBound {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -79,10 +79,10 @@
 	// sentPaces are the percentages last sent to tasks that use spare capacity. pacers compute them, by server.
 	sentPaces map[runKey]int
 	pacers    map[string]*pacing.Pacer
-	// upkeepServer is the server of each machine reserved for upkeep. upkeepAcceptedAt is when the platform accepted its
-	// upkeep order.
+	// upkeepServer is the server of each machine reserved for upkeep. upkeepAcceptedAt is when the platform accepted the
+	// order for an upkeep.
 	upkeepServer     map[string]string
-	upkeepAcceptedAt map[string]time.Duration
+	upkeepAcceptedAt map[upkeepKey]time.Duration
 	// missingSince is since when a machine of a wave has been missing from the platform's list, or when that last led to a
 	// check by an upkeep order.
 	missingSince map[string]time.Duration
@@ -134,7 +134,7 @@
 		startedAt: boottime.Now(), machineLease: d.machineLease,
 		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(map[string]bool),
 		reserved: make(map[string]bool), sentPaces: make(map[runKey]int), pacers: make(map[string]*pacing.Pacer),
-		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[string]time.Duration),
+		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[upkeepKey]time.Duration),
 		missingSince: make(map[string]time.Duration), missingChecks: make(map[string]int),
 		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
 		moveUnanswered: make(map[string]bool), moveNotBefore: make(map[string]time.Duration), cachedMachines: &machineCache{},
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -22,6 +22,12 @@
 	waveCheckInterval = 200 * time.Millisecond
 )
 
+// upkeepKey identifies the upkeep of a machine in a wave.
+type upkeepKey struct {
+	wave    int64
+	machine string
+}
+
 // upkeepLoop carries out maintenance waves.
 func (s *session) upkeepLoop() {
 	ticker := time.NewTicker(waveCheckInterval)
@@ -102,7 +108,7 @@
 		case !known:
 			// A list may lack a machine temporarily. Only the answer to an upkeep order tells whether it still
 			// exists.
-		case w.Phases[name] == ledger.UpkeepOrdered && m.State == MachineUp && s.upkeepAcceptedAt[name] > 0 && requestedAt > s.upkeepAcceptedAt[name]:
+		case w.Phases[name] == ledger.UpkeepOrdered && m.State == MachineUp && s.upkeepAcceptedLocked(number, name) && requestedAt > s.upkeepAcceptedAt[upkeepKey{number, name}]:
 			s.log.Info("machine is back from its upkeep", "wave", number, "machine", name, "server", m.Server)
 			delete(s.reserved, s.upkeepServer[name])
 			delete(s.upkeepServer, name)
@@ -112,6 +118,12 @@
 	return marks
 }
 
+// upkeepAcceptedLocked reports whether the platform has accepted an order of this leader for a machine's upkeep in a wave.
+func (s *session) upkeepAcceptedLocked(wave int64, machine string) bool {
+	_, accepted := s.upkeepAcceptedAt[upkeepKey{wave, machine}]
+	return accepted
+}
+
 // planWave reserves machines, stops lasting tasks on them and returns the machines to take down now.
 func (s *session) planWave(number int64, byName map[string]Machine) []string {
 	s.engine.mu.Lock()
@@ -133,7 +145,7 @@
 		delete(s.missingSince, name)
 		delete(s.missingChecks, name)
 		if w.Phases[name] == ledger.UpkeepOrdered {
-			if s.upkeepAcceptedAt[name] == 0 && s.orderableLocked(m) && s.mayOrderMachineLocked(name) {
+			if !s.upkeepAcceptedLocked(number, name) && s.orderableLocked(m) && s.mayOrderMachineLocked(name) {
 				recheck = append(recheck, name) // already ordered, by this leader or an earlier one, but not answered
 				s.reserved[m.Server], s.upkeepServer[name] = true, m.Server
 			}
@@ -151,7 +163,7 @@
 	}
 	free := schedule.NewFreeCapacity(s.planInputLocked())
 	for _, name := range w.Machines {
-		if s.upkeepAcceptedAt[name] == 0 && w.Phases[name] != ledger.UpkeepDone {
+		if !s.upkeepAcceptedLocked(number, name) && w.Phases[name] != ledger.UpkeepDone {
 			s.stopLastingLocked(s.upkeepServer[name], free)
 		}
 	}
@@ -288,7 +300,7 @@
 	switch answer {
 	case MachineAccepted:
 		s.engine.mu.Lock()
-		s.upkeepAcceptedAt[m.Machine] = boottime.Now()
+		s.upkeepAcceptedAt[upkeepKey{m.Wave, m.Machine}] = boottime.Now()
 		s.scheduleRefreshLocked(refreshDelay)
 		if old := s.fleet.Get(server); old != nil {
 			old.Left = true
