A machine whose upkeep the platform refuses is released

Operators would see: a machine that the platform doesn't count to a wave, or that no longer exists, ends its part of the wave at once, which is right, but its backend server got no work for the rest of the leader's term, and the pool planner counted the machine to no pool.

Cause: these answers committed the end of the upkeep, and the reservation was released only where a machine came back. What the leader had noted about the machine's absence from the list stayed as well and would have counted in a later wave.

Evidence: TestMachineWithoutUpkeepIsUsedAgain on the code before: machines_test.go:160: expected condition to be true; is false (not-in-wave) the machine could not be moved after the wave was completed. It passes now, for both answers, and a task starts on the server.

Change: one function ends what the leader keeps for a machine, for one that is back as for one without upkeep. The log tells the two apart: `machine of a wave has no upkeep` with its reason, in place of `machine of a wave leaves`.

Ruled out: that the wave may not be completed after these answers. The phase in the log stays `UpkeepDone`; the ledger is unchanged.

--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -49,7 +49,8 @@
 // WaveView is a maintenance wave.
 type WaveView struct {
 	Number int64
-	// Down counts the machines whose upkeep was ordered and isn't over, Over those whose upkeep is over.
+	// Down counts the machines whose upkeep was ordered and isn't over, Over those whose upkeep is over or that have
+	// none because the platform refused it.
 	Machines, Down, Over  int
 	StartedMS, DurationMS int64
 }
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -23,7 +23,9 @@
 	hidden map[string]bool // machines missing from the list
 	gone   map[string]bool // machines that no longer exist
 	busy   map[string]bool // machines that refuse orders for now
-	orders []string
+	// answers are the answers to orders for machines that are neither gone nor busy; the others are accepted.
+	answers map[string]MachineAnswer
+	orders  []string
 }
 
 func (f *fakeMachines) List(context.Context, string) ([]Machine, string, error) {
@@ -48,7 +50,7 @@
 	if f.busy[name] {
 		return MachineBusy
 	}
-	return MachineAccepted
+	return f.answers[name]
 }
 
 func (f *fakeMachines) Move(_ context.Context, _ Holder, machine, pool string) (MachineAnswer, error) {
@@ -142,6 +144,25 @@
 	r.until(completed)
 }
 
+// Guards against a machine that stays reserved for good after the platform answered that it isn't of the wave or doesn't
+// exist: its server got no work and its pool lacked it.
+func TestMachineWithoutUpkeepIsUsedAgain(t *testing.T) {
+	for _, answer := range []MachineAnswer{MachineNotInWave, MachineRefused} {
+		listed := Machine{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}
+		r := newMachineRig(t, &fakeMachines{list: []Machine{listed}, answers: map[string]MachineAnswer{"m1": answer}})
+		wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+		must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
+		r.until(func() bool { return r.do(&Call{Op: OpWaveState, Wave: wave}).WaveCompleted })
+		s := r.d.session.Load()
+		s.engine.mu.Lock()
+		movable := s.movableLocked(listed, boottime.Now())
+		s.engine.mu.Unlock()
+		must.True(t, movable, must.Sprint(answer))
+		r.submit("j", ledger.Step{Count: 2, Spread: 1, Need: ledger.Resources{CPU: 100}})
+		r.until(func() bool { return len(r.servers.runs("a")) == 1 && len(r.servers.runs("b")) == 1 })
+	}
+}
+
 // A server on which a lasting task starts is asked often until the task works in full, as others of its step can be stopped
 // only after that; other servers are asked at the usual interval.
 func TestStartOfLastingTaskIsSeenSoon(t *testing.T) {
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -110,8 +110,7 @@
 			// exists.
 		case w.Phases[name] == ledger.UpkeepOrdered && m.State == MachineUp && s.upkeepAcceptedLocked(number, name) && requestedAt > s.upkeepAcceptedAt[upkeepKey{number, name}]:
 			s.log.Info("machine is back from its upkeep", "wave", number, "machine", name, "server", m.Server)
-			delete(s.reserved, s.upkeepServer[name])
-			delete(s.upkeepServer, name)
+			s.releaseFromUpkeepLocked(name)
 			marks = append(marks, ledger.UpkeepTransition{Wave: number, Machine: name, Phase: ledger.UpkeepDone})
 		}
 	}
@@ -124,6 +123,14 @@
 	return accepted
 }
 
+// releaseFromUpkeepLocked makes a machine available again and forgets for how long the platform's list has lacked it.
+func (s *session) releaseFromUpkeepLocked(name string) {
+	delete(s.reserved, s.upkeepServer[name])
+	delete(s.upkeepServer, name)
+	delete(s.missingSince, name)
+	delete(s.missingChecks, name)
+}
+
 // planWave reserves machines, stops lasting tasks on them and returns the machines to take down now.
 func (s *session) planWave(number int64, byName map[string]Machine) []string {
 	s.engine.mu.Lock()
@@ -307,18 +314,21 @@
 		}
 		s.engine.mu.Unlock()
 	case MachineNotInWave, MachineRefused:
-		s.endUpkeep(m)
+		s.endWithoutUpkeep(m, answer.String())
 	case MachineBusy:
 		if s.hasLeft(m.Machine) {
 			// The list shows machines in every state, so one that it lacks and that can't be taken down leaves for good.
-			s.log.Info("machine of a wave leaves", "wave", m.Wave, "machine", m.Machine)
-			s.endUpkeep(m)
+			s.endWithoutUpkeep(m, "leaves")
 		}
 	}
 }
 
-// endUpkeep commits that nothing more is to be done for a machine of a wave.
-func (s *session) endUpkeep(m ledger.UpkeepTransition) {
+// endWithoutUpkeep commits that a wave ends without the upkeep of a machine, and releases the machine.
+func (s *session) endWithoutUpkeep(m ledger.UpkeepTransition, reason string) {
+	s.log.Info("machine of a wave has no upkeep", "wave", m.Wave, "machine", m.Machine, "reason", reason)
+	s.engine.mu.Lock()
+	s.releaseFromUpkeepLocked(m.Machine)
+	s.engine.mu.Unlock()
 	m.Phase = ledger.UpkeepDone
 	if _, err := s.propose(&ledger.Command{Upkeep: []ledger.UpkeepTransition{m}}); err != nil {
 		s.log.Warn("upkeep progress not committed", "wave", m.Wave, "machine", m.Machine, "error", err)
