A missing machine is checked by reads of the list of their own

Operators would see: `machine of a wave has no upkeep: reason=leaves`, and a wave that is `completed` (MIXED), for a machine that only two reads of the platform's list lacked. A list read while it changes may lack a machine for a moment.

Cause: the time for which a machine is missing ran on after the read, on a list up to 10 s old. The first check, 6 s after the machine was found missing, rested on the read that had found it missing, and the second on one more.

Evidence: TestMissingMachineIsCheckedAfterNewRead on the code before: machines_test.go:178: expected 0s ≥ 6s the order that asks for the machine followed the first read without another one. It passes now: the order follows a read 6 s later.

Change: the time counts from request to request of the lists that lack the machine, and the leader reads the list again when the time is up. Three reads now lie behind a machine that leaves, in the 12 s of before. The cost is one more read of the list each 6 s while a machine of an open wave is missing.

Ruled out: that both checks rest on one list. They are 12 s apart and no list is used for longer than 10 s; if it can't be read, the wave makes no check.

--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -26,11 +26,14 @@
 	// answers are the answers to orders for machines that are neither gone nor busy; the others are accepted.
 	answers map[string]MachineAnswer
 	orders  []string
+	// listedAt are the times of the calls of List.
+	listedAt []time.Duration
 }
 
 func (f *fakeMachines) List(context.Context, string) ([]Machine, string, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.listedAt = append(f.listedAt, boottime.Now())
 	var list []Machine
 	for _, m := range f.list {
 		if !f.hidden[m.Name] && !f.gone[m.Name] {
@@ -163,6 +166,18 @@
 	}
 }
 
+// Guards against a machine that counts as missing for missingTimeout by one read of the list that is used twice.
+func TestMissingMachineIsCheckedAfterNewRead(t *testing.T) {
+	m := &fakeMachines{hidden: map[string]bool{"m1": true}, busy: map[string]bool{"m1": true}}
+	r := newMachineRig(t, m)
+	wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+	must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
+	r.until(func() bool { return len(m.ordered()) == 1 })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	must.GreaterEq(t, missingTimeout, m.listedAt[len(m.listedAt)-1]-m.listedAt[0])
+}
+
 // A server on which a lasting task starts is asked often until the task works in full, as others of its step can be stopped
 // only after that; other servers are asked at the usual interval.
 func TestStartOfLastingTaskIsSeenSoon(t *testing.T) {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -83,8 +83,8 @@
 	// order for an upkeep.
 	upkeepServer     map[string]string
 	upkeepAcceptedAt map[upkeepKey]time.Duration
-	// missingSince is since when a machine of a wave has been missing from the platform's list, or when that last led to a
-	// check by an upkeep order.
+	// missingSince is when the first of the platform's lists that lacked a machine of a wave was requested, or the one that
+	// last led to a check by an upkeep order.
 	missingSince map[string]time.Duration
 	// missingChecks counts how often in a row such a machine was found missing for missingTimeout.
 	missingChecks map[string]int
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -91,7 +91,7 @@
 			return
 		}
 	}
-	s.orderUpkeeps(number, s.planWave(number, byName), byName)
+	s.orderUpkeeps(number, s.planWave(number, byName, requestedAt), byName)
 }
 
 // returnedMachines returns the machines of a wave whose upkeep is over: the platform lists them as up in a read that
@@ -131,8 +131,9 @@
 	delete(s.missingChecks, name)
 }
 
-// planWave reserves machines, stops lasting tasks on them and returns the machines to take down now.
-func (s *session) planWave(number int64, byName map[string]Machine) []string {
+// planWave reserves machines, stops lasting tasks on them and returns the machines to take down now. requestedAt is when the
+// list of machines was requested.
+func (s *session) planWave(number int64, byName map[string]Machine, requestedAt time.Duration) []string {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	w := s.engine.ledger.Wave(number)
@@ -144,7 +145,7 @@
 			continue
 		}
 		if !known {
-			if s.missingTooLongLocked(name) {
+			if s.missingTooLongLocked(name, requestedAt) {
 				recheck = append(recheck, name)
 			}
 			continue
@@ -177,19 +178,19 @@
 	return append(recheck, d.Order...)
 }
 
-// missingTooLongLocked reports whether a machine has been missing from the platform's list for so long that an
-// upkeep order is to be sent, whose answer tells whether it still exists.
-func (s *session) missingTooLongLocked(name string) bool {
-	now := boottime.Now()
+// missingTooLongLocked reports whether a machine that the list requested at requestedAt lacks has been missing for so long
+// that an upkeep order is to be sent, whose answer tells whether it still exists. If not, it schedules the next read.
+func (s *session) missingTooLongLocked(name string, requestedAt time.Duration) bool {
 	since, ok := s.missingSince[name]
 	if !ok {
-		s.missingSince[name] = now
-		return false
+		since = requestedAt
+		s.missingSince[name] = since
 	}
-	if now-since < missingTimeout {
+	if requestedAt-since < missingTimeout {
+		s.scheduleRefreshLocked(since + missingTimeout - boottime.Now())
 		return false
 	}
-	s.missingSince[name] = now
+	s.missingSince[name] = requestedAt
 	s.missingChecks[name]++
 	return true
 }
