A machine that the list lacks counts for the bound of its wave

Operators would see: more machines of a wave down for their upkeep than its bound allows (LIMIT), where the platform's list has lacked one of them for 6 s and it is up nevertheless.

Cause: the order that asks whether a missing machine still exists was sent besides the plan of the wave, as if it could not be carried out. The platform may accept it.

Change: a machine that has been missing for long goes into the plan as an idle one, so that its order takes a place below the bound. As for listed machines, it waits while another leader's order may still be under way. A check counts when its order is planned.

Ruled out: machines whose order was committed before. They have their place already and are asked again at once.

--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -178,6 +178,27 @@
 	must.GreaterEq(t, missingTimeout, m.listedAt[len(m.listedAt)-1]-m.listedAt[0])
 }
 
+// Guards against an upkeep beyond the bound of a wave: a machine that the list lacks may exist and begin its upkeep.
+func TestMissingMachineCountsForBoundOfWave(t *testing.T) {
+	m := &fakeMachines{
+		list:   []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}, {Name: "m2", Pool: "p", State: MachineUp, Server: "b"}},
+		hidden: map[string]bool{"m2": true},
+	}
+	r := newMachineRig(t, m)
+	wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1", "m2"}, DurationMS: 10_000, Bound: 1}
+	must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
+	r.until(func() bool { return len(m.ordered()) == 1 })
+	m.mu.Lock()
+	m.list[0].State = MachineUpkeep
+	m.mu.Unlock()
+	time.Sleep(missingTimeout + 2*waveCheckInterval + minRefreshInterval)
+	must.Eq(t, []string{"upkeep m1"}, m.ordered())
+	m.mu.Lock()
+	m.list[0].State = MachineUp
+	m.mu.Unlock()
+	r.until(func() bool { return len(m.ordered()) == 2 })
+}
+
 // A server on which a lasting task starts is asked often until the task works in full, as others of its step can be stopped
 // only after that; other servers are asked at the usual interval.
 func TestStartOfLastingTaskIsSeenSoon(t *testing.T) {
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -145,8 +145,12 @@
 			continue
 		}
 		if !known {
-			if s.missingTooLongLocked(name, requestedAt) {
+			switch {
+			case !s.missingTooLongLocked(name, requestedAt) || !s.mayOrderMachineLocked(name):
+			case w.Phases[name] == ledger.UpkeepOrdered:
 				recheck = append(recheck, name)
+			default:
+				due = append(due, upkeep.Machine{Name: name, Orderable: true}) // the order may find it up
 			}
 			continue
 		}
@@ -175,7 +179,9 @@
 			s.stopLastingLocked(s.upkeepServer[name], free)
 		}
 	}
-	return append(recheck, d.Order...)
+	order := append(recheck, d.Order...)
+	s.countMissingChecksLocked(order, byName, requestedAt)
+	return order
 }
 
 // missingTooLongLocked reports whether a machine that the list requested at requestedAt lacks has been missing for so long
@@ -190,11 +196,19 @@
 		s.scheduleRefreshLocked(since + missingTimeout - boottime.Now())
 		return false
 	}
-	s.missingSince[name] = requestedAt
-	s.missingChecks[name]++
 	return true
 }
 
+// countMissingChecksLocked counts a check for each machine to be ordered that the list requested at requestedAt lacks.
+func (s *session) countMissingChecksLocked(order []string, byName map[string]Machine, requestedAt time.Duration) {
+	for _, name := range order {
+		if _, known := byName[name]; !known {
+			s.missingSince[name] = requestedAt
+			s.missingChecks[name]++
+		}
+	}
+}
+
 // describeMachineLocked returns the input of upkeep.Next for a machine.
 func (s *session) describeMachineLocked(m Machine) upkeep.Machine {
 	d := upkeep.Machine{PoolInDemand: s.forecast.InTurn(m.Pool), Name: m.Name, Orderable: s.orderableLocked(m) && s.mayOrderMachineLocked(m.Name), Reserved: s.upkeepServer[m.Name] != "" && s.reserved[m.Server]}
