A server is gone only if the list shows that an upkeep replaced it

Operators would see: a backend server that announces itself gets no work for the rest of the leader's term (`jobs status` shows it as leaving), after its machine's upkeep order was carried out without an answer and then sent again.

Cause: the platform acknowledges an upkeep that is already over as well. The leader took each acknowledgement as the end of the server that the list showed at that moment, which may have started after the upkeep.

The test passes now.

Change: the old server counts as gone when a list requested after the acknowledgement shows the machine up with another one. Until then it is reserved, so it gets no work either way.

Ruled out: moves, which set the same mark. A move is repeated only if a list requested after the first order shows the old pool, so that an order that was already carried out has ended the server which the leader knows.

--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -199,6 +199,27 @@
 	r.until(func() bool { return len(m.ordered()) == 2 })
 }
 
+// Guards against a server that counts as gone for good because the platform acknowledged its machine's upkeep once more:
+// it had started after that upkeep and got no work. A server that the upkeep replaced is gone.
+func TestServerIsGoneOnlyIfUpkeepReplacedIt(t *testing.T) {
+	for _, after := range []string{"a", "b"} {
+		m := &fakeMachines{list: []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}}}
+		r := newMachineRig(t, m)
+		wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+		must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
+		r.until(func() bool { return len(m.ordered()) == 1 })
+		m.mu.Lock()
+		m.list[0].Server = after
+		m.mu.Unlock()
+		r.until(func() bool { return r.do(&Call{Op: OpWaveState, Wave: wave}).WaveCompleted })
+		s := r.d.session.Load()
+		s.engine.mu.Lock()
+		left := s.fleet.Get("a").Left
+		s.engine.mu.Unlock()
+		must.EqOp(t, after != "a", left, must.Sprintf("server after the upkeep: %s", after))
+	}
+}
+
 // A server on which a lasting task starts is asked often until the task works in full, as others of its step can be stopped
 // only after that; other servers are asked at the usual interval.
 func TestStartOfLastingTaskIsSeenSoon(t *testing.T) {
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -110,6 +110,10 @@
 			// exists.
 		case w.Phases[name] == ledger.UpkeepOrdered && m.State == MachineUp && s.upkeepAcceptedLocked(number, name) && requestedAt > s.upkeepAcceptedAt[upkeepKey{number, name}]:
 			s.log.Info("machine is back from its upkeep", "wave", number, "machine", name, "server", m.Server)
+			// An order is also accepted if the upkeep is over already: the server may have started after it.
+			if old := s.fleet.Get(s.upkeepServer[name]); old != nil && old.ID != m.Server {
+				old.Left = true
+			}
 			s.releaseFromUpkeepLocked(name)
 			marks = append(marks, ledger.UpkeepTransition{Wave: number, Machine: name, Phase: ledger.UpkeepDone})
 		}
@@ -324,9 +328,6 @@
 		s.engine.mu.Lock()
 		s.upkeepAcceptedAt[upkeepKey{m.Wave, m.Machine}] = boottime.Now()
 		s.scheduleRefreshLocked(refreshDelay)
-		if old := s.fleet.Get(server); old != nil {
-			old.Left = true
-		}
 		s.engine.mu.Unlock()
 	case MachineNotInWave, MachineRefused:
 		s.endWithoutUpkeep(m, answer.String())
