--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -23,12 +23,17 @@
 	hidden map[string]bool // machines missing from the list
 	gone   map[string]bool // machines that no longer exist
 	busy   map[string]bool // machines that refuse orders for now
-	orders []string
+	// answers are the answers to orders for machines that are neither gone nor busy; the others are accepted.
+	answers map[string]MachineAnswer
+	orders  []string
+	// listedAt are the times of the calls of List.
+	listedAt []time.Duration
 }
 
 func (f *fakeMachines) List(context.Context, string) ([]Machine, string, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.listedAt = append(f.listedAt, boottime.Now())
 	var list []Machine
 	for _, m := range f.list {
 		if !f.hidden[m.Name] && !f.gone[m.Name] {
@@ -48,7 +53,7 @@
 	if f.busy[name] {
 		return MachineBusy
 	}
-	return MachineAccepted
+	return f.answers[name]
 }
 
 func (f *fakeMachines) Move(_ context.Context, _ Holder, machine, pool string) (MachineAnswer, error) {
@@ -118,6 +123,103 @@
 	}
 }
 
+// Guards against a later wave that counts the accepted order of an earlier one as its own: it was completed although the
+// platform had carried out none of its orders.
+func TestAcceptedUpkeepCountsForItsWaveOnly(t *testing.T) {
+	m := &fakeMachines{list: []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}}, busy: make(map[string]bool)}
+	r := newMachineRig(t, m)
+	first := &ledger.WaveOrder{Number: 1, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+	must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: first}).Outcome)
+	r.until(func() bool { return r.do(&Call{Op: OpWaveState, Wave: first}).WaveCompleted })
+	must.Eq(t, []string{"upkeep m1"}, m.ordered())
+	setBusy := func(busy bool) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.busy["m1"] = busy
+	}
+	setBusy(true)
+	second := &ledger.WaveOrder{Number: 2, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+	must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: second}).Outcome)
+	completed := func() bool { return r.do(&Call{Op: OpWaveState, Wave: second}).WaveCompleted }
+	r.until(func() bool { return completed() || len(m.ordered()) >= 4 })
+	must.False(t, completed(), must.Sprintf("orders: %v", m.ordered()))
+	setBusy(false)
+	r.until(completed)
+}
+
+// Guards against a machine that stays reserved for good after the platform answered that it isn't of the wave or doesn't
+// exist: its server got no work and its pool lacked it.
+func TestMachineWithoutUpkeepIsUsedAgain(t *testing.T) {
+	for _, answer := range []MachineAnswer{MachineNotInWave, MachineRefused} {
+		listed := Machine{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}
+		r := newMachineRig(t, &fakeMachines{list: []Machine{listed}, answers: map[string]MachineAnswer{"m1": answer}})
+		wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+		must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
+		r.until(func() bool { return r.do(&Call{Op: OpWaveState, Wave: wave}).WaveCompleted })
+		s := r.d.session.Load()
+		s.engine.mu.Lock()
+		movable := s.movableLocked(listed, boottime.Now())
+		s.engine.mu.Unlock()
+		must.True(t, movable, must.Sprint(answer))
+		r.submit("j", ledger.Step{Count: 2, Spread: 1, Need: ledger.Resources{CPU: 100}})
+		r.until(func() bool { return len(r.servers.runs("a")) == 1 && len(r.servers.runs("b")) == 1 })
+	}
+}
+
+// Guards against a machine that counts as missing for missingTimeout by one read of the list that is used twice.
+func TestMissingMachineIsCheckedAfterNewRead(t *testing.T) {
+	m := &fakeMachines{hidden: map[string]bool{"m1": true}, busy: map[string]bool{"m1": true}}
+	r := newMachineRig(t, m)
+	wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+	must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
+	r.until(func() bool { return len(m.ordered()) == 1 })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	must.GreaterEq(t, missingTimeout, m.listedAt[len(m.listedAt)-1]-m.listedAt[0])
+}
+
+// Guards against an upkeep beyond the bound of a wave: a machine that the list lacks may exist and begin its upkeep.
+func TestMissingMachineCountsForBoundOfWave(t *testing.T) {
+	m := &fakeMachines{
+		list:   []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}, {Name: "m2", Pool: "p", State: MachineUp, Server: "b"}},
+		hidden: map[string]bool{"m2": true},
+	}
+	r := newMachineRig(t, m)
+	wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1", "m2"}, DurationMS: 10_000, Bound: 1}
+	must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
+	r.until(func() bool { return len(m.ordered()) == 1 })
+	m.mu.Lock()
+	m.list[0].State = MachineUpkeep
+	m.mu.Unlock()
+	time.Sleep(missingTimeout + 2*waveCheckInterval + minRefreshInterval)
+	must.Eq(t, []string{"upkeep m1"}, m.ordered())
+	m.mu.Lock()
+	m.list[0].State = MachineUp
+	m.mu.Unlock()
+	r.until(func() bool { return len(m.ordered()) == 2 })
+}
+
+// Guards against a server that counts as gone for good because the platform acknowledged its machine's upkeep once more:
+// it had started after that upkeep and got no work. A server that the upkeep replaced is gone.
+func TestServerIsGoneOnlyIfUpkeepReplacedIt(t *testing.T) {
+	for _, after := range []string{"a", "b"} {
+		m := &fakeMachines{list: []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}}}
+		r := newMachineRig(t, m)
+		wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
+		must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
+		r.until(func() bool { return len(m.ordered()) == 1 })
+		m.mu.Lock()
+		m.list[0].Server = after
+		m.mu.Unlock()
+		r.until(func() bool { return r.do(&Call{Op: OpWaveState, Wave: wave}).WaveCompleted })
+		s := r.d.session.Load()
+		s.engine.mu.Lock()
+		left := s.fleet.Get("a").Left
+		s.engine.mu.Unlock()
+		must.EqOp(t, after != "a", left, must.Sprintf("server after the upkeep: %s", after))
+	}
+}
+
 // A server on which a lasting task starts is asked often until the task works in full, as others of its step can be stopped
 // only after that; other servers are asked at the usual interval.
 func TestStartOfLastingTaskIsSeenSoon(t *testing.T) {
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -256,7 +256,7 @@
 	if !s.orderableLocked(m) || !s.mayOrderMachineLocked(m.Name) || upkeep || now < s.moveNotBefore[m.Name] {
 		return false
 	}
-	if _, moving := s.movedAt[m.Name]; moving || s.upkeepAcceptedAt[m.Name] > s.cachedMachines.lastRequested() {
+	if _, moving := s.movedAt[m.Name]; moving {
 		return false // the list doesn't show the result of its last order yet
 	}
 	if m.Server == "" {
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -22,6 +22,12 @@
 	waveCheckInterval = 200 * time.Millisecond
 )
 
+// upkeepKey identifies the upkeep of a machine in a wave.
+type upkeepKey struct {
+	wave    int64
+	machine string
+}
+
 // upkeepLoop carries out maintenance waves.
 func (s *session) upkeepLoop() {
 	ticker := time.NewTicker(waveCheckInterval)
@@ -85,7 +91,7 @@
 			return
 		}
 	}
-	s.orderUpkeeps(number, s.planWave(number, byName), byName)
+	s.orderUpkeeps(number, s.planWave(number, byName, requestedAt), byName)
 }
 
 // returnedMachines returns the machines of a wave whose upkeep is over: the platform lists them as up in a read that
@@ -102,18 +108,36 @@
 		case !known:
 			// A list may lack a machine temporarily. Only the answer to an upkeep order tells whether it still
 			// exists.
-		case w.Phases[name] == ledger.UpkeepOrdered && m.State == MachineUp && s.upkeepAcceptedAt[name] > 0 && requestedAt > s.upkeepAcceptedAt[name]:
+		case w.Phases[name] == ledger.UpkeepOrdered && m.State == MachineUp && s.upkeepAcceptedLocked(number, name) && requestedAt > s.upkeepAcceptedAt[upkeepKey{number, name}]:
 			s.log.Info("machine is back from its upkeep", "wave", number, "machine", name, "server", m.Server)
-			delete(s.reserved, s.upkeepServer[name])
-			delete(s.upkeepServer, name)
+			// An order is also accepted if the upkeep is over already: the server may have started after it.
+			if old := s.fleet.Get(s.upkeepServer[name]); old != nil && old.ID != m.Server {
+				old.Left = true
+			}
+			s.releaseFromUpkeepLocked(name)
 			marks = append(marks, ledger.UpkeepTransition{Wave: number, Machine: name, Phase: ledger.UpkeepDone})
 		}
 	}
 	return marks
 }
 
-// planWave reserves machines, stops lasting tasks on them and returns the machines to take down now.
-func (s *session) planWave(number int64, byName map[string]Machine) []string {
+// upkeepAcceptedLocked reports whether the platform has accepted an order of this leader for a machine's upkeep in a wave.
+func (s *session) upkeepAcceptedLocked(wave int64, machine string) bool {
+	_, accepted := s.upkeepAcceptedAt[upkeepKey{wave, machine}]
+	return accepted
+}
+
+// releaseFromUpkeepLocked makes a machine available again and forgets for how long the platform's list has lacked it.
+func (s *session) releaseFromUpkeepLocked(name string) {
+	delete(s.reserved, s.upkeepServer[name])
+	delete(s.upkeepServer, name)
+	delete(s.missingSince, name)
+	delete(s.missingChecks, name)
+}
+
+// planWave reserves machines, stops lasting tasks on them and returns the machines to take down now. requestedAt is when the
+// list of machines was requested.
+func (s *session) planWave(number int64, byName map[string]Machine, requestedAt time.Duration) []string {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	w := s.engine.ledger.Wave(number)
@@ -125,15 +149,19 @@
 			continue
 		}
 		if !known {
-			if s.missingTooLongLocked(name) {
+			switch {
+			case !s.missingTooLongLocked(name, requestedAt) || !s.mayOrderMachineLocked(name):
+			case w.Phases[name] == ledger.UpkeepOrdered:
 				recheck = append(recheck, name)
+			default:
+				due = append(due, upkeep.Machine{Name: name, Orderable: true}) // the order may find it up
 			}
 			continue
 		}
 		delete(s.missingSince, name)
 		delete(s.missingChecks, name)
 		if w.Phases[name] == ledger.UpkeepOrdered {
-			if s.upkeepAcceptedAt[name] == 0 && s.orderableLocked(m) && s.mayOrderMachineLocked(name) {
+			if !s.upkeepAcceptedLocked(number, name) && s.orderableLocked(m) && s.mayOrderMachineLocked(name) {
 				recheck = append(recheck, name) // already ordered, by this leader or an earlier one, but not answered
 				s.reserved[m.Server], s.upkeepServer[name] = true, m.Server
 			}
@@ -151,30 +179,40 @@
 	}
 	free := schedule.NewFreeCapacity(s.planInputLocked())
 	for _, name := range w.Machines {
-		if s.upkeepAcceptedAt[name] == 0 && w.Phases[name] != ledger.UpkeepDone {
+		if !s.upkeepAcceptedLocked(number, name) && w.Phases[name] != ledger.UpkeepDone {
 			s.stopLastingLocked(s.upkeepServer[name], free)
 		}
 	}
-	return append(recheck, d.Order...)
+	order := append(recheck, d.Order...)
+	s.countMissingChecksLocked(order, byName, requestedAt)
+	return order
 }
 
-// missingTooLongLocked reports whether a machine has been missing from the platform's list for so long that an
-// upkeep order is to be sent, whose answer tells whether it still exists.
-func (s *session) missingTooLongLocked(name string) bool {
-	now := boottime.Now()
+// missingTooLongLocked reports whether a machine that the list requested at requestedAt lacks has been missing for so long
+// that an upkeep order is to be sent, whose answer tells whether it still exists. If not, it schedules the next read.
+func (s *session) missingTooLongLocked(name string, requestedAt time.Duration) bool {
 	since, ok := s.missingSince[name]
 	if !ok {
-		s.missingSince[name] = now
-		return false
+		since = requestedAt
+		s.missingSince[name] = since
 	}
-	if now-since < missingTimeout {
+	if requestedAt-since < missingTimeout {
+		s.scheduleRefreshLocked(since + missingTimeout - boottime.Now())
 		return false
 	}
-	s.missingSince[name] = now
-	s.missingChecks[name]++
 	return true
 }
 
+// countMissingChecksLocked counts a check for each machine to be ordered that the list requested at requestedAt lacks.
+func (s *session) countMissingChecksLocked(order []string, byName map[string]Machine, requestedAt time.Duration) {
+	for _, name := range order {
+		if _, known := byName[name]; !known {
+			s.missingSince[name] = requestedAt
+			s.missingChecks[name]++
+		}
+	}
+}
+
 // describeMachineLocked returns the input of upkeep.Next for a machine.
 func (s *session) describeMachineLocked(m Machine) upkeep.Machine {
 	d := upkeep.Machine{PoolInDemand: s.forecast.InTurn(m.Pool), Name: m.Name, Orderable: s.orderableLocked(m) && s.mayOrderMachineLocked(m.Name), Reserved: s.upkeepServer[m.Name] != "" && s.reserved[m.Server]}
@@ -288,25 +326,25 @@
 	switch answer {
 	case MachineAccepted:
 		s.engine.mu.Lock()
-		s.upkeepAcceptedAt[m.Machine] = boottime.Now()
+		s.upkeepAcceptedAt[upkeepKey{m.Wave, m.Machine}] = boottime.Now()
 		s.scheduleRefreshLocked(refreshDelay)
-		if old := s.fleet.Get(server); old != nil {
-			old.Left = true
-		}
 		s.engine.mu.Unlock()
 	case MachineNotInWave, MachineRefused:
-		s.endUpkeep(m)
+		s.endWithoutUpkeep(m, answer.String())
 	case MachineBusy:
 		if s.hasLeft(m.Machine) {
 			// The list shows machines in every state, so one that it lacks and that can't be taken down leaves for good.
-			s.log.Info("machine of a wave leaves", "wave", m.Wave, "machine", m.Machine)
-			s.endUpkeep(m)
+			s.endWithoutUpkeep(m, "leaves")
 		}
 	}
 }
 
-// endUpkeep commits that nothing more is to be done for a machine of a wave.
-func (s *session) endUpkeep(m ledger.UpkeepTransition) {
+// endWithoutUpkeep commits that a wave ends without the upkeep of a machine, and releases the machine.
+func (s *session) endWithoutUpkeep(m ledger.UpkeepTransition, reason string) {
+	s.log.Info("machine of a wave has no upkeep", "wave", m.Wave, "machine", m.Machine, "reason", reason)
+	s.engine.mu.Lock()
+	s.releaseFromUpkeepLocked(m.Machine)
+	s.engine.mu.Unlock()
 	m.Phase = ledger.UpkeepDone
 	if _, err := s.propose(&ledger.Command{Upkeep: []ledger.UpkeepTransition{m}}); err != nil {
 		s.log.Warn("upkeep progress not committed", "wave", m.Wave, "machine", m.Machine, "error", err)
