A start whose commit gave no result is asked after

Cause: when the proposal of starts fails, the planner forgets its orders. The starts may have been committed all the same: the result came too late, or was lost. commandApplied asks the server of such a start only if it finds no order, and while the proposal waits it still finds one. If nothing else runs on the server, no hold call goes to it, and the run counts as live for good.

Change: after a failed proposal the servers of starts that are live in the ledger are asked; their reports don't list the runs, which closes them.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -142,6 +142,19 @@
 	must.Greater(t, 4*2, f.servers["a"].ignored)
 }
 
+// Guards against a task that waits without end because its start was committed and the leader took it for not committed: no
+// order was sent, and an idle server was asked nothing.
+func TestStartWithLostCommitResultIsPlannedAgain(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	r.log.mu.Lock()
+	r.log.loseResult = true
+	r.log.mu.Unlock()
+	r.submit("j", small)
+	r.until(func() bool { return len(f.runs("a")) == 1 })
+	must.Eq(t, key("j", 0, 2), f.runs("a")[0])
+}
+
 // A server that rejected a start for lack of room is not asked again at once.
 func TestStartBacksOffAfterRefusal(t *testing.T) {
 	f := newFakeServers("a")
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"slices"
@@ -27,6 +28,8 @@
 	status replica.Status
 	// lost is the number of next commands that are not committed.
 	lost int
+	// loseResult is set if the next command with starts is committed and its result is lost.
+	loseResult bool
 }
 
 func (f *fakeLog) Status() replica.Status {
@@ -48,7 +51,12 @@
 		return nil, 0, replica.ErrOutcomeUnknown
 	}
 	f.index++
-	return f.engine.Apply(f.index, command), f.index, nil
+	result := f.engine.Apply(f.index, command)
+	if f.loseResult && bytes.Contains(command, []byte(`"Starts"`)) {
+		f.loseResult = false
+		return nil, 0, replica.ErrOutcomeUnknown
+	}
+	return result, f.index, nil
 }
 
 // loseNext makes the next command fail without being committed.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -121,7 +121,18 @@
 	}
 }
 
-func (s *session) discardOrders(starts []ledger.Start) { s.discardOrdersExcept(starts, nil) }
+// discardOrders forgets orders that won't be sent. A start may have been committed all the same; then a report of its server
+// closes the run.
+func (s *session) discardOrders(starts []ledger.Start) {
+	s.discardOrdersExcept(starts, nil)
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	for _, st := range starts {
+		if _, t := s.engine.ledger.Task(st.Task); t != nil && t.Phase == ledger.Live && t.Run == st.Run {
+			s.ensureHoldLoopLocked(st.Worker)
+		}
+	}
+}
 
 func (s *session) discardOrdersExcept(starts, committed []ledger.Start) {
 	keep := make(map[runKey]bool, len(committed))
