Upkeep isn't ordered on machines that move or still have runs

Moves are known as under way before they are sent; no upkeep is ordered beside one, and a refused one leaves a reservation for upkeep alone (TestNoUpkeepIsOrderedBesideMove: one order before). - A machine that the platform's list lacked was taken for idle, and its upkeep ordered over live runs. The server that it was last listed with counts (TestMissingMachineWithRunsIsNotTakenDown: one order before). - That server's reservation was overwritten and so never lifted (TestReservationEndsWithUpkeepOfMissingMachine: timed out before). - Machines that left for good took places below the wave's bound before all others. They come last (TestDepartedMachinesAreAskedLast). Open: one that is answered busy still holds its place until the second check, 6 s later.

The fault is injected when the start arrives, so that a report can't come between. Refusals are answers to starts, and only the incarnation that was asked is blamed for one that went unanswered.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -104,7 +104,8 @@
 	holds               []HoldOrder
 	figures             map[ledger.TaskID]int64 // reported for running tasks
 	paces               []PaceOrder
-	unansweredPaces     int // number of pace calls that get no answer next
+	beforeStart         func() // called, with mu held, when the next start arrives
+	unansweredPaces     int    // number of pace calls that get no answer next
 }
 
 func newFakeServers(ids ...string) *fakeServers {
@@ -137,6 +138,10 @@
 func (f *fakeServers) Start(_ context.Context, to Target, o StartOrder) (StartAnswer, int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.beforeStart != nil {
+		f.beforeStart()
+		f.beforeStart = nil
+	}
 	s, err := f.get(to)
 	if errors.Is(err, ErrMisdirected) {
 		return StartMisdirected, 0, nil
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -29,6 +29,8 @@
 	requestedAt time.Duration
 	list        []Machine
 	byName      map[string]Machine
+	// servers holds the server that each machine was last listed with, also of machines that the newest list lacks.
+	servers map[string]string
 }
 
 // lastRequested returns when the list was requested.
@@ -55,11 +57,25 @@
 func (v *machineCache) replace(list []Machine, byName map[string]Machine, requestedAt time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if requestedAt > v.requestedAt {
-		v.list, v.byName, v.requestedAt = list, byName, requestedAt
+	if requestedAt <= v.requestedAt {
+		return
+	}
+	v.list, v.byName, v.requestedAt = list, byName, requestedAt
+	if v.servers == nil {
+		v.servers = make(map[string]string)
+	}
+	for _, m := range list {
+		v.servers[m.Name] = m.Server
 	}
 }
 
+// lastServer returns the server that a machine was last listed with; empty if there was none.
+func (v *machineCache) lastServer(machine string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.servers[machine]
+}
+
 // snapshot returns the machines by name and when the list was requested.
 func (v *machineCache) snapshot() (map[string]Machine, time.Duration) {
 	v.mu.Lock()
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -125,6 +125,7 @@
 	s.log.Info("order refused", "task", st.Task, "run", st.Run, "server", st.Worker, "answer", answer)
 	s.stats.refused.Inc(1)
 	if server := s.fleet.Get(st.Worker); server != nil {
+		server.StartAnswered()
 		server.AvoidUntil = now + startBackoff
 		if answer == StartUnhealthy {
 			server.Health.Failed(now)
@@ -146,7 +147,7 @@
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	s.log.Warn("order unanswered; it may be carried out", "task", st.Task, "run", st.Run, "server", st.Worker, "error", err)
-	if server := s.fleet.Get(st.Worker); server != nil {
+	if server := s.fleet.Get(st.Worker); server != nil && server.Born == st.Born {
 		server.Unanswered(now)
 		if server.StartUnanswered(now, callTimeout) {
 			server.AvoidUntil = now + startBackoff
--- a/internal/dispatch/pending_test.go
+++ b/internal/dispatch/pending_test.go
@@ -13,6 +13,16 @@
 	return r.do(&Call{Op: OpPending, Host: "h", Path: "/q/"}).Pending
 }
 
+// replaceLeader waits until the instance leads in the next term.
+func (r *rig) replaceLeader() {
+	r.t.Helper()
+	r.log.lead(2)
+	r.until(func() bool {
+		s := r.d.activeSession()
+		return s != nil && s.holder.Fence == 2
+	})
+}
+
 // ordered reports whether a run of a job's first task has been ordered.
 func (r *rig) ordered(job string) bool {
 	r.engine.mu.Lock()
@@ -39,15 +49,14 @@
 			r.submit("running", small)
 			r.until(func() bool { return len(f.runs("a")) == 1 && r.pending() == 0 })
 			f.mu.Lock()
-			c.set(f)
+			f.beforeStart = func() { c.set(f) }
 			f.mu.Unlock()
 			r.submit("waiting", small)
 			r.until(func() bool { return r.ordered("waiting") })
 			must.EqOp(t, 1, r.pending())
 			must.EqOp(t, ledger.Queued, r.state("waiting"))
 			must.MapContainsKey(t, r.do(&Call{Op: OpStatus}).Status.Pending, "q")
-			r.log.lead(2)
-			r.until(r.d.Leads)
+			r.replaceLeader()
 			must.GreaterEq(t, 1, r.pending())
 			must.EqOp(t, ledger.Queued, r.state("waiting"))
 		})
@@ -98,8 +107,7 @@
 			})
 			must.EqOp(t, 0, r.pending())
 			must.EqOp(t, ledger.Running, r.state("j"))
-			r.log.lead(2)
-			r.until(r.d.Leads)
+			r.replaceLeader()
 			must.EqOp(t, 0, r.pending())
 			must.EqOp(t, ledger.Running, r.state("j"))
 		})
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -120,8 +120,10 @@
 		return true
 	}
 	s.log.Warn("moves not committed", "moves", len(moves), "error", err)
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
 	for _, m := range moves {
-		s.unreserve(s.cachedMachines.get(m.Machine).Server)
+		s.abandonMoveLocked(m.Machine, s.cachedMachines.get(m.Machine).Server)
 	}
 	return false
 }
@@ -175,6 +177,7 @@
 	demand := s.demandLocked(index.Config().Pools)
 	moves := s.pools.Plan(now, demand, list, s.machineCPU)
 	for _, m := range moves {
+		s.movesInFlight[m.Machine] = true
 		if server := s.cachedMachines.get(m.Machine).Server; server != "" {
 			s.reserved[server] = true
 		}
@@ -212,8 +215,14 @@
 	delete(s.movedAt, m.Name)
 	delete(s.movedTo, m.Name)
 	delete(s.moveUnanswered, m.Name)
-	if _, upkeep := s.upkeepServer[m.Name]; !upkeep {
-		delete(s.reserved, m.Server)
+	s.abandonMoveLocked(m.Name, m.Server)
+}
+
+// abandonMoveLocked lets the server of a machine that doesn't move take work, unless the machine is reserved for upkeep.
+func (s *session) abandonMoveLocked(machine, server string) {
+	delete(s.movesInFlight, machine)
+	if _, upkeep := s.upkeepServer[machine]; !upkeep {
+		delete(s.reserved, server)
 	}
 }
 
@@ -392,7 +401,9 @@
 func (s *session) moveMachine(m pools.Move) {
 	server := s.cachedMachines.get(m.Machine).Server
 	if !s.mayOrder() {
-		s.unreserve(server)
+		s.engine.mu.Lock()
+		defer s.engine.mu.Unlock()
+		s.abandonMoveLocked(m.Machine, server)
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, machineTimeout)
@@ -408,20 +419,15 @@
 	case answer == MachineAccepted:
 		delete(s.moveUnanswered, m.Machine)
 	default:
-		delete(s.reserved, server)
+		s.abandonMoveLocked(m.Machine, server)
 		s.moveNotBefore[m.Machine] = boottime.Now() + moveRefusalBackoff
 		s.scheduleRefreshLocked(minRefreshInterval)
 		return
 	}
+	delete(s.movesInFlight, m.Machine)
 	s.movedAt[m.Machine], s.movedTo[m.Machine] = boottime.Now(), m.To
 	s.scheduleRefreshLocked(refreshDelay)
 	if old := s.fleet.Get(server); old != nil && err == nil {
 		old.Left = true
 	}
 }
-
-func (s *session) unreserve(server string) {
-	s.engine.mu.Lock()
-	defer s.engine.mu.Unlock()
-	delete(s.reserved, server)
-}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -97,6 +97,8 @@
 	movedAt        map[string]time.Duration
 	movedTo        map[string]string
 	moveUnanswered map[string]bool
+	// movesInFlight are the machines whose move is planned or ordered and not answered yet.
+	movesInFlight map[string]bool
 	// moveNotBefore is when a machine that the platform refused to move may be ordered to move again.
 	moveNotBefore map[string]time.Duration
 	// machineCPU is the capacity of the largest server in millicores.
@@ -137,7 +139,7 @@
 		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[upkeepKey]time.Duration),
 		missingSince: make(map[string]time.Duration), missingChecks: make(map[string]int),
 		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
-		moveUnanswered: make(map[string]bool), moveNotBefore: make(map[string]time.Duration), cachedMachines: &machineCache{},
+		moveUnanswered: make(map[string]bool), moveNotBefore: make(map[string]time.Duration), cachedMachines: &machineCache{}, movesInFlight: make(map[string]bool),
 		loggedOutlooks: make(map[string]forecast.Outlook),
 		wake:           make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -149,19 +149,21 @@
 			continue
 		}
 		if !known {
+			missing := s.describeMachineLocked(Machine{Name: name, Server: s.cachedMachines.lastServer(name)})
+			missing.Missing, missing.Orderable = true, s.mayBeOrderedLocked(name) // the order may find it up
 			switch {
-			case !s.missingTooLongLocked(name, requestedAt) || !s.mayOrderMachineLocked(name):
-			case w.Phases[name] == ledger.UpkeepOrdered:
+			case !s.missingTooLongLocked(name, requestedAt):
+			case w.Phases[name] != ledger.UpkeepOrdered:
+				due = append(due, missing)
+			case missing.Orderable && missing.Runs == 0:
 				recheck = append(recheck, name)
-			default:
-				due = append(due, upkeep.Machine{Name: name, Orderable: true}) // the order may find it up
 			}
 			continue
 		}
 		delete(s.missingSince, name)
 		delete(s.missingChecks, name)
 		if w.Phases[name] == ledger.UpkeepOrdered {
-			if !s.upkeepAcceptedLocked(number, name) && s.orderableLocked(m) && s.mayOrderMachineLocked(name) {
+			if !s.upkeepAcceptedLocked(number, name) && s.orderableLocked(m) && s.mayBeOrderedLocked(name) {
 				recheck = append(recheck, name) // already ordered, by this leader or an earlier one, but not answered
 				s.reserved[m.Server], s.upkeepServer[name] = true, m.Server
 			}
@@ -171,11 +173,7 @@
 	}
 	d := upkeep.Next(w, time.Now().UnixMilli(), due)
 	for _, name := range d.Reserve {
-		server := byName[name].Server
-		if server != "" {
-			s.reserved[server] = true
-		}
-		s.upkeepServer[name] = server
+		s.reserveForUpkeepLocked(name)
 	}
 	free := schedule.NewFreeCapacity(s.planInputLocked())
 	for _, name := range w.Machines {
@@ -188,6 +186,22 @@
 	return order
 }
 
+// mayBeOrderedLocked reports whether this leader may order a machine's upkeep now: no order of another leader and no move
+// may still take effect.
+func (s *session) mayBeOrderedLocked(name string) bool {
+	return s.mayOrderMachineLocked(name) && !s.movesInFlight[name]
+}
+
+// reserveForUpkeepLocked keeps new work from the server that a machine was last listed with, and returns the server.
+func (s *session) reserveForUpkeepLocked(name string) string {
+	server := s.cachedMachines.lastServer(name)
+	if server != "" {
+		s.reserved[server] = true
+	}
+	s.upkeepServer[name] = server
+	return server
+}
+
 // missingTooLongLocked reports whether a machine that the list requested at requestedAt lacks has been missing for so long
 // that an upkeep order is to be sent, whose answer tells whether it still exists. If not, it schedules the next read.
 func (s *session) missingTooLongLocked(name string, requestedAt time.Duration) bool {
@@ -215,7 +229,7 @@
 
 // describeMachineLocked returns the input of upkeep.Next for a machine.
 func (s *session) describeMachineLocked(m Machine) upkeep.Machine {
-	d := upkeep.Machine{PoolInDemand: s.forecast.InTurn(m.Pool), Name: m.Name, Orderable: s.orderableLocked(m) && s.mayOrderMachineLocked(m.Name), Reserved: s.upkeepServer[m.Name] != "" && s.reserved[m.Server]}
+	d := upkeep.Machine{PoolInDemand: s.forecast.InTurn(m.Pool), Name: m.Name, Orderable: s.orderableLocked(m) && s.mayBeOrderedLocked(m.Name), Reserved: s.upkeepServer[m.Name] != "" && s.reserved[m.Server]}
 	for id, t := range s.engine.ledger.LiveOn(m.Server) {
 		step := &s.engine.ledger.Job(id.Job).Steps[id.Step]
 		d.Runs++
@@ -280,7 +294,7 @@
 // orderUpkeeps takes machines down. All orders are committed in one log entry before they are sent.
 func (s *session) orderUpkeeps(number int64, names []string, byName map[string]Machine) {
 	c := &ledger.Command{By: s.holder.Fence}
-	for _, name := range s.reserveAndPickIdle(names, byName) {
+	for _, name := range s.reserveAndPickIdle(names) {
 		c.Upkeep = append(c.Upkeep, ledger.UpkeepTransition{Wave: number, Machine: name, Phase: ledger.UpkeepOrdered})
 	}
 	if len(c.Upkeep) == 0 {
@@ -293,16 +307,16 @@
 	inParallel(c.Upkeep, func(m ledger.UpkeepTransition) { s.orderUpkeep(m, byName[m.Machine].Server) })
 }
 
-// reserveAndPickIdle reserves all named machines and returns those without live or planned runs.
-func (s *session) reserveAndPickIdle(names []string, byName map[string]Machine) (idle []string) {
+// reserveAndPickIdle reserves all named machines but those whose move is under way, and returns those without live or
+// planned runs.
+func (s *session) reserveAndPickIdle(names []string) (idle []string) {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	for _, name := range names {
-		server := byName[name].Server
-		s.upkeepServer[name] = server
-		if server != "" {
-			s.reserved[server] = true
+		if s.movesInFlight[name] {
+			continue
 		}
+		server := s.reserveForUpkeepLocked(name)
 		if server == "" || len(s.engine.ledger.LiveOn(server)) == 0 && s.planned[server] == 0 {
 			idle = append(idle, name)
 		}
--- a/internal/request/upkeep/upkeep.go
+++ b/internal/request/upkeep/upkeep.go
@@ -40,6 +40,8 @@
 	PoolInDemand bool
 	// Steps lists the steps whose lasting tasks run on the machine, once for each task.
 	Steps []LastingStep
+	// Missing is set if the platform's list lacks the machine. It may have left for good.
+	Missing bool
 	// Reserved is set if the machine gets no new work because it is being drained for the wave.
 	Reserved bool
 }
@@ -84,7 +86,7 @@
 	}
 	pressing := pressingSteps(w, nowMS, due)
 	for _, m := range due {
-		if !m.Orderable || m.Reserved || slices.Contains(d.Order, m.Name) {
+		if !m.Orderable || m.Reserved || m.Missing && m.Runs == 0 || slices.Contains(d.Order, m.Name) {
 			continue
 		}
 		if reserved < targetReserved || pressing.take(m) {
@@ -149,10 +151,11 @@
 	return nowMS+rounds*(downtimeMS+drainMS)+safetyMarginMS >= w.StartedMS+w.DurationMS
 }
 
-// compareMachines sorts reserved machines first, then those of pools with low demand, then those with the fewest lasting
+// compareMachines sorts missing machines last and, among the others, reserved machines first, then those of pools with low demand, then those with the fewest lasting
 // runs that may not be stopped, the fewest lasting runs and the lowest LongestTaskMS.
 func compareMachines(a, b Machine) int {
 	return cmp.Or(
+		cmp.Compare(boolRank(a.Missing), boolRank(b.Missing)),
 		cmp.Compare(boolRank(!a.Reserved), boolRank(!b.Reserved)),
 		cmp.Compare(boolRank(a.PoolInDemand), boolRank(b.PoolInDemand)),
 		cmp.Compare(a.Unstoppable, b.Unstoppable),
