Spec: checks common to several steps stand once in replacement.pml

Cause: the checks of quorums were repeated in each step that changes a log. gcc took 28 s of processor time for one check of four disks. Change: one atomic step does any change and then the checks. A redundant guard of MUTATE_PAIR is gone, at which gcc warned.

--- a/spec/replacement.pml
+++ b/spec/replacement.pml
@@ -149,6 +149,8 @@
 
 byte i, j, to, set, other;
 bool separate, durable;
+bool logChanged; /* the step changed a log */
+byte changer;    /* the step changed the membership: the leader + 1 */
 
 inline retire(n) {
 	node[n].role = FOLLOWER;
@@ -268,6 +270,7 @@
 	membership[AT(node[n].term, node[n].size)] = next;
 	node[n].size++;
 	sent[node[n].term].size = node[n].size;
+	logChanged = true;
 	loadMembership(n);
 	acknowledge(n, node[n].size)
 }
@@ -330,9 +333,10 @@
 		od;
 		if
 		:: node[n].size < L -> append(n, 0)
-		:: else -> acknowledge(n, node[n].size)
-		fi;
-		checkQuorums()
+		:: else ->
+			acknowledge(n, node[n].size);
+			logChanged = true
+		fi
 	}
 }
 
@@ -378,8 +382,7 @@
 		MAY_CHANGE(n) && !(node[n].voters & SET(d)) && COUNT(node[n].voters) <= TARGET && CAUGHT_UP(n, d) ->
 		rejoined = rejoined | (goneIn[d] != 0 -> SET(d) : 0);
 		append(n, node[n].voters | SET(d));
-		checkDurable(n);
-		checkQuorums()
+		changer = n + 1
 	}
 }
 
@@ -387,18 +390,16 @@
 	d_step {
 		MAY_CHANGE(n) && d != n && (node[n].voters & SET(d)) && MAY_REMOVE(n) ->
 		append(n, node[n].voters & ~SET(d));
-		checkDurable(n);
-		checkQuorums()
+		changer = n + 1
 	}
 }
 
 #ifdef MUTATE_PAIR
 inline exchange(n, d) {
 	d_step {
-		MAY_CHANGE(n) && d != n && d != SUCCESSOR && (node[n].voters & SET(d)) && !(node[n].voters & SET(SUCCESSOR)) &&
+		MAY_CHANGE(n) && d != n && (node[n].voters & SET(d)) && !(node[n].voters & SET(SUCCESSOR)) &&
 		CAUGHT_UP(n, SUCCESSOR) ->
-		append(n, (node[n].voters & ~SET(d)) | SET(SUCCESSOR));
-		checkQuorums()
+		append(n, (node[n].voters & ~SET(d)) | SET(SUCCESSOR))
 	}
 }
 #endif
@@ -420,6 +421,7 @@
 			i = 0;
 			node[n].size = k;
 			node[n].logTerm[k - 1] = sent[t].logTerm[k - 1];
+			logChanged = true;
 #ifdef MUTATE_ROLLBACK
 			if
 			:: membership[AT(sent[t].logTerm[k - 1], k - 1)] != 0 || node[n].changed == 0 -> loadMembership(n)
@@ -429,8 +431,7 @@
 			loadMembership(n)
 #endif
 		fi;
-		acknowledge(n, k);
-		checkQuorums()
+		acknowledge(n, k)
 	}
 }
 
@@ -545,14 +546,31 @@
 		node[0].role = LEADER;
 		sent[1].leader = 1
 	}
+	/* The checks that are common to several steps stand here once: repeated in each step they take gcc long. */
 end:
 	do
-	STEPS(0)
-	STEPS(1)
-	STEPS(2)
-	STEPS(3)
+	:: atomic {
+		if
+		STEPS(0)
+		STEPS(1)
+		STEPS(2)
+		STEPS(3)
 #if N >= 5
-	STEPS(4)
+		STEPS(4)
 #endif
+		fi;
+		d_step {
+			if
+			:: changer != 0 -> checkDurable(changer - 1)
+			:: else
+			fi;
+			if
+			:: logChanged -> checkQuorums()
+			:: else
+			fi;
+			changer = 0;
+			logChanged = false
+		}
+	}
 	od
 }
