--- a/internal/process/replica/core/replacement_test.go
+++ b/internal/process/replica/core/replacement_test.go
@@ -227,6 +227,7 @@
 // and no address that it knew is left; between, one that runs on knows only seeds that are gone. Some go without notice,
 // some after their successor has come, some during an election, a cut, a slow disk or a loss of power of all others.
 func TestEveryCoreMachineIsReplaced(t *testing.T) {
+	setDefaultChecks(t, 100)
 	for name, size := range map[string][2]int{"3 machines, 1 may be lost": {3, 1}, "6 machines, 2 may be lost": {6, 2}, "4 machines, 1 may be lost": {4, 1}} {
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
@@ -358,3 +359,24 @@
 	}})
 	must.Eq(t, before, p.core.log.commit)
 }
+
+// A removed machine that wakes and asks to join is a learner again: it gets the log, but its vote doesn't count.
+func TestRemovedMachineThatWakesJoinsAsLearner(t *testing.T) {
+	f := newFleet(t, 6, 4, 1)
+	old := f.running()[1]
+	f.remove(old)
+	f.runTicks(fullStrengthTicks)
+	p := f.leader()
+	must.Nil(t, p.core.members.get(old))
+
+	f.removed[old] = false
+	f.start(f.peers[old])
+	f.runTicks(fullStrengthTicks)
+	must.Eq(t, p, f.leader())
+	member := p.core.members.get(old)
+	must.NotNil(t, member)
+	must.True(t, member.Learner)
+	must.True(t, f.fullStrength())
+	must.Eq(t, p.core.log.commit, f.peers[old].core.log.commit)
+	must.NoError(t, f.violation)
+}
