Forecast: a turn that pauses goes on, so the next one is expected at its time

Cause: the leader was lost at 34.0 in the turn before. No job was accepted from 33.4 to 34.6 s, longer than the window in which demand is measured, so the new leader's forecast saw the turn end and another one of the same pool begin, three seconds later. From that start the next turn was expected at about 44 s, and its pool got nothing before its jobs came.

A turn of the pool that had the last one is now that turn going on, if it paused for 4 s at most. Demand moves on to another pool after a turn, so demand that comes back to the same one had only not been seen. After a pause the demand counts as that of an early turn, since the accepted work understates it again.

--- a/internal/request/forecast/forecast.go
+++ b/internal/request/forecast/forecast.go
@@ -24,14 +24,16 @@
 	// turnEndShare is the share of a pool's usual capacity below which its turn ends. It is lower than turnStartShare, so that
 	// one turn isn't counted as two.
 	turnEndShare = 0.2
-	// earlyTurnMS is the time from the start of a turn during which the accepted work understates its demand: jobs of several
-	// steps take 2 to 4 s.
+	// earlyTurnMS is the time from the start of a turn, or from a pause in it, during which the accepted work understates its
+	// demand: jobs of several steps take 2 to 4 s.
 	earlyTurnMS = 2500
 	// leadTimeMS is how long before its expected turn a pool begins to get its machines: a move takes 1.5 s
 	// (migrate_s), and the new server has to announce itself.
 	leadTimeMS = 2500
 	// lateTurnMS is how long after its expected start a turn is still expected.
 	lateTurnMS = 1500
+	// maxPauseMS is the longest pause after which a turn goes on. While no leader is there, no jobs are accepted.
+	maxPauseMS = 4000
 	// firstTurnFactor is the assumed demand of a pool's first turn, as a multiple of its usual capacity. The users' queues then
 	// ask for 1.3 to 2.2 times what their pools hold.
 	firstTurnFactor = 1.7
@@ -55,6 +57,8 @@
 	pool       string
 	start, end int64 // end is 0 during the turn
 	work       int64 // in thousandths of a core times milliseconds
+	// resumed is when the turn went on after its last pause; 0 without a pause. latest is its newest arrival.
+	resumed, latest int64
 }
 
 // rate returns the mean demand of a turn, in thousandths of a core.
@@ -96,10 +100,12 @@
 	if f.usualCPU[pool] == 0 {
 		return
 	}
+	f.updateTurns(at) // a turn ends by the time without arrivals, whatever this one asks for
 	f.recent[pool] = append(f.recent[pool], arrival{at, work})
 	f.updateTurns(at)
 	if t := f.current(pool); t != nil {
 		t.work += work
+		t.latest = at
 	}
 }
 
@@ -136,8 +142,8 @@
 	}
 }
 
-// beginTurn adds a turn of a pool and estimates its start from the arrivals in the window. The turn's work doesn't include
-// the last arrival, which RecordArrival adds.
+// beginTurn adds a turn of a pool, or resumes the last one, and estimates its start from the arrivals in the window. The
+// turn's work doesn't include the last arrival, which RecordArrival adds.
 func (f *Forecast) beginTurn(pool string, list []arrival) {
 	// If work arrives evenly within a turn, half of it had arrived midway between the start of the turn and now. So the start
 	// is as far before that midpoint as the midpoint is before now.
@@ -146,6 +152,9 @@
 	for _, a := range list[:len(list)-1] {
 		t.work += a.work
 	}
+	if f.resume(t) {
+		return
+	}
 	f.turns = append(f.turns, t)
 	f.lastStart[pool] = t.start
 	if len(f.turns) > maxTurns {
@@ -153,6 +162,21 @@
 	}
 }
 
+// resume adds a turn to the last one if that was one of the same pool and ended shortly before, and reports whether it did.
+// Demand moves on to another pool after a turn, so the demand had only not been seen in between.
+func (f *Forecast) resume(t turn) bool {
+	if len(f.turns) == 0 {
+		return false
+	}
+	last := &f.turns[len(f.turns)-1]
+	if last.pool != t.pool || t.start-last.latest > maxPauseMS {
+		return false
+	}
+	last.resumed, last.end = t.start, 0
+	last.work += t.work
+	return true
+}
+
 // halfWorkTime returns the time by which half of the work of a list had arrived.
 func halfWorkTime(list []arrival) int64 {
 	var total, sum int64
@@ -238,7 +262,7 @@
 
 // turnRate returns the demand to prepare for during a turn; 0 if the accepted work is the better measure.
 func (f *Forecast) turnRate(t *turn, usual, now int64) int64 {
-	if now-t.start >= earlyTurnMS {
+	if now-max(t.start, t.resumed) >= earlyTurnMS {
 		return f.recentRate(t.pool)
 	}
 	if rate := f.lastRate(t.pool, now); rate > 0 {
--- a/internal/request/forecast/forecast_test.go
+++ b/internal/request/forecast/forecast_test.go
@@ -131,3 +131,41 @@
 	must.True(t, outlookFor(300).InTurn)
 	must.Zero(t, outlookFor(300).RateCPU)
 }
+
+// A turn that pauses, as one does while no leader accepts jobs, goes on afterwards: the next one is expected at its time. After
+// a longer pause it is another turn.
+func TestTurnGoesOnAfterAPause(t *testing.T) {
+	play := func(pauseMS int64) *Forecast {
+		f := &Forecast{}
+		for _, p := range order {
+			f.SetUsualCPU(p, usualCPU)
+		}
+		for at := int64(0); at < 40_000; at += 100 {
+			if at >= 33_000 && at < 33_000+pauseMS {
+				continue
+			}
+			f.RecordArrival(order[at/10_000], at, hotRateCPU*100)
+		}
+		return f
+	}
+	for _, pauseMS := range []int64{0, 1300, 3000} {
+		f := play(pauseMS)
+		must.Len(t, len(order), f.turns, must.Sprint(pauseMS))
+		must.Between(t, 29_500, f.turns[3].start, 30_500)
+		must.Between(t, hotRateCPU*9/10, f.Update(39_500)["a"].RateCPU, hotRateCPU*11/10)
+	}
+	must.Len(t, len(order)+1, play(6500).turns)
+}
+
+// After a pause, the accepted work understates the demand as it does at the start of a turn. What came before the pause is
+// no completed turn to expect as much from.
+func TestDemandAfterAPauseIsThatOfAnEarlyTurn(t *testing.T) {
+	f := &Forecast{}
+	f.SetUsualCPU("a", usualCPU)
+	for at := int64(0); at < 5000; at += 200 {
+		if at < 2500 || at >= 4400 {
+			f.RecordArrival("a", at, hotRateCPU*200)
+		}
+	}
+	must.Eq(t, Outlook{InTurn: true, RateCPU: int64(float64(usualCPU) * firstTurnFactor)}, f.Update(5000)["a"])
+}
