Forecast: a returning turn is expected to take the course of the last one

Cause: before a turn and in its first 2.5 s the mean demand of the pool's last turn was expected, afterwards what the last 1.2 s had asked for.

The forecast remembers the work of a turn by 0.2 s and expects, from before the turn to its end, the highest demand of the next 2.5 s of that course, or what the last 1.2 s asked for if that is more. First turns are treated as before. What is remembered of a turn is bounded by a minute.

TestForecastOfRotatingDemand expected nothing late in the turns of the second round; now it demands nine to eleven tenths of the known rate there.

--- a/internal/request/forecast/forecast.go
+++ b/internal/request/forecast/forecast.go
@@ -32,6 +32,9 @@
 	leadTimeMS = 2500
 	// lateTurnMS is how long after its expected start a turn is still expected.
 	lateTurnMS = 1500
+	// bucketMS is the resolution at which the course of a turn is remembered, maxBuckets the length of what is remembered.
+	bucketMS   = 200
+	maxBuckets = 300
 	// maxPauseMS is the longest pause after which a turn goes on. While no leader is there, no jobs are accepted.
 	maxPauseMS = 4000
 	// firstTurnFactor is the assumed demand of a pool's first turn, as a multiple of its usual capacity. The users' queues then
@@ -44,7 +47,7 @@
 // Outlook is the forecast for a pool.
 type Outlook struct {
 	// RateCPU is the demand to prepare for, in thousandths of a core. It is set when a turn is expected soon, has just begun,
-	// or has enough jobs for its rate to be measured. Otherwise it is 0, because the accepted work is the better measure.
+	// takes the course of an earlier one, or has enough jobs for its rate to be measured. Otherwise it is 0, because the accepted work is the better measure.
 	RateCPU int64
 	// NoTurnYet is set if the pool has had no turn yet, so that its first turn may come at any time.
 	NoTurnYet bool
@@ -56,18 +59,36 @@
 type turn struct {
 	pool       string
 	start, end int64 // end is 0 during the turn
-	work       int64 // in thousandths of a core times milliseconds
 	// resumed is when the turn went on after its last pause; 0 without a pause. latest is its newest arrival.
 	resumed, latest int64
+	// course is the work that arrived in each bucketMS since the start, in thousandths of a core times milliseconds.
+	course []int64
 }
 
-// rate returns the mean demand of a turn, in thousandths of a core.
-func (t *turn) rate(now int64) int64 {
-	end := t.end
-	if end == 0 {
-		end = now
+// add records work that arrives during the turn.
+func (t *turn) add(at, work int64) {
+	bucket := max(0, int(at-t.start)/bucketMS)
+	if bucket >= maxBuckets {
+		return
+	}
+	for len(t.course) <= bucket {
+		t.course = append(t.course, 0)
+	}
+	t.course[bucket] += work
+}
+
+// highestRate returns the highest demand, measured over rateWindowMS, of the part of the turn between two times after its
+// start.
+func (t *turn) highestRate(from, to int64) (rate int64) {
+	const window = rateWindowMS / bucketMS
+	for last := max(0, int(from/bucketMS)); last <= int(to/bucketMS) && last < len(t.course); last++ {
+		var work int64
+		for i := max(0, last-window+1); i <= last; i++ {
+			work += t.course[i]
+		}
+		rate = max(rate, work/rateWindowMS)
 	}
-	return t.work / max(rateWindowMS, end-t.start)
+	return rate
 }
 
 // arrival is the work of a job and the time at which it was accepted.
@@ -104,7 +125,7 @@
 	f.recent[pool] = append(f.recent[pool], arrival{at, work})
 	f.updateTurns(at)
 	if t := f.current(pool); t != nil {
-		t.work += work
+		t.add(at, work)
 		t.latest = at
 	}
 }
@@ -143,37 +164,36 @@
 }
 
 // beginTurn adds a turn of a pool, or resumes the last one, and estimates its start from the arrivals in the window. The
-// turn's work doesn't include the last arrival, which RecordArrival adds.
+// turn doesn't include the last arrival, which RecordArrival adds.
 func (f *Forecast) beginTurn(pool string, list []arrival) {
 	// If work arrives evenly within a turn, half of it had arrived midway between the start of the turn and now. So the start
 	// is as far before that midpoint as the midpoint is before now.
 	now, half := list[len(list)-1].at, halfWorkTime(list)
-	t := turn{pool: pool, start: half - (now - half)}
-	for _, a := range list[:len(list)-1] {
-		t.work += a.work
-	}
-	if f.resume(t) {
-		return
+	start := half - (now - half)
+	if !f.resumeTurn(pool, start) {
+		f.turns = append(f.turns, turn{pool: pool, start: start})
+		f.lastStart[pool] = start
+		if len(f.turns) > maxTurns {
+			f.turns = f.turns[len(f.turns)-maxTurns:]
+		}
 	}
-	f.turns = append(f.turns, t)
-	f.lastStart[pool] = t.start
-	if len(f.turns) > maxTurns {
-		f.turns = f.turns[len(f.turns)-maxTurns:]
+	t := f.current(pool)
+	for _, a := range list[:len(list)-1] {
+		t.add(a.at, a.work)
 	}
 }
 
-// resume adds a turn to the last one if that was one of the same pool and ended shortly before, and reports whether it did.
+// resumeTurn makes the last turn go on if it is one of the pool that paused shortly before, and reports whether it did.
 // Demand moves on to another pool after a turn, so the demand had only not been seen in between.
-func (f *Forecast) resume(t turn) bool {
+func (f *Forecast) resumeTurn(pool string, at int64) bool {
 	if len(f.turns) == 0 {
 		return false
 	}
 	last := &f.turns[len(f.turns)-1]
-	if last.pool != t.pool || t.start-last.latest > maxPauseMS {
+	if last.pool != pool || at-last.latest > maxPauseMS {
 		return false
 	}
-	last.resumed, last.end = t.start, 0
-	last.work += t.work
+	last.resumed, last.end = at, 0
 	return true
 }
 
@@ -262,12 +282,12 @@
 
 // turnRate returns the demand to prepare for during a turn; 0 if the accepted work is the better measure.
 func (f *Forecast) turnRate(t *turn, usual, now int64) int64 {
+	if before := f.lastTurn(t.pool); before != nil {
+		return max(f.recentRate(t.pool), before.highestRate(now-t.start, now-t.start+leadTimeMS))
+	}
 	if now-max(t.start, t.resumed) >= earlyTurnMS {
 		return f.recentRate(t.pool)
 	}
-	if rate := f.lastRate(t.pool, now); rate > 0 {
-		return rate
-	}
 	return int64(firstTurnFactor * float64(usual))
 }
 
@@ -296,7 +316,9 @@
 		switch {
 		case o.InTurn:
 		case p == pool:
-			if o.RateCPU = f.lastRate(p, now); o.RateCPU == 0 {
+			if before := f.lastTurn(p); before != nil {
+				o.RateCPU = before.highestRate(now-start, now-start+leadTimeMS)
+			} else {
 				o.RateCPU = int64(firstTurnFactor * float64(f.usualCPU[p]))
 			}
 		case !known && o.NoTurnYet:
@@ -306,12 +328,12 @@
 	}
 }
 
-// lastRate returns the mean demand of the last completed turn of a pool; 0 if it has had none.
-func (f *Forecast) lastRate(pool string, now int64) int64 {
+// lastTurn returns the last completed turn of a pool, or nil.
+func (f *Forecast) lastTurn(pool string) *turn {
 	for i := range slices.Backward(f.turns) {
 		if f.turns[i].pool == pool && f.turns[i].end != 0 {
-			return f.turns[i].rate(now)
+			return &f.turns[i]
 		}
 	}
-	return 0
+	return nil
 }
--- a/internal/request/forecast/forecast_test.go
+++ b/internal/request/forecast/forecast_test.go
@@ -1,6 +1,7 @@
 package forecast
 
 import (
+	"math"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -74,9 +75,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			outlooks := simulate(c.at).Update(c.at)
 			must.True(t, outlooks[c.hot].InTurn)
-			if c.at%turnMS < earlyTurnMS {
+			switch {
+			case c.at%turnMS < earlyTurnMS:
 				must.Between(t, hotRateCPU*9/10, outlooks[c.hot].RateCPU, hotRateCPU*14/10)
-			} else {
+			case c.at > int64(len(order))*turnMS:
+				must.Between(t, hotRateCPU*9/10, outlooks[c.hot].RateCPU, hotRateCPU*11/10)
+			default:
 				must.Zero(t, outlooks[c.hot].RateCPU)
 			}
 			if c.expected != "" {
@@ -169,3 +173,40 @@
 	}
 	must.Eq(t, Outlook{InTurn: true, RateCPU: int64(float64(usualCPU) * firstTurnFactor)}, f.Update(5000)["a"])
 }
+
+// A turn that comes back is expected to take the course of the last one: at each moment, as much is prepared as was asked for
+// at most until leadTimeMS later.
+func TestReturningTurnIsExpectedToTakeItsCourse(t *testing.T) {
+	const turn = 10_000
+	course := func(offset int64) int64 {
+		return max(coldRateCPU, int64(2*hotRateCPU*math.Sin(math.Pi*float64(offset)/turn)))
+	}
+	f := &Forecast{}
+	for _, p := range order {
+		f.SetUsualCPU(p, usualCPU)
+	}
+	highest := func(from int64) (rate int64) {
+		for at := max(0, from); at <= min(from+leadTimeMS, turn); at += 100 {
+			rate = max(rate, course(at))
+		}
+		return rate
+	}
+	for at := int64(0); at < 44_000; at += 50 {
+		f.RecordArrival(order[at/turn%4], at, course(at%turn)*50)
+		if at >= 39_000 && at%500 == 0 {
+			got := f.Update(at)["a"].RateCPU
+			must.Between(t, highest(at-40_600)*85/100, got, highest(at-39_400)*115/100, must.Sprint(at))
+		}
+	}
+}
+
+// Demand that stays high for good is one turn; no more than maxBuckets of its course are remembered.
+func TestCourseOfALongTurnIsBounded(t *testing.T) {
+	f := &Forecast{}
+	f.SetUsualCPU("a", usualCPU)
+	for at := int64(0); at < 4*maxBuckets*bucketMS; at += 100 {
+		f.RecordArrival("a", at, hotRateCPU*100)
+	}
+	must.Len(t, 1, f.turns)
+	must.LessEq(t, maxBuckets, len(f.turns[0].course))
+}
--- a/internal/request/pools/turns_test.go
+++ b/internal/request/pools/turns_test.go
@@ -28,7 +28,6 @@
 	simSlots     = simMachine / simTaskCPU
 	simPlanEvery = 150
 	simMoveTime  = 2_000 // until the server of a moved machine can work
-	simMaxWait   = 1_000 // a job whose last task waits longer is late
 	simMoveRate  = 64    // moves a second
 	simColdShare = 0.05  // demand of a pool outside its turn, as a share of its mean demand
 	simMeanShare = 0.35  // mean demand of a pool, as a share of its first size
@@ -63,6 +62,7 @@
 	planner  *pools.Planner
 	moves    float64 // that the platform accepts now
 	moved    int
+	maxWait  int64 // a job whose last task waits longer is late
 }
 
 func newSimFleet() *simFleet {
@@ -134,7 +134,7 @@
 				room[j.pool] = room[j.pool][1:]
 			}
 		}
-		if j.waiting == 0 && f.now-j.at > simMaxWait {
+		if j.waiting == 0 && f.now-j.at > f.maxWait {
 			f.late[j.pool][j.at/simRound]++
 		}
 	}
@@ -175,8 +175,9 @@
 }
 
 // simulate plays demand until a time. There is no leader during the gaps, and another one after each of them.
-func simulate(until int64, gaps ...[2]int64) *simFleet {
+func simulate(until, maxWait int64, gaps ...[2]int64) *simFleet {
 	f := newSimFleet()
+	f.maxWait = maxWait
 	for ; f.now < until; f.now += simTick {
 		leads := !slices.ContainsFunc(gaps, func(g [2]int64) bool { return g[0] <= f.now && f.now < g[1] })
 		if slices.ContainsFunc(gaps, func(g [2]int64) bool { return f.now == g[1] }) {
@@ -205,7 +206,7 @@
 	}
 	for name, gaps := range cases {
 		t.Run(name, func(t *testing.T) {
-			f := simulate(50_000, gaps...)
+			f := simulate(50_000, 1000, gaps...)
 			share := float64(f.late["a"][1]) / float64(f.all["a"][1])
 			t.Logf("late: first turns a %d of %d, b %d of %d, c %d of %d, d %d of %d; a's second %d of %d; moves %d", f.late["a"][0], f.all["a"][0],
 				f.late["b"][0], f.all["b"][0], f.late["c"][0], f.all["c"][0], f.late["d"][0], f.all["d"][0], f.late["a"][1], f.all["a"][1], f.moved)
@@ -213,3 +214,10 @@
 		})
 	}
 }
+
+// The demand of a turn rises to its middle. Once its course is known, its machines come before each rise.
+func TestReturningTurnHasItsMachinesBeforeEachRise(t *testing.T) {
+	f := simulate(50_000, 200)
+	t.Logf("late: first turn %d of %d, second %d of %d; moves %d", f.late["a"][0], f.all["a"][0], f.late["a"][1], f.all["a"][1], f.moved)
+	must.LessEq(t, 0.1, float64(f.late["a"][1])/float64(f.all["a"][1]))
+}
