--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -1,6 +1,7 @@
 package jobcontrol
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -232,7 +233,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	peers, err := net.Listen("tcp", c.settings.PeerListen)
+	peers, err := net.Listen("tcp", cmp.Or(c.settings.PeerBind, c.settings.PeerListen))
 	if err != nil {
 		return Error.Wrap(errors.Join(err, public.Close()))
 	}
--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -73,13 +73,15 @@
 	servers    *fakeServers
 	publicPort int
 	peerPort   int
-	dirs       [4]string
-	stop       [4]func()
-	client     *leader.Client
-	seq        int64
-	log        logBuffer
-	handler    http.Handler // handles the operators' calls
-	disks      [4]disk
+	// peerBindPort is the port of PeerBind; 0 leaves it empty.
+	peerBindPort int
+	dirs         [4]string
+	stop         [4]func()
+	client       *leader.Client
+	seq          int64
+	log          logBuffer
+	handler      http.Handler // handles the operators' calls
+	disks        [4]disk
 }
 
 // disk is a file system whose writes fail with ENOSPC while full is set.
@@ -202,6 +204,9 @@
 
 func (c *cluster) start(i int, first bool) { c.startWith(i, first, c.seeds(), nil) }
 
+// bindPeers makes the instances that are started later listen for other processes at another port than they advertise.
+func (c *cluster) bindPeers(port int) { c.peerBindPort = port }
+
 // startWith starts an instance with the given seeds; reload reads them anew.
 func (c *cluster) startWith(i int, first bool, seeds []string, reload func() ([]string, error)) {
 	c.t.Helper()
@@ -209,6 +214,9 @@
 	s.Name, s.DataCentre = fmt.Sprintf("control-%d", i), "dc"
 	s.Listen, s.PeerListen, s.DataDir = c.address(i, c.publicPort), c.peerAddress(i), c.dirs[i]
 	s.Seeds, s.FirstStart = seeds, first
+	if c.peerBindPort != 0 {
+		s.PeerBind = c.address(i, c.peerBindPort)
+	}
 	var faults settings.Faults
 	s.Check(&faults)
 	must.EqOp(c.t, 0, len(faults.List()))
@@ -272,6 +280,18 @@
 	return c.do(&dispatch.Call{Op: dispatch.OpState, Host: "h", Path: "/q/" + id}).State == ledger.Completed
 }
 
+// An instance behind a proxy is a member at the address that it advertises, and listens at another one.
+func TestInstanceBindsOtherAddressThanItAdvertises(t *testing.T) {
+	c := newCluster(t, http.NotFoundHandler())
+	for c.bindPeers(freePort(t)); c.peerBindPort == c.peerPort || c.peerBindPort == c.publicPort; {
+		c.bindPeers(freePort(t))
+	}
+	c.start(3, false)
+	c.waitUntil(func() bool { return c.isListening(c.address(3, c.peerBindPort)) })
+	must.False(t, c.isListening(c.peerAddress(3)))
+	c.waitUntil(func() bool { return c.log.has(c.peerAddress(3) + nameSeparator) })
+}
+
 // Jobs complete, and each task runs once, although two instances are stopped one after the other, and the first
 // comes back without its data folder.
 func TestJobsSurviveStopsAndLossOfDataFolder(t *testing.T) {
--- a/internal/jobcontrol/settings.go
+++ b/internal/jobcontrol/settings.go
@@ -13,6 +13,9 @@
 // Settings configures laburnum-control in the mode in which it runs jobs for a platform.
 type Settings struct {
 	settings.Node
+	// PeerBind is the address at which the instance listens for other processes if they reach PeerListen through address
+	// translation or a proxy, as IP:port; empty means PeerListen.
+	PeerBind string `toml:"peer_bind"`
 	// DataDir is the folder for the journal and its snapshots.
 	DataDir string `toml:"data_dir"`
 	// Seeds are the public addresses (Listen) of some control instances, as IP:port. Their peer listeners are assumed to use
@@ -65,7 +68,7 @@
 	if s.MemoryMB < 0 {
 		f.Add("memory_mb", "must not be negative")
 	}
-	for key, v := range map[string]string{"machines": s.MachinesAddress, "metrics_listen": s.MetricsListen} {
+	for key, v := range map[string]string{"machines": s.MachinesAddress, "metrics_listen": s.MetricsListen, "peer_bind": s.PeerBind} {
 		if v != "" {
 			settings.CheckAddress(f, key, v)
 		}
