Fault soak of real processes in mode jobs

test/soak runs the built programs and stand-ins of backend servers as processes on loopback, with a relay in each link; faults are drawn from a seed, callers and operators keep their connections open, and a checker reads the history from outside only. make soak plays a seed, soak check FILE checks a kept history again.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Regular expression that matches exactly the tests listed in KNOWN-RED.txt.
 KNOWN_RED := ^($(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd'|'))$$
 
-.PHONY: build quickstart test lint fmt generate measure spec tools
+.PHONY: build quickstart test lint fmt generate measure spec tools soak
 build:
 	$(GO) build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/... ./test/quickstart
 
@@ -26,6 +26,14 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# Runs real processes under faults drawn from SEED; the files of a run that fails stay in soak-out/.
+SEED ?= 1
+DURATION ?= 30s
+SIZE ?= 14
+soak: build
+	$(GO) build -o bin/soak ./test/soak
+	bin/soak --bin bin --seed $(SEED) --duration $(DURATION) --size $(SIZE)
+
 # Runs all measurements, or those of the areas that RUN selects; writes the table and the plots to measure-out/.
 RUN ?= .
 measure: build
