--- a/test/soak/load/tamper.go
+++ b/test/soak/load/tamper.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"laburnumrouter/test/soak/history"
 )
@@ -36,6 +37,9 @@
 // tamperEvery is the share of the requests that a planted fault changes.
 const tamperEvery = 7
 
+// cutAfter is how long after the request PlantCut ends a connection.
+const cutAfter = 300 * time.Millisecond
+
 // Tamper changes requests and answers on their way, as its plant says. A nil Tamper changes nothing.
 type Tamper struct {
 	Plant string
@@ -86,6 +90,7 @@
 	case e.Op == history.Submit && t.acts(PlantRefuse):
 		return http.StatusServiceUnavailable, nil, ""
 	case e.Op == history.State && t.acts(PlantCut):
+		time.Sleep(cutAfter)
 		return 0, nil, errCut
 	case e.Op == history.Pending && t != nil && t.Plant == PlantPending:
 		return status, []byte(`{"pending":0}`), ""
