--- a/test/soak/cluster/cluster.go
+++ b/test/soak/cluster/cluster.go
@@ -71,8 +71,9 @@
 	dir, bin, soak string
 	plant          string
 	out            *history.Writer
-	prefix         string       // of the loopback addresses
-	reserved       net.Listener // keeps other runs off the prefix
+	prefix         string          // of the loopback addresses
+	reserved       net.Listener    // keeps other runs off the prefix
+	given          map[string]bool // addresses that freePort has returned
 	relays         []*link.Relay
 	peerPort       int
 	listens        []string // at which the control instances listen for operators and workers
@@ -81,7 +82,7 @@
 // New prepares a fleet. Files go to dir; the programs are in bin. The workers run as soak, a program with a subcommand
 // worker.
 func New(dir, bin, soak, plant string, shape Shape, out *history.Writer) (*Cluster, error) {
-	c := &Cluster{Network: link.NewNetwork(), dir: dir, bin: bin, soak: soak, plant: plant, out: out}
+	c := &Cluster{Network: link.NewNetwork(), dir: dir, bin: bin, soak: soak, plant: plant, out: out, given: make(map[string]bool)}
 	if err := c.reservePrefix(); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -105,13 +106,23 @@
 
 func (c *Cluster) host(i int) string { return c.prefix + strconv.Itoa(i) }
 
-// freePort returns a port that the kernel has chosen at a host of this fleet, where nothing else takes ports.
+// freePort returns a port that the kernel has chosen at a host of this fleet. Relays with a port that the kernel chooses are at
+// another host, so that none takes it while its process doesn't run.
 func (c *Cluster) freePort(host string) (int, error) {
-	l, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return 0, err
+	for {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return 0, err
+		}
+		address := l.Addr().String()
+		if err := l.Close(); err != nil {
+			return 0, err
+		}
+		if !c.given[address] {
+			c.given[address] = true
+			return l.Addr().(*net.TCPAddr).Port, nil
+		}
 	}
-	return l.Addr().(*net.TCPAddr).Port, l.Close()
 }
 
 // address returns a free address at a host.
@@ -120,7 +131,12 @@
 	return fmt.Sprintf("%s:%d", host, port), err
 }
 
-// relay adds a relay at an address, by default one with a port that the kernel chooses.
+// relayAtAnyPort adds a relay at a port that the kernel chooses.
+func (c *Cluster) relayAtAnyPort(to, target string, from func(net.Conn) string) (string, error) {
+	return c.relay(c.host(relayHost)+":0", to, target, from)
+}
+
+// relay adds a relay at an address.
 func (c *Cluster) relay(address, to, target string, from func(net.Conn) string) (string, error) {
 	r, err := c.Network.Listen(address, to, target, from)
 	if err != nil {
--- a/test/soak/cluster/settings.go
+++ b/test/soak/cluster/settings.go
@@ -13,6 +13,7 @@
 	firstEntry   = 10
 	firstWorker  = 60
 	lastHost     = 250
+	relayHost    = 253
 )
 
 const logSettings = "[log]\nlevel = \"info\"\nstdout = true\n"
@@ -48,7 +49,7 @@
 	if _, err := c.relay(peer, name, bind, c.fromAny(&c.Controls, &c.Entries)); err != nil {
 		return err
 	}
-	public, err := c.relay(host+":0", name, listen, from(Operator))
+	public, err := c.relayAtAnyPort(name, listen, from(Operator))
 	if err != nil {
 		return err
 	}
@@ -77,7 +78,7 @@
 			}
 			listen[k] = address
 		}
-		front, err := c.relay(host+":0", name, listen[0], from(Callers))
+		front, err := c.relayAtAnyPort(name, listen[0], from(Callers))
 		if err != nil {
 			return err
 		}
@@ -112,7 +113,7 @@
 		if err != nil {
 			return err
 		}
-		address, err := c.relay(host+":0", name, listen, c.fromAny(&c.Controls))
+		address, err := c.relayAtAnyPort(name, listen, c.fromAny(&c.Controls))
 		if err != nil {
 			return err
 		}
@@ -145,7 +146,7 @@
 // relaysOfWorker adds the relays by which a worker reaches the control instances.
 func (c *Cluster) relaysOfWorker(name string) (addresses []string, err error) {
 	for i, listen := range c.listens {
-		address, err := c.relay(c.host(firstControl+i)+":0", c.Controls[i].Name, listen, from(name))
+		address, err := c.relayAtAnyPort(c.Controls[i].Name, listen, from(name))
 		if err != nil {
 			return nil, err
 		}
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"laburnumrouter/internal/process/server"
 	"laburnumrouter/test/harness"
 	"laburnumrouter/test/soak/cluster"
 	"laburnumrouter/test/soak/faults"
@@ -92,6 +93,8 @@
 		return err
 	}
 	defer s.cluster.Close()
+	stop := s.killOnSignal()
+	defer stop()
 	background, stopBackground := context.WithCancel(context.Background())
 	var watchers errgroup.Group
 	watchers.Go(func() error { s.watchStalls(background); return nil })
@@ -263,6 +266,18 @@
 	}
 }
 
+// killOnSignal ends the fleet and this process on SIGINT and SIGTERM, until the function that it returns is called.
+func (s *soak) killOnSignal() (stop func() bool) {
+	ctx, cancel := server.SignalContext()
+	return context.AfterFunc(ctx, func() {
+		for _, p := range s.cluster.All() {
+			p.Signal(syscall.SIGKILL)
+		}
+		cancel()
+		os.Exit(exitFailed)
+	})
+}
+
 func (s *soak) recordUsage(last bool) {
 	for _, p := range append(append([]*cluster.Process(nil), s.cluster.Controls...), s.cluster.Entries...) {
 		if memory, descriptors, ok := p.Usage(); ok {
