Soak: a process that is stopped before it handles signals breaks no rule

Launches are recorded now, and the checker allows that end within 1 s of one. A later one is still a FAULT (TestBrokenRulesAreFound).

--- a/test/soak/check/check.go
+++ b/test/soak/check/check.go
@@ -26,6 +26,8 @@
 	grace       = 6 * time.Second        // grace_s
 	recovery    = 12 * time.Second       // recovery_s
 	memoryMB    = 280                    // memory_mb
+	// launchTime is how long a program may take until it handles signals; before, SIGTERM ends it as any other process.
+	launchTime = time.Second
 )
 
 // Descriptors that a process may have open at the end: a fixed number and some for each process of the fleet.
@@ -112,6 +114,8 @@
 			c.indexFault(e)
 		case history.Start, history.End, history.Ack, history.Lease, history.Drained:
 			c.indexRun(e)
+		case history.Launch:
+			c.lifeOf(life{e.Node, e.Life}).launched = e.T
 		case history.Gone:
 			c.down[e.Node] = append(c.down[e.Node], e)
 			c.lifeOf(life{e.Node, e.Life}).gone = e.T
--- a/test/soak/check/check_test.go
+++ b/test/soak/check/check_test.go
@@ -210,6 +210,7 @@
 		{"a configuration is lost", "LOST", "at the end", with(put(2, calmMS+2500, calmMS+2900, 200, []string{"key", "old"}, []string{"alpha"}))},
 		{"a process ends by itself", "FAULT", "by itself", with(history.Event{Kind: history.Gone, Node: "control-1", Life: 1, T: at(5000), Cause: "exit status 1"})},
 		{"a stop fails", "FAULT", "on SIGTERM", with(history.Event{Kind: history.Gone, Node: "control-1", Life: 1, T: at(5000), Op: "terminated", Cause: "exit status 1"})},
+		{"a stop is not handled", "FAULT", "on SIGTERM", with(launch("control-1", 2000), terminated("control-1", 5000))},
 		{"a stop takes too long", "FAULT", "to stop", with(fault("term", "control-1", 5000, true, false), history.Event{Kind: history.Gone, Node: "control-1", Life: 1, T: at(12_000), Op: "terminated", Cause: "exit status 0"}, fault("term", "control-1", 12_100, true, true))},
 		{"too much memory", "FAULT", "memory", with(history.Event{Kind: history.Usage, Node: "control-1", T: at(5000), MemoryMB: 400})},
 		{"too many descriptors", "FAULT", "descriptors", with(history.Event{Kind: history.Usage, Node: "control-1", T: at(calmMS + 3000), Descriptors: 1000, Last: true})},
@@ -240,8 +241,9 @@
 		"a withdrawn key within its time": without(with(
 			put(2, 2000, 2010, 200, []string{"key"}, []string{"alpha"}), changedKey(state(6000, 200, "completed"), "old"), readLast(2)),
 			func(e history.Event) bool { return e.Op == history.Read && e.Version == 1 }),
-		"a change that may be in force": with(put(2, 2000, 2010, 0, []string{"key"}, []string{"alpha"}), changedKey(state(9000, 401, ""), "old")),
-		"half of the pending jobs":      waitingJobs(1),
+		"a change that may be in force":             with(put(2, 2000, 2010, 0, []string{"key"}, []string{"alpha"}), changedKey(state(9000, 401, ""), "old")),
+		"a stop before the process handles signals": with(launch("control-1", 4900), terminated("control-1", 5000)),
+		"half of the pending jobs":                  waitingJobs(1),
 	} {
 		t.Run(name, func(t *testing.T) {
 			slices.SortStableFunc(events, func(a, b history.Event) int { return int(a.T - b.T) })
@@ -267,6 +269,14 @@
 	return e
 }
 
+func launch(node string, t int64) history.Event {
+	return history.Event{Kind: history.Launch, Node: node, Life: 1, T: at(t)}
+}
+
+func terminated(node string, t int64) history.Event {
+	return history.Event{Kind: history.Gone, Node: node, Life: 1, T: at(t), Op: "terminated", Cause: "signal: terminated"}
+}
+
 func cutCall(sent, t int64) history.Event {
 	e := call(history.State, sent, t, 0)
 	e.Error = "cut"
--- a/test/soak/cluster/process.go
+++ b/test/soak/cluster/process.go
@@ -55,6 +55,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
+	p.cluster.out.Add(history.Event{Kind: history.Launch, Node: p.Name, Life: p.life})
 	p.cmd, p.gone, p.signals = cmd, make(chan struct{}), nil
 	go p.wait(cmd, p.gone, p.life)
 	return nil
--- a/test/soak/history/history.go
+++ b/test/soak/history/history.go
@@ -39,6 +39,8 @@
 	Lease Kind = "lease"
 	// Drained is the acknowledgement of an announcement that a backend server drains.
 	Drained Kind = "drained"
+	// Launch is the start of a process.
+	Launch Kind = "launch"
 	// Gone is written once a process has ended. Cause says whether the soak ended it, or how it ended.
 	Gone Kind = "gone"
 	// Fault is a fault that begins or ends.
