--- a/test/soak/cluster/process.go
+++ b/test/soak/cluster/process.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -70,8 +71,10 @@
 	}
 	p.mu.Lock()
 	e := history.Event{Kind: history.Gone, Node: p.Name, Life: life, Cause: cause, Planned: p.expectExit}
-	if n := len(p.signals); n > 0 {
-		e.Op = p.signals[n-1].String()
+	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL} {
+		if slices.Contains(p.signals, sig) {
+			e.Op = sig.String() // SIGKILL counts if both were sent
+		}
 	}
 	p.cluster.out.Add(e)
 	close(gone)
