A refusal after an unanswered submission is reported as uncertain

Cause: the entry's first attempt was accepted by the leader (07:40:06.493 outcome=ok) but its answer did not arrive; the entry sent the call again (07:40:06.665), and by then a configuration had withdrawn the key, so that the second attempt was refused. The client handed on the second answer alone. Every refusal of a later attempt is concerned: key, queue, load, unavailable. Now such a submission is OutcomeUnknown (504), upon which callers send it again.

The test failed before (no-key instead of unknown). Run: go test -race ./internal/leader: pass.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -147,7 +147,7 @@
 		reply, attemptMayHaveRun, err := c.try(ctx, call, body)
 		anyMayHaveRun = anyMayHaveRun || attemptMayHaveRun
 		if err == nil {
-			return reply
+			return settleReply(call, reply, anyMayHaveRun)
 		}
 		if errors.Is(err, errNoLeader) && c.awaitLeader(ctx, call, len(body)) {
 			continue
@@ -158,6 +158,18 @@
 	}
 }
 
+// settleReply returns the reply to the caller. A refusal of a submission says that the job never runs, which isn't certain if
+// an earlier attempt may have been accepted: key, queue or load may have changed since.
+func settleReply(call *dispatch.Call, reply *dispatch.Reply, earlierMayHaveRun bool) *dispatch.Reply {
+	if call.Op != dispatch.OpSubmit || !earlierMayHaveRun || reply.Outcome == dispatch.OK || reply.Outcome == dispatch.OutcomeUnknown {
+		return reply
+	}
+	return &dispatch.Reply{
+		Outcome: dispatch.OutcomeUnknown, Leader: reply.Leader,
+		Reason: "an earlier attempt may have been accepted; this one was not: " + reply.Reason,
+	}
+}
+
 func failedReply(anyMayHaveRun bool, err error) *dispatch.Reply {
 	if anyMayHaveRun {
 		return &dispatch.Reply{Outcome: dispatch.OutcomeUnknown, Reason: err.Error()}
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -21,6 +21,8 @@
 	server *httptest.Server
 	status atomic.Pointer[LeaderStatus]
 	calls  atomic.Int64
+	// reply is the response to calls; nil stands for OK.
+	reply atomic.Pointer[dispatch.Reply]
 	// drop aborts the connection of calls after they were received.
 	drop atomic.Bool
 	// hang blocks calls until the channel is closed.
@@ -45,6 +47,8 @@
 			panic(http.ErrAbortHandler)
 		case !i.status.Load().Leads:
 			w.WriteHeader(http.StatusMisdirectedRequest)
+		case i.reply.Load() != nil:
+			_ = json.NewEncoder(w).Encode(i.reply.Load())
 		default:
 			_ = json.NewEncoder(w).Encode(&dispatch.Reply{Outcome: dispatch.OK})
 		}
@@ -106,6 +110,28 @@
 	<-done
 }
 
+// A submission is answered with a refusal although its first attempt was accepted: the key was withdrawn between the two.
+func TestRefusalAfterUnansweredSubmissionIsUncertain(t *testing.T) {
+	for _, outcome := range []dispatch.Outcome{
+		dispatch.NoKey, dispatch.NoQueue, dispatch.Invalid, dispatch.Conflict, dispatch.Overload, dispatch.Unavailable,
+	} {
+		a := newInstance(t, LeaderStatus{Leads: true})
+		c := NewClient([]string{a.address()}, nil, hclog.NewNullLogger())
+		a.reply.Store(&dispatch.Reply{Outcome: outcome})
+		submission := &dispatch.Call{Op: dispatch.OpSubmit}
+		must.EqOp(t, outcome, c.Do(t.Context(), submission).Outcome)
+		a.drop.Store(true)
+		before := a.calls.Load()
+		go func() {
+			for a.calls.Load() == before {
+				time.Sleep(time.Millisecond)
+			}
+			a.drop.Store(false)
+		}()
+		must.EqOp(t, dispatch.OutcomeUnknown, c.Do(t.Context(), submission).Outcome)
+	}
+}
+
 // A call to a leader that no longer responds is cancelled and sent to the leader elected meanwhile.
 func TestCallLeavesHungLeaderForNewOne(t *testing.T) {
 	old := newInstance(t, LeaderStatus{Leads: true})
