Soak: a request whose connection a kill ended was sent

Only a connection without any answer, at an address that no connection to the target had, counts as never made.

--- a/test/soak/link/network.go
+++ b/test/soak/link/network.go
@@ -32,13 +32,14 @@
 	rules  []*Rule
 	pipes  map[*pipe]bool
 	closed bool
-	// refused holds the addresses of the connections whose target did not accept them.
-	refused map[string]bool
+	// refused holds the addresses of the connections whose target did not accept them, reached those of all others. An
+	// address can be used again while its last user still has to notice the end of its connection.
+	refused, reached map[string]bool
 }
 
 // NewNetwork returns a network without rules.
 func NewNetwork() *Network {
-	n := &Network{pipes: make(map[*pipe]bool), refused: make(map[string]bool)}
+	n := &Network{pipes: make(map[*pipe]bool), refused: make(map[string]bool), reached: make(map[string]bool)}
 	n.cond = sync.NewCond(&n.mu)
 	return n
 }
@@ -85,7 +86,7 @@
 func (n *Network) Refused(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.refused[address]
+	return n.refused[address] && !n.reached[address]
 }
 
 func (n *Network) refuse(p *pipe) {
@@ -95,6 +96,12 @@
 	p.reset()
 }
 
+func (n *Network) reach(p *pipe) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reached[p.near.RemoteAddr().String()] = true
+}
+
 // Close ends all connections.
 func (n *Network) Close() {
 	n.mu.Lock()
@@ -125,7 +132,6 @@
 		return false
 	}
 	n.pipes[p] = true
-	delete(n.refused, p.near.RemoteAddr().String())
 	return true
 }
 
--- a/test/soak/link/relay.go
+++ b/test/soak/link/relay.go
@@ -72,6 +72,7 @@
 	if !p.setFar(far.(*net.TCPConn)) {
 		return
 	}
+	r.network.reach(p)
 	var both sync.WaitGroup
 	both.Go(func() { p.copy(p.far, p.near, p.from, p.to) })
 	both.Go(func() { p.copy(p.near, p.far, p.to, p.from) })
--- a/test/soak/load/client.go
+++ b/test/soak/load/client.go
@@ -29,6 +29,7 @@
 	address string
 	conn    net.Conn
 	reader  *bufio.Reader
+	used    bool // an answer has come on the connection
 	// refused reports whether the relay could not pass on a connection from an address.
 	refused func(address string) bool
 }
@@ -50,7 +51,7 @@
 		if err != nil {
 			return 0, nil, errDial
 		}
-		c.conn, c.reader = conn, bufio.NewReader(conn)
+		c.conn, c.reader, c.used = conn, bufio.NewReader(conn), false
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(limit))
 	if err := req.Write(c.conn); err != nil {
@@ -63,6 +64,7 @@
 	if err != nil {
 		return 0, nil, c.fail(err)
 	}
+	c.used = true
 	if resp.Close {
 		c.close()
 	}
@@ -73,7 +75,7 @@
 func (c *client) fail(err error) string {
 	defer c.close()
 	switch {
-	case c.refused(c.conn.LocalAddr().String()):
+	case !c.used && c.refused(c.conn.LocalAddr().String()):
 		return errDial
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errTimeout
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -68,6 +68,7 @@
 			bin, soak = programs(t)
 		}
 		t.Run("seed "+seed, func(t *testing.T) {
+			t.Parallel()
 			playSeed(t, bin, soak, "--seed", seed, "--duration", duration, "--size", size)
 		})
 	}
