--- a/test/soak/link/relay.go
+++ b/test/soak/link/relay.go
@@ -11,6 +11,7 @@
 const (
 	dialTimeout = 10 * time.Second
 	chunkBytes  = 16 << 10
+	acceptPause = 10 * time.Millisecond
 )
 
 // Relay is a listener whose connections are relayed to a process.
@@ -43,9 +44,13 @@
 func (r *Relay) accept() {
 	for {
 		conn, err := r.listener.AcceptTCP()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptPause) // out of descriptors
+			continue
+		}
 		go r.relay(conn)
 	}
 }
