A gang is pending until all its members are there

Accepted or reported members of one run make it begun, or an end that was done.

Answers about pending jobs are logged at most four times a second for a queue: a flood of queries can't push other lines out of the log.

--- a/internal/dispatch/jobcalls.go
+++ b/internal/dispatch/jobcalls.go
@@ -135,8 +135,7 @@
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	v := s.pendingJobsLocked()[q.Name]
-	s.log.Info("pending jobs reported", "request", c.RequestID, "queue", q.Name, "pending", v.count, "ordered", v.ordered,
-		"oldest_ms", v.oldestMS)
+	s.logPendingLocked(c, q.Name, v)
 	return &Reply{Outcome: OK, Pending: v.count}, nil
 }
 
--- a/internal/dispatch/pending.go
+++ b/internal/dispatch/pending.go
@@ -7,6 +7,9 @@
 	"laburnumrouter/internal/request/ledger"
 )
 
+// pendingLogInterval is the minimum time between log lines about the pending jobs of a queue.
+const pendingLogInterval = 250 * time.Millisecond
+
 // maxRecordDelay is how long it may stay unrecorded in the log that a job has begun. Usually the next command records it.
 const maxRecordDelay = 500 * time.Millisecond
 
@@ -16,7 +19,7 @@
 // runBeganLocked notes that a backend server has accepted or reported a run. A committed or sent order is no evidence.
 func (s *session) runBeganLocked(key runKey, serverID string) {
 	j := s.engine.ledger.Job(key.task.Job)
-	if j == nil || s.hasBegunLocked(j) || j.State.Final() {
+	if j == nil || s.hasBegunLocked(j) || j.State.Final() || !s.gangPresentLocked(j, key) {
 		return
 	}
 	s.begun[j.ID] = boottime.Now()
@@ -24,6 +27,22 @@
 		"since_accepted_ms", time.Now().UnixMilli()-j.AcceptedMS)
 }
 
+// gangPresentLocked reports whether backend servers have accepted or reported all members of the run's gang. Its tasks wait
+// for each other. A run that belongs to no gang needs no others.
+func (s *session) gangPresentLocked(j *ledger.Job, key runKey) bool {
+	if !j.Steps[key.task.Step].Gang {
+		return true
+	}
+	for i := range j.Steps[key.task.Step].Count {
+		member := key
+		member.task.Index = i
+		if o := s.orders[member]; o == nil || o.state != orderTaken {
+			return false
+		}
+	}
+	return true
+}
+
 // hasBegunLocked reports whether a run of a job is known to have begun.
 func (s *session) hasBegunLocked(j *ledger.Job) bool {
 	_, noted := s.begun[j.ID]
@@ -70,6 +89,17 @@
 	}
 }
 
+// logPendingLocked logs what an answer about the pending jobs of a queue rests on, at most once every pendingLogInterval.
+func (s *session) logPendingLocked(c *Call, queue string, p pendingJobs) {
+	now := boottime.Now()
+	if at, logged := s.pendingLoggedAt[queue]; logged && now-at < pendingLogInterval {
+		return
+	}
+	s.pendingLoggedAt[queue] = now
+	s.log.Info("pending jobs reported", "request", c.RequestID, "queue", queue, "pending", p.count, "ordered", p.ordered,
+		"oldest_ms", p.oldestMS)
+}
+
 // pendingJobs describes the unfinished jobs of a queue of which no task is known to have begun.
 type pendingJobs struct {
 	count int
--- a/internal/dispatch/pending_test.go
+++ b/internal/dispatch/pending_test.go
@@ -113,3 +113,20 @@
 		})
 	}
 }
+
+// Guards against a gang that is taken for begun while one of its members is missing: its tasks wait for each other.
+func TestGangWithMissingMemberIsPending(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := newFakeServers("a", "b")
+		f.servers["b"].ignoresStarts = true
+		r := newRig(t, f)
+		r.submit("gang", ledger.Step{Count: 2, Gang: true, Need: ledger.Resources{CPU: 5000}})
+		r.until(func() bool { return len(f.runs("a")) == 1 })
+		must.EqOp(t, 1, r.pending())
+		f.mu.Lock()
+		f.servers["b"].ignoresStarts = false
+		f.mu.Unlock()
+		f.finish("a", f.runs("a")[0], ledger.EndGangIncomplete)
+		r.until(func() bool { return len(f.runs("a")) == 1 && len(f.runs("b")) == 1 && r.pending() == 0 })
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -74,6 +74,8 @@
 	holdLoops map[string]*holdLoop
 	// begun holds the unfinished jobs of which this leader knows that a run has begun and the ledger doesn't.
 	begun begunJobs
+	// pendingLoggedAt is when an answer about the pending jobs of a queue was last logged.
+	pendingLoggedAt map[string]time.Duration
 	// reserved are servers that get no new work because their machines are to be moved or taken down.
 	reserved map[string]bool
 	// sentPaces are the paces last sent to tasks that use spare capacity. pacers compute them, by server.
@@ -134,7 +136,7 @@
 		engine: d.engine, log: d.log.With("term", term), replica: d.replica, servers: d.servers, machines: d.machines,
 		leaderLease: d.leaderLease, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
 		startedAt: boottime.Now(), machineLease: d.machineLease,
-		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(begunJobs),
+		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(begunJobs), pendingLoggedAt: make(map[string]time.Duration),
 		reserved: make(map[string]bool), sentPaces: make(map[runKey]sentPace), pacers: make(map[string]*pacing.Pacer),
 		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[upkeepKey]time.Duration),
 		missingSince: make(map[string]time.Duration), missingChecks: make(map[string]int),
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -254,9 +254,6 @@
 	}
 	l.dropLive(j, e.Task, t)
 	j.Live--
-	if e.How.provesBegin() {
-		l.markStarted(j)
-	}
 	t.Phase, t.EndedMS = Waiting, l.ClockMS
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
@@ -265,6 +262,9 @@
 		j.addUnsuccessfulEnd(UnsuccessfulEnd{Task: e.Task, Run: e.Run, Worker: e.Worker, How: e.How, AtMS: l.ClockMS})
 	}
 	step := &j.Steps[e.Task.Step]
+	if e.How.provesBegin(step.Gang) {
+		l.markStarted(j)
+	}
 	switch {
 	case e.How == EndDone && !step.Lasting:
 		l.taskDone(j, e.Task)
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -56,11 +56,14 @@
 	EndLost EndCause = "lost"
 )
 
-// provesBegin reports whether only a run that had begun can end in this way. A lapsed or lost run may have begun or not.
-func (c EndCause) provesBegin() bool {
+// provesBegin reports whether only a run that had begun can end in this way. A lapsed or lost run may have begun or not, and
+// the members of a gang begin only once all are there.
+func (c EndCause) provesBegin(gang bool) bool {
 	switch c {
-	case EndDone, EndFailed, EndStopped, EndGangFailed, EndGangIncomplete:
+	case EndDone:
 		return true
+	case EndFailed, EndStopped:
+		return !gang
 	}
 	return false
 }
