Soak: the platform's names move to platform/outside

The soak plays backend servers and operators and had their formats in its own packages. They stand in platform/ like all names of the users' platform; Beacon is Announcer.

--- a/test/soak/load/operators.go
+++ b/test/soak/load/operators.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"laburnumrouter/platform/outside"
 	"laburnumrouter/test/soak/history"
 )
 
@@ -128,24 +129,22 @@
 }
 
 func (o *Operators) encode(c *config) []byte {
-	var routes, services []map[string]any
+	sheet := outside.Config{Version: c.version, Workspace: "north", Keys: c.keys}
 	for _, q := range c.queues {
 		pool := Queues[q]
 		if pool == "" {
 			pool = o.Pools[0]
 		}
-		routes = append(routes, map[string]any{
-			"name": q, "host": host, "path_prefix": "/" + q + "/", "kind": "non_idempotent", "timeout_ms": 3000,
-			"target_latency_ms": 600, "priority": 1, "service": pool, "max_attempts": MaxAttempts, "slack_factor": 1.6, "public": false,
-		})
+		sheet.Queues = append(sheet.Queues, outside.Queue{Name: q, Host: host, Pool: pool, MaxAttempts: MaxAttempts})
 	}
 	for i, p := range o.Pools {
-		services = append(services, map[string]any{"name": p, "health_path": "/healthz", "enforces_capacity": i == 0, "standby": false})
+		sheet.Pools = append(sheet.Pools, outside.Pool{Name: p, Guards: i == 0})
 	}
-	return mustJSON(map[string]any{
-		"version": c.version, "routes": routes, "services": services, "limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144},
-		"tenants": []map[string]any{{"name": "north", "api_keys": c.keys, "weight": 10, "upper_bound": map[string]int{"cpu": 0, "mem_mb": 0, "gpu": 0}}},
-	})
+	body, err := sheet.Encode()
+	if err != nil {
+		panic(err) // it holds strings and numbers only
+	}
+	return body
 }
 
 // put sends a configuration to one control instance after the other until it is acknowledged or ctx ends.
@@ -172,7 +171,7 @@
 	} else {
 		conn := &client{address: o.Addresses[i], refused: o.Refused}
 		defer conn.close()
-		e.Status, _, e.Error = conn.do(newRequest(http.MethodPut, conn.address, "/laburnumrouter/config", c.body), orderPatience)
+		e.Status, _, e.Error = conn.do(newRequest(http.MethodPut, conn.address, outside.PathConfig, c.body), orderPatience)
 	}
 	o.Out.Add(e)
 	return e.Status
@@ -183,7 +182,7 @@
 	conn := &client{address: o.Addresses[i], refused: o.Refused}
 	defer conn.close()
 	var body []byte
-	e.Status, body, e.Error = conn.do(newRequest(http.MethodGet, conn.address, "/laburnumrouter/config", nil), orderPatience)
+	e.Status, body, e.Error = conn.do(newRequest(http.MethodGet, conn.address, outside.PathConfig, nil), orderPatience)
 	body = o.Tamper.config(e, body)
 	if e.Status == http.StatusOK {
 		var c struct {
--- a/test/soak/worker.go
+++ b/test/soak/worker.go
@@ -42,8 +42,8 @@
 	w := worker.New(worker.Settings{
 		Name: c.Name, Life: c.Life, ID: c.ID, Capacity: c.Capacity, Guards: c.Guards, Rate: c.Rate, Plant: c.Plant,
 	}, out)
-	beacon := &worker.Beacon{
+	announcer := &worker.Announcer{
 		ID: c.ID, Service: c.Service, Address: c.Address, DataCentre: c.Zone, Controls: c.Controls, RealControls: c.RealControls,
 	}
-	return errs.Combine(worker.Serve(ctx, w, listener, beacon), out.Close())
+	return errs.Combine(worker.Serve(ctx, w, listener, announcer), out.Close())
 }
--- a/test/soak/worker/beacon.go
+++ b/test/soak/worker/announcer.go
@@ -9,16 +9,17 @@
 	"sync/atomic"
 	"time"
 
+	"laburnumrouter/platform/outside"
 	"laburnumrouter/test/soak/history"
 )
 
 const (
-	beatInterval = time.Second
-	beatTimeout  = time.Second
+	announceInterval = time.Second
+	announceTimeout  = time.Second
 )
 
-// Beacon announces a worker to the control instances.
-type Beacon struct {
+// Announcer announces a worker to the control instances.
+type Announcer struct {
 	// ID, Service, Address and DataCentre are announced.
 	ID, Service, Address, DataCentre string
 	// Controls lists the addresses of the control instances. The control instance that listens at RealControls[i] is reached
@@ -33,20 +34,20 @@
 	drainedAt atomic.Int64
 }
 
-func (b *Beacon) run(ctx context.Context, w *Worker) {
-	b.client.Timeout = beatTimeout
+func (b *Announcer) run(ctx context.Context, w *Worker) {
+	b.client.Timeout = announceTimeout
 	for {
-		b.beat(w)
+		b.announceOnce(w)
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(beatInterval):
+		case <-time.After(announceInterval):
 		}
 	}
 }
 
-// beat announces the worker; after a failure it turns to the other control instances.
-func (b *Beacon) beat(w *Worker) {
+// announceOnce announces the worker; after a failure it turns to the other control instances.
+func (b *Announcer) announceOnce(w *Worker) {
 	for range b.Controls {
 		address := b.preferred
 		if address == "" {
@@ -64,16 +65,16 @@
 	}
 }
 
-func (b *Beacon) announce(w *Worker, address string, draining bool) bool {
+func (b *Announcer) announce(w *Worker, address string, draining bool) bool {
 	b.seq++
 	state := "ready"
 	if draining {
 		state = "draining"
 	}
-	body, err := json.Marshal(map[string]any{
-		"service": b.Service, "address": b.Address, "zone": b.DataCentre, "version": "v1", "slots": 8, "state": state,
-		"capacity": map[string]int64{"cpu": w.settings.Capacity, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", b.DataCentre + "-r1"},
-		"clock_ms": w.clockMS(history.Now()), "seq": b.seq, "born": w.bornUnix,
+	body, err := json.Marshal(outside.Announcement{
+		Service: b.Service, Address: b.Address, DataCentre: b.DataCentre, Version: "v1", Slots: 8, State: state,
+		Capacity: map[string]int64{"cpu": w.settings.Capacity, "mem_mb": 65536, "gpu": 0}, Labels: []string{"a", b.DataCentre + "-r1"},
+		ClockMS: w.clockMS(history.Now()), Seq: b.seq, BornMS: w.bornUnix,
 	})
 	if err != nil {
 		return false
@@ -82,17 +83,12 @@
 	if !ok {
 		return false
 	}
-	var reply struct {
-		Address string `json:"heartbeat_addr"`
-	}
-	if json.Unmarshal(answer, &reply) == nil {
-		b.prefer(reply.Address)
-	}
+	b.prefer(outside.NextAddress(answer))
 	return true
 }
 
 // prefer announces to the control instance at a real address from now on.
-func (b *Beacon) prefer(address string) {
+func (b *Announcer) prefer(address string) {
 	for i, real := range b.RealControls {
 		if real == address {
 			b.preferred = b.Controls[i]
@@ -100,8 +96,8 @@
 	}
 }
 
-func (b *Beacon) send(method, address, id string, body []byte) ([]byte, bool) {
-	req, err := http.NewRequest(method, "http://"+address+pathPrefix+"/instances/"+id, bytes.NewReader(body))
+func (b *Announcer) send(method, address, id string, body []byte) ([]byte, bool) {
+	req, err := http.NewRequest(method, "http://"+address+outside.PathInstances+id, bytes.NewReader(body))
 	if err != nil {
 		return nil, false
 	}
@@ -115,7 +111,7 @@
 }
 
 // leave says that the worker leaves for good.
-func (b *Beacon) leave() {
+func (b *Announcer) leave() {
 	for _, address := range b.Controls {
 		if _, ok := b.send(http.MethodDelete, address, b.ID, nil); ok {
 			return
--- a/test/soak/worker/serve.go
+++ b/test/soak/worker/serve.go
@@ -14,11 +14,11 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"laburnumrouter/platform/outside"
 	"laburnumrouter/test/soak/history"
 )
 
 const (
-	pathPrefix      = "/laburnumrouter"
 	maxBodyBytes    = 1 << 20
 	maxWait         = 2 * time.Second
 	readHeaderLimit = 5 * time.Second
@@ -30,7 +30,7 @@
 )
 
 // Serve serves orders on a listener and announces the worker until ctx ends; then the worker drains and leaves.
-func Serve(ctx context.Context, w *Worker, l net.Listener, b *Beacon) error {
+func Serve(ctx context.Context, w *Worker, l net.Listener, b *Announcer) error {
 	server := &http.Server{Handler: w.handler(), ReadHeaderTimeout: readHeaderLimit}
 	work, stop := context.WithCancel(context.Background())
 	var group errgroup.Group
@@ -53,7 +53,7 @@
 }
 
 // drain announces that the worker drains, and waits until that is acknowledged and its runs have ended.
-func (w *Worker) drain(b *Beacon) {
+func (w *Worker) drain(b *Announcer) {
 	limit := time.Now().Add(drainLimit)
 	b.draining.Store(true)
 	for b.drainedAt.Load() == 0 && time.Now().Before(limit) {
@@ -86,26 +86,26 @@
 
 func (w *Worker) handler() http.Handler {
 	mux := http.NewServeMux()
-	handle(w, mux, "/run-start", func(_ context.Context, o startOrder) (int, any) {
+	handle(w, mux, outside.PathStart, func(_ context.Context, o outside.StartOrder) (int, any) {
 		now := history.Now()
 		status, reason := w.start(o, now)
 		return status, map[string]any{"clock_ms": w.clockMS(now), "reason": reason}
 	})
-	handle(w, mux, "/run-stop", func(_ context.Context, o startOrder) (int, any) {
+	handle(w, mux, outside.PathStop, func(_ context.Context, o outside.StartOrder) (int, any) {
 		now := history.Now()
 		if !w.stop(o.Task, o.Run, o.Fence, now) {
 			return http.StatusConflict, map[string]any{"clock_ms": w.clockMS(now), "reason": "fence"}
 		}
 		return http.StatusOK, map[string]any{"clock_ms": w.clockMS(now)}
 	})
-	handle(w, mux, "/hold", w.serveHold)
-	handle(w, mux, "/pace", func(_ context.Context, _ startOrder) (int, any) {
+	handle(w, mux, outside.PathHold, w.serveHold)
+	handle(w, mux, outside.PathPace, func(_ context.Context, _ outside.StartOrder) (int, any) {
 		return http.StatusOK, map[string]any{"clock_ms": w.clockMS(history.Now())}
 	})
 	return mux
 }
 
-func (w *Worker) serveHold(ctx context.Context, o holdOrder) (int, any) {
+func (w *Worker) serveHold(ctx context.Context, o outside.HoldOrder) (int, any) {
 	ok, changed, listed := w.hold(o, history.Now())
 	if !ok {
 		return http.StatusConflict, map[string]any{"clock_ms": w.clockMS(history.Now()), "reason": "fence"}
@@ -122,7 +122,7 @@
 
 // handle registers an order. One that names another incarnation is answered with 421.
 func handle[T any](w *Worker, mux *http.ServeMux, path string, serve func(context.Context, T) (int, any)) {
-	mux.HandleFunc("POST "+pathPrefix+path, func(rw http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("POST "+path, func(rw http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(http.MaxBytesReader(rw, r.Body, maxBodyBytes))
 		var order T
 		if err != nil || json.Unmarshal(body, &order) != nil {
--- a/test/soak/worker/worker.go
+++ b/test/soak/worker/worker.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"laburnumrouter/platform/outside"
 	"laburnumrouter/test/soak/history"
 )
 
@@ -153,17 +154,8 @@
 	w.out.Add(history.Event{T: now, Kind: history.Lease, Node: w.settings.Name, Life: w.settings.Life, Until: until})
 }
 
-// startOrder is the body of a start.
-type startOrder struct {
-	Task       string `json:"task"`
-	Run        int    `json:"run"`
-	Spec       string `json:"spec"`
-	DeadlineMS int64  `json:"deadline_ms"`
-	Fence      uint64 `json:"fencing_token"`
-}
-
 // start starts a run and returns the status and the reason of a rejection.
-func (w *Worker) start(o startOrder, now int64) (status int, reason string) {
+func (w *Worker) start(o outside.StartOrder, now int64) (status int, reason string) {
 	var work Work
 	step, index := stepOf(o.Task), o.Task
 	if json.Unmarshal([]byte(o.Spec), &work) != nil || step < 0 || step >= len(work.MS) {
@@ -231,17 +223,9 @@
 	return true
 }
 
-// holdOrder is the body of a hold.
-type holdOrder struct {
-	Fence      uint64 `json:"fencing_token"`
-	DeadlineMS int64  `json:"deadline_ms"`
-	AckCursor  int64  `json:"ack_cursor"`
-	WaitMS     int64  `json:"wait_ms"`
-}
-
 // hold renews the lease and takes note of acknowledged ends. It returns false if the fencing token is too low, and a channel
 // that is closed at the next end.
-func (w *Worker) hold(o holdOrder, now int64) (ok bool, changed <-chan struct{}, listed bool) {
+func (w *Worker) hold(o outside.HoldOrder, now int64) (ok bool, changed <-chan struct{}, listed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
--- a/test/soak/worker/worker_test.go
+++ b/test/soak/worker/worker_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"laburnumrouter/platform/outside"
 	"laburnumrouter/test/soak/history"
 )
 
@@ -27,11 +28,11 @@
 
 func (w *Worker) after(ms int64) int64 { return w.born + ms*int64(time.Millisecond) }
 
-func order(task string, run int, fence uint64, deadline int64) startOrder {
-	return startOrder{Task: task, Run: run, Spec: spec, DeadlineMS: deadline, Fence: fence}
+func order(task string, run int, fence uint64, deadline int64) outside.StartOrder {
+	return outside.StartOrder{Task: task, Run: run, Spec: spec, DeadlineMS: deadline, Fence: fence}
 }
 
-func startAt(t *testing.T, w *Worker, o startOrder, ms int64, status int, reason string) {
+func startAt(t *testing.T, w *Worker, o outside.StartOrder, ms int64, status int, reason string) {
 	t.Helper()
 	s, r := w.start(o, w.after(ms))
 	must.Eq(t, []any{status, reason}, []any{s, r})
@@ -57,7 +58,7 @@
 	w, events := newWorker(t)
 	startAt(t, w, order("j.0.0.0", 1, 1, 150), 0, 200, "")
 	startAt(t, w, order("j.0.0.1", 1, 1, 150), 90, 200, "")
-	ok, _, listed := w.hold(holdOrder{Fence: 1, DeadlineMS: 9000}, w.after(5000))
+	ok, _, listed := w.hold(outside.HoldOrder{Fence: 1, DeadlineMS: 9000}, w.after(5000))
 	must.True(t, ok)
 	must.True(t, listed)
 	var ends []history.Event
@@ -74,11 +75,11 @@
 func TestAcknowledgedEndsAreForgotten(t *testing.T) {
 	w, _ := newWorker(t)
 	startAt(t, w, order("j.0.0.0", 1, 1, 1000), 0, 200, "")
-	_, _, listed := w.hold(holdOrder{Fence: 1}, w.after(200))
+	_, _, listed := w.hold(outside.HoldOrder{Fence: 1}, w.after(200))
 	must.True(t, listed)
 	must.False(t, w.idle(w.after(200)))
-	_, _, listed = w.hold(holdOrder{Fence: 1, AckCursor: 1}, w.after(210))
+	_, _, listed = w.hold(outside.HoldOrder{Fence: 1, AckCursor: 1}, w.after(210))
 	must.False(t, listed)
-	ok, _, _ := w.hold(holdOrder{Fence: 0}, w.after(220))
+	ok, _, _ := w.hold(outside.HoldOrder{Fence: 0}, w.after(220))
 	must.False(t, ok)
 }
