Schedule tests: stop of an instance is set before it may lead

Cause: simInstance.start published the instance as up before it set stop, without the lock; failLeader read stop without the lock. Change: stop is written in the critical section that sets up, and read in the one that chooses the leader to fail. TestSchedules with -race passes after the change.

--- a/internal/dispatch/virtual_log_test.go
+++ b/internal/dispatch/virtual_log_test.go
@@ -43,17 +43,18 @@
 		Log: i.w.logger, Scope: tally.NoopScope, ElectionTime: electionTimeout, MachineLease: 3 * time.Second,
 	})
 	d := i.d
-	i.w.mu.Unlock()
 	ctx, cancel := context.WithCancel(i.w.ctx)
 	done := make(chan struct{})
-	i.w.spawn(func() {
-		defer close(done)
-		_ = d.Run(ctx)
-	})
+	// Set in the same critical section as up: the instance may be elected and crashed as soon as it is up.
 	i.stop = func() {
 		cancel()
 		<-done
 	}
+	i.w.mu.Unlock()
+	i.w.spawn(func() {
+		defer close(done)
+		_ = d.Run(ctx)
+	})
 }
 
 // catchUpLocked applies the entries that an instance lacks. One that lacks many restores a snapshot first.
@@ -201,6 +202,7 @@
 		return
 	}
 	i := w.instances[old]
+	stop := i.stop
 	w.leader = -1
 	if crash {
 		i.up, i.believedTerm = false, 0
@@ -209,7 +211,7 @@
 	}
 	w.mu.Unlock()
 	if crash {
-		i.stop()
+		stop()
 	} else {
 		w.spawn(func() {
 			_ = sleepFor(w.ctx, w.between(electionTimeout, 2*electionTimeout))
