Pools: reserves instead of first sizes, demand smoothed and expected by course, memory counts

Cause: until its first turn a pool kept all machines that it had at first; a first turn was expected to ask for its peak at once; the demand of a turn was measured over 1.2 s, in which 16 jobs of uneven size vary by a factor of two; memory didn't count, and late work that can't be in time drew machines like work that can. Change: a pool without a turn keeps the machines of its lasting tasks and a reserve of 0.35 of its first size (0.2 while others lack machines); a first turn follows the course of the other pools' turns, scaled; a rise is noticed from two jobs in 0.6 s; demand is measured over 2.4 s and one job counts at most four medians; memory counts as the CPU of the machines that it takes; late waiting work is laid out over 3 s. A log line a second names each pool's size and what it rests on.

--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -30,9 +30,14 @@
 	maxCacheAge = 10 * time.Second
 	// lateOrderBound is how long an unanswered order for a machine may still be carried out (applied_late: 12 s).
 	lateOrderBound = 13 * time.Second
-	// lendKeepFraction is the fraction of its initial size that a pool whose demand may rise at any time keeps while other
-	// pools lack machines. It carries the first second of a rise, in which the lent machines return.
-	lendKeepFraction = 0.6
+	// firstTurnReserve and lendReserve are the machines that a pool without a turn so far keeps beyond those of its lasting
+	// tasks, as fractions of its initial size; lendReserve applies while other pools lack machines. A turn's demand reaches a
+	// quarter of the usual capacity a second after its first jobs, and machines that are ordered then come two seconds later.
+	firstTurnReserve = 0.35
+	lendReserve      = 0.2
+	// lateWorkTime is the time over which waiting work that can't be in time any more is laid out. It takes machines that are
+	// there, and justifies few others.
+	lateWorkTime = 3 * time.Second
 	// silentServerTimeout is how long a server without runs must be silent before it is removed. An announcement may be
 	// in transit for 12 s: with a shorter timeout, a late one would make a server that left look new.
 	silentServerTimeout = 30 * time.Second
@@ -42,6 +47,8 @@
 	// idlePoolMachines is the minimum number of machines of a pool without expected demand, so that a large task can
 	// start at once.
 	idlePoolMachines = 2
+	// poolLogInterval is the time between log lines about the sizes of the pools.
+	poolLogInterval = time.Second
 	// maxParallelCalls bounds concurrent calls to the platform, which accepts duty_per_s (64) calls a second.
 	maxParallelCalls = 12
 )
@@ -159,7 +166,6 @@
 	if index == nil || len(machines) == 0 {
 		return nil
 	}
-	var cpu int64
 	var list []pools.Machine
 	for _, m := range machines {
 		s.settleMoveLocked(m, listedAt, now)
@@ -169,13 +175,13 @@
 		if _, inUpkeep := s.upkeepServer[m.Name]; inUpkeep {
 			m.Pool = "" // unavailable to its pool until its upkeep is over
 		}
-		cpu = max(cpu, s.serverCPULocked(m.Server))
+		s.recordMachineSizeLocked(m.Server)
 		list = append(list, pools.Machine{Name: m.Name, Pool: m.Pool, Movable: s.movableLocked(m, now), State: s.serverStateLocked(m, now)})
 	}
-	s.machineCPU = max(cpu, s.machineCPU)
 	s.startForecastLocked(index.Config().Pools)
 	demand := s.demandLocked(index.Config().Pools)
 	moves := s.pools.Plan(now, demand, list, s.machineCPU)
+	s.logPoolSizesLocked(now, demand, list)
 	for _, m := range moves {
 		s.movesInFlight[m.Machine] = true
 		if server := s.cachedMachines.get(m.Machine).Server; server != "" {
@@ -185,6 +191,25 @@
 	return moves
 }
 
+// logPoolSizesLocked logs the sizes of the pools and what they rest on, at most once every poolLogInterval.
+func (s *session) logPoolSizesLocked(now time.Duration, demand []pools.Pool, machines []pools.Machine) {
+	if now-s.poolsLoggedAt < poolLogInterval {
+		return
+	}
+	s.poolsLoggedAt = now
+	size, idle := make(map[string]int), make(map[string]int)
+	for _, m := range machines {
+		size[m.Pool]++
+		if m.Movable {
+			idle[m.Pool]++
+		}
+	}
+	for _, d := range demand {
+		s.log.Info("pool sized", "pool", d.Name, "machines", size[d.Name], "empty", idle[d.Name], "need_cpu", d.NeedCPU, "expected_cpu", d.ExpectedCPU,
+			"preferred", d.PreferredMachines, "least", d.MinMachines)
+	}
+}
+
 // settleMoveLocked ends the move of a machine once its entry in the list, which was requested at listedAt, shows the result:
 // the machine is up in its new pool, or it is up and the order can't be carried out any more. Until then, its server gets no
 // work if the order got no answer.
@@ -240,11 +265,11 @@
 	return pools.Fit
 }
 
-func (s *session) serverCPULocked(id string) int64 {
+// recordMachineSizeLocked updates the size of the largest server.
+func (s *session) recordMachineSizeLocked(id string) {
 	if server := s.fleet.Get(id); server != nil {
-		return server.Capacity.CPU
+		s.machineCPU, s.machineMemMB = max(s.machineCPU, server.Capacity.CPU), max(s.machineMemMB, server.Capacity.MemMB)
 	}
-	return 0
 }
 
 // orderableLocked reports whether a machine may be moved or taken down. It must be up. Outside standby pools the list must
@@ -317,7 +342,7 @@
 func (s *session) demandLocked(list []accepted.Pool) []pools.Pool {
 	at := make(map[string]int, len(list))
 	demand := make([]pools.Pool, len(list))
-	lasting := make([]int64, len(list))
+	lasting := make([]ledger.Resources, len(list))
 	minServers := make([]int, len(list))
 	for i, p := range list {
 		at[p.Name] = i
@@ -325,15 +350,16 @@
 	}
 	wall := time.Now().UnixMilli()
 	index := s.engine.ledger.Index()
+	total := make([]ledger.Resources, len(list))
 	for _, j := range s.engine.ledger.Open() {
 		q := index.Queue(j.Queue)
 		if q == nil || j.State.Final() {
 			continue
 		}
 		if i, ok := at[q.Pool]; ok {
-			finiteCPU, lastingCPU := runnableCPU(j, wall)
-			demand[i].NeedCPU += finiteCPU + lastingCPU
-			lasting[i] += lastingCPU
+			n := jobDemand(j, q, wall)
+			total[i] = total[i].Plus(n.finite).Plus(n.lasting)
+			lasting[i] = lasting[i].Plus(n.lasting)
 			minServers[i] = max(minServers[i], serversForSpread(j))
 		}
 	}
@@ -341,17 +367,24 @@
 	s.logOutlookLocked(outlooks)
 	for i := range demand {
 		d := &demand[i]
+		d.NeedCPU = s.cpuEquivalentLocked(total[i])
 		if d.Standby {
 			continue
 		}
-		o := outlooks[d.Name]
+		o, lastingCPU := outlooks[d.Name], s.cpuEquivalentLocked(lasting[i])
 		if o.RateCPU > 0 {
-			d.ExpectedCPU = o.RateCPU + lasting[i]
+			d.ExpectedCPU = o.RateCPU + lastingCPU
 		}
 		least := max(idlePoolMachines, minServers[i])
 		d.PreferredMachines, d.MinMachines = least, least
-		if size := s.engine.ledger.InitialSize(d.Name); o.NoTurnYet || !s.forecastReady {
-			d.PreferredMachines, d.MinMachines = max(least, size), max(least, min(size-1, int(lendKeepFraction*float64(size))))
+		size := s.engine.ledger.InitialSize(d.Name)
+		switch {
+		case !s.forecastReady:
+			d.PreferredMachines, d.MinMachines = max(least, size), max(least, size-1)
+		case o.NoTurnYet:
+			base := pools.MachinesFor(lastingCPU, s.machineCPU)
+			d.PreferredMachines = max(least, min(size, base+int(firstTurnReserve*float64(size))))
+			d.MinMachines = max(least, min(size-1, base+int(lendReserve*float64(size))))
 		}
 	}
 	return demand
@@ -379,22 +412,56 @@
 	return n
 }
 
-// runnableCPU returns the millicores that the due tasks of a job would use now if there were room, separately for tasks
-// that finish and for lasting tasks.
-func runnableCPU(j *ledger.Job, wallMS int64) (finiteCPU, lastingCPU int64) {
-	j.EachRunnableStep(wallMS, func(_ int, o *ledger.Occurrence, step int) {
-		count := j.Steps[step].Count
-		if o != nil {
-			count -= o.Steps[step].Done
+// cpuEquivalentLocked returns the CPU, in thousandths of a core, of the machines that an amount takes: the CPU itself, or the
+// CPU of the machines that its memory takes if that is more.
+func (s *session) cpuEquivalentLocked(r ledger.Resources) int64 {
+	if s.machineMemMB == 0 {
+		return r.CPU
+	}
+	return max(r.CPU, int64(float64(r.MemMB)/float64(s.machineMemMB)*float64(s.machineCPU)))
+}
+
+// resourceDemand is what the due tasks of a job ask for, separately for tasks that finish and for lasting tasks.
+type resourceDemand struct {
+	finite, lasting ledger.Resources
+}
+
+// jobDemand returns what the due tasks of a job ask for now. Waiting tasks that can't be in time any more are laid out over
+// lateWorkTime; all others count in full, because a machine takes about as long to come as their slack.
+func jobDemand(j *ledger.Job, q *accepted.Queue, wallMS int64) (d resourceDemand) {
+	j.EachRunnableStep(wallMS, func(occurrence int, o *ledger.Occurrence, step int) {
+		st := &j.Steps[step]
+		live, waiting := countTasks(o, st, step)
+		use := st.CapacityUse()
+		if st.Lasting {
+			d.lasting = d.lasting.Plus(use.Times(live + waiting))
+			return
 		}
-		cpu := int64(count) * j.Steps[step].CapacityUse().CPU
-		if j.Steps[step].Lasting {
-			lastingCPU += cpu
-		} else {
-			finiteCPU += cpu
+		d.finite = d.finite.Plus(use.Times(live))
+		late := use.Times(waiting)
+		if schedule.SlackMS(j, occurrence, step, q.SlackFactor, q.ObjectiveMS, wallMS) < 0 {
+			share := float64(st.EstimateMS) / float64(st.EstimateMS+lateWorkTime.Milliseconds())
+			late = ledger.Resources{CPU: int64(share * float64(late.CPU)), MemMB: int64(share * float64(late.MemMB))}
 		}
+		d.finite = d.finite.Plus(late)
 	})
-	return finiteCPU, lastingCPU
+	return d
+}
+
+// countTasks returns how many tasks of a step have a live run and how many wait. o is nil if the occurrence hasn't begun.
+func countTasks(o *ledger.Occurrence, st *ledger.Step, step int) (live, waiting int) {
+	if o == nil {
+		return 0, st.Count
+	}
+	for i := range o.Steps[step].Tasks {
+		switch o.Steps[step].Tasks[i].Phase {
+		case ledger.Live:
+			live++
+		case ledger.Waiting:
+			waiting++
+		}
+	}
+	return live, waiting
 }
 
 // moveMachine orders the move of one machine to its new pool.
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -103,9 +103,11 @@
 	movesInFlight map[string]bool
 	// moveNotBefore is when a machine that the platform refused to move may be ordered to move again.
 	moveNotBefore map[string]time.Duration
-	// machineCPU is the capacity of the largest server in millicores.
-	machineCPU int64
-	forecast   forecast.Forecast
+	// machineCPU and machineMemMB are the capacity of the largest server, in millicores and MiB.
+	machineCPU, machineMemMB int64
+	forecast                 forecast.Forecast
+	// poolsLoggedAt is when the sizes of the pools were last logged.
+	poolsLoggedAt time.Duration
 	// forecastReady is set once the forecast knows the sizes of the pools.
 	forecastReady bool
 	// loggedOutlooks is the last logged outlook of each pool.
--- a/internal/request/forecast/forecast.go
+++ b/internal/request/forecast/forecast.go
@@ -6,6 +6,7 @@
 package forecast
 
 import (
+	"math"
 	"slices"
 )
 
@@ -13,6 +14,10 @@
 	// rateWindowMS is the time over which demand is measured. During a turn, four large or twenty small jobs of the users
 	// arrive in it.
 	rateWindowMS = 1200
+	// loadWindowMS is the time over which the demand of a turn is measured that machines are prepared for. Jobs of several
+	// steps use their CPU time over two to four seconds, and over a shorter time the few large jobs of a heavy queue make the
+	// measure vary by a factor of two.
+	loadWindowMS = 2400
 	// minTurnJobs is the smallest number of jobs in the window that can start a turn: a single large job is no turn.
 	minTurnJobs = 3
 	// minSampleJobs is the smallest number of jobs in the window from which the demand of a turn is measured. Job sizes vary by
@@ -42,6 +47,18 @@
 	firstTurnFactor = 1.7
 	// maxTurns limits the number of turns that are remembered.
 	maxTurns = 32
+	// onsetWindowMS and minOnsetJobs are the time and the number of arrivals from which a rise of demand outside turns is
+	// noticed. Outside turns, a queue has less than one arrival in this time.
+	onsetWindowMS = 600
+	minOnsetJobs  = 2
+	// onsetShare is the share of a pool's usual capacity from which such a rise counts. A few small jobs stay below it.
+	onsetShare = 0.08
+	// onsetGrowth is the factor by which the demand of a rise grows in leadTimeMS. At the start of a turn it rises from nothing
+	// to its peak in about four seconds.
+	onsetGrowth = 2.5
+	// maxMedians bounds the work with which one job counts, as a multiple of the median job of the window. Job sizes vary so
+	// much that one of the largest jobs would otherwise double the measured demand of the 16 jobs in a window.
+	maxMedians = 4
 )
 
 // Outlook is the forecast for a pool.
@@ -77,16 +94,16 @@
 	t.course[bucket] += work
 }
 
-// highestRate returns the highest demand, measured over rateWindowMS, of the part of the turn between two times after its
-// start.
+// highestRate returns the highest demand of the part of the turn between two times after its start. The demand at a time is
+// measured over loadWindowMS, most of which comes after it, so that a sudden rise shows at once.
 func (t *turn) highestRate(from, to int64) (rate int64) {
-	const window = rateWindowMS / bucketMS
-	for last := max(0, int(from/bucketMS)); last <= int(to/bucketMS) && last < len(t.course); last++ {
+	const window, past = loadWindowMS / bucketMS, 2
+	for at := max(0, from/bucketMS); at <= to/bucketMS && at < int64(len(t.course)); at++ {
 		var work int64
-		for i := max(0, last-window+1); i <= last; i++ {
+		for i := max(0, at-past); i < min(at-past+window, int64(len(t.course))); i++ {
 			work += t.course[i]
 		}
-		rate = max(rate, work/rateWindowMS)
+		rate = max(rate, work/loadWindowMS)
 	}
 	return rate
 }
@@ -125,7 +142,7 @@
 	f.recent[pool] = append(f.recent[pool], arrival{at, work})
 	f.updateTurns(at)
 	if t := f.current(pool); t != nil {
-		t.add(at, work)
+		t.add(at, min(work, f.largestCounted(pool)))
 		t.latest = at
 	}
 }
@@ -145,9 +162,10 @@
 
 // updateTurns begins and ends turns according to the rate of each pool.
 func (f *Forecast) updateTurns(now int64) {
-	for pool, list := range f.recent {
-		list = slices.DeleteFunc(list, func(a arrival) bool { return a.at <= now-rateWindowMS })
-		f.recent[pool] = list
+	for pool, all := range f.recent {
+		all = slices.DeleteFunc(all, func(a arrival) bool { return a.at <= now-loadWindowMS })
+		f.recent[pool] = all
+		list := all[firstAfter(all, now-rateWindowMS):]
 		var work int64
 		for _, a := range list {
 			work += a.work
@@ -163,6 +181,15 @@
 	}
 }
 
+// firstAfter returns the index of the first arrival after a time.
+func firstAfter(list []arrival, at int64) int {
+	i := 0
+	for i < len(list) && list[i].at <= at {
+		i++
+	}
+	return i
+}
+
 // beginTurn adds a turn of a pool, or resumes the last one, and estimates its start from the arrivals in the window. The
 // turn doesn't include the last arrival, which RecordArrival adds.
 func (f *Forecast) beginTurn(pool string, list []arrival) {
@@ -178,8 +205,9 @@
 		}
 	}
 	t := f.current(pool)
+	largest := f.largestCounted(pool)
 	for _, a := range list[:len(list)-1] {
-		t.add(a.at, a.work)
+		t.add(a.at, min(a.work, largest))
 	}
 }
 
@@ -271,6 +299,8 @@
 		o := Outlook{NoTurnYet: !seen}
 		if t := f.current(pool); t != nil {
 			o.InTurn, o.RateCPU = true, f.turnRate(t, usual, now)
+		} else {
+			o.RateCPU = f.onsetRate(pool, now)
 		}
 		outlooks[pool] = o
 	}
@@ -282,8 +312,8 @@
 
 // turnRate returns the demand to prepare for during a turn; 0 if the accepted work is the better measure.
 func (f *Forecast) turnRate(t *turn, usual, now int64) int64 {
-	if before := f.lastTurn(t.pool); before != nil {
-		return max(f.recentRate(t.pool), before.highestRate(now-t.start, now-t.start+leadTimeMS))
+	if rate := f.courseRate(t.pool, now-t.start); rate > 0 {
+		return max(f.recentRate(t.pool), rate)
 	}
 	if now-max(t.start, t.resumed) >= earlyTurnMS {
 		return f.recentRate(t.pool)
@@ -296,11 +326,65 @@
 	if len(f.recent[pool]) < minSampleJobs {
 		return 0
 	}
+	largest := f.largestCounted(pool)
 	var work int64
 	for _, a := range f.recent[pool] {
-		work += a.work
+		work += min(a.work, largest)
+	}
+	return work / loadWindowMS
+}
+
+// largestCounted returns the work with which a recent job of a pool counts at most.
+func (f *Forecast) largestCounted(pool string) int64 {
+	if len(f.recent[pool]) < minSampleJobs {
+		return math.MaxInt64
+	}
+	works := make([]int64, 0, len(f.recent[pool]))
+	for _, a := range f.recent[pool] {
+		works = append(works, a.work)
+	}
+	slices.Sort(works)
+	return maxMedians * works[len(works)/2]
+}
+
+// onsetRate returns the demand to prepare for on a pool outside its turn: 0, or what a rise of demand that has just begun
+// will have grown to when a machine that is ordered now is ready.
+func (f *Forecast) onsetRate(pool string, now int64) int64 {
+	n, work := 0, int64(0)
+	for _, a := range f.recent[pool] {
+		if a.at > now-onsetWindowMS {
+			n++
+			work += a.work
+		}
+	}
+	rate := float64(work) / onsetWindowMS
+	if n < minOnsetJobs || rate < onsetShare*float64(f.usualCPU[pool]) {
+		return 0
 	}
-	return work / rateWindowMS
+	return int64(onsetGrowth * rate)
+}
+
+// courseRate returns the demand on a pool that is expected within leadTimeMS at a time after the start of its turn, from the
+// course of its last turn or else from the mean of those of the other pools, scaled by the usual capacities; 0 if no turn has
+// ended.
+func (f *Forecast) courseRate(pool string, sinceStart int64) int64 {
+	if before := f.lastTurn(pool); before != nil {
+		return before.highestRate(sinceStart, sinceStart+leadTimeMS)
+	}
+	n, sum := 0, 0.
+	for i := range f.turns {
+		t := &f.turns[i]
+		if t.end == 0 || f.usualCPU[t.pool] == 0 {
+			continue
+		}
+		scale := float64(f.usualCPU[pool]) / float64(f.usualCPU[t.pool])
+		sum += scale * float64(t.highestRate(sinceStart, sinceStart+leadTimeMS))
+		n++
+	}
+	if n == 0 {
+		return 0
+	}
+	return int64(sum / float64(n))
 }
 
 // addExpected sets the rate of the pool whose turn is expected next, once that turn is near. If several pools are possible,
@@ -316,13 +400,17 @@
 		switch {
 		case o.InTurn:
 		case p == pool:
-			if before := f.lastTurn(p); before != nil {
-				o.RateCPU = before.highestRate(now-start, now-start+leadTimeMS)
+			if rate := f.courseRate(p, now-start); rate > 0 {
+				o.RateCPU = max(o.RateCPU, rate)
 			} else {
 				o.RateCPU = int64(firstTurnFactor * float64(f.usualCPU[p]))
 			}
 		case !known && o.NoTurnYet:
-			o.RateCPU = f.usualCPU[p]
+			if rate := f.courseRate(p, now-start); rate > 0 {
+				o.RateCPU = max(o.RateCPU, rate)
+			} else {
+				o.RateCPU = f.usualCPU[p]
+			}
 		}
 		outlooks[p] = o
 	}
--- a/internal/request/pools/pools.go
+++ b/internal/request/pools/pools.go
@@ -100,8 +100,8 @@
 			d.spare[pool.Name] = size[pool.Name]
 			continue
 		}
-		need := max(machinesFor(int64(growthFactor*float64(pool.NeedCPU)), machineCPU), pool.MinMachines)
-		want := max(need, machinesFor(pool.ExpectedCPU, machineCPU))
+		need := max(MachinesFor(int64(growthFactor*float64(pool.NeedCPU)), machineCPU), pool.MinMachines)
+		want := max(need, MachinesFor(pool.ExpectedCPU, machineCPU))
 		kept := p.recentPeak(pool.Name, now, want)
 		d.lendable[pool.Name] = max(0, size[pool.Name]-max(kept, pool.MinMachines))
 		if now-p.startedAt < peakRetention {
@@ -136,8 +136,8 @@
 	return size
 }
 
-// machinesFor returns how many machines are needed for an amount of CPU.
-func machinesFor(cpu, machineCPU int64) int {
+// MachinesFor returns how many machines are needed for an amount of CPU.
+func MachinesFor(cpu, machineCPU int64) int {
 	return int(math.Ceil(float64(cpu) / (float64(machineCPU) * usableShare)))
 }
 
