Evacuation of a data centre in mode jobs

The ledger drops starts in an evacuated data centre at commit, the planner leaves its servers out on every path, and a committed start is not ordered there. Orders are numbered by data centre and carry a request ID, so that a repeated or delayed one doesn't undo a later one. Machines of the data centre count for no pool and aren't moved, empty ones have their upkeep first in a wave, and lasting tasks leave it within the allowance of their step. A server whose data centre changes is committed anew.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -20,6 +20,8 @@
 	OpLeave     Op = "leave"
 	OpStartWave Op = "start-wave"
 	OpWaveState Op = "wave-state"
+	// OpEvacuate takes a data centre out of service or restores it.
+	OpEvacuate Op = "evacuate"
 	// OpExplain returns the job whose ID is in Path, OpStatus the state of the fleet. Both serve operators' tools.
 	OpExplain Op = "explain"
 	OpStatus  Op = "status"
@@ -42,6 +44,20 @@
 	Server *ledger.Server `json:",omitempty"`
 	// Wave is a maintenance wave. Used by start-wave and wave-state; wave-state reads only its number.
 	Wave *ledger.WaveOrder `json:",omitempty"`
+	// Evacuation is an order for a data centre. Its request ID is the call's. Used by evacuate.
+	Evacuation *ledger.EvacuationOrder `json:",omitempty"`
+}
+
+// Renew returns the call to make after a reply that says that an order for a data centre was prepared before the newest one,
+// and whether the reply says so. Only the process that a caller waits for may make it: to others, the order is outdated.
+func (c *Call) Renew(r *Reply) (*Call, bool) {
+	if c.Op != OpEvacuate || c.Evacuation == nil || r.NewestOrder == 0 {
+		return c, false
+	}
+	renewed, order := *c, *c.Evacuation
+	order.After = r.NewestOrder
+	renewed.Evacuation = &order
+	return &renewed, true
 }
 
 // Outcome is the result of a Call.
@@ -83,6 +99,9 @@
 	Config []byte `json:",omitempty"`
 	// WaveCompleted is set once the wave is completed.
 	WaveCompleted bool `json:",omitempty"`
+	// NewestOrder is set if an order for a data centre had no effect because it was prepared before the newest one. It is the
+	// number of that one.
+	NewestOrder int64 `json:",omitempty"`
 	// Job answers explain; Status answers status.
 	Job    *JobView    `json:",omitempty"`
 	Status *StatusView `json:",omitempty"`
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -41,6 +41,8 @@
 	// MachineLease is how long a machine is reserved for the leader that last sent an order for it (lease_ms of the
 	// platform's limits).
 	MachineLease time.Duration
+	// DataCentres are the names of the data centres. If the list is empty, those of known servers are known.
+	DataCentres []string
 }
 
 // Dispatcher serves calls while its instance leads.
@@ -54,6 +56,7 @@
 	stats         *stats
 	leaderLease   *leaderLease
 	machineLease  time.Duration
+	dataCentres   []string
 	session       atomic.Pointer[session]
 }
 
@@ -62,6 +65,7 @@
 	return &Dispatcher{
 		name: o.Name, address: o.Address, engine: o.Engine, replica: o.Replica, servers: o.Servers, machines: o.Machines,
 		log: o.Log, stats: newStats(o.Scope), leaderLease: newLeaderLease(o.ElectionTime), machineLease: o.MachineLease,
+		dataCentres: o.DataCentres,
 	}
 }
 
@@ -86,6 +90,7 @@
 
 // checkLeadership starts or ends a session if leadership has changed.
 func (d *Dispatcher) checkLeadership(ctx context.Context) {
+	d.reportEvacuations()
 	status := d.replica.Status()
 	current := d.session.Load()
 	if current != nil && (!status.IsLeader || status.Term != current.holder.Fence) {
@@ -209,6 +214,8 @@
 		return s.startWave(c)
 	case OpWaveState:
 		return s.waveState(c)
+	case OpEvacuate:
+		return s.orderEvacuation(c)
 	case OpExplain:
 		return s.explain(c), nil
 	case OpStatus:
@@ -256,7 +263,7 @@
 func (s *session) uncommittedLocked(server *fleet.Server) (announced ledger.Server, lacks bool) {
 	recorded, known := s.engine.ledger.KnownServers()[server.ID]
 	lacks = !known || recorded.Born != server.Born || recorded.Draining != server.Draining || recorded.Pool != server.Pool ||
-		recorded.Address != server.Address
+		recorded.Address != server.Address || recorded.DataCentre != server.DataCentre
 	return server.Server, lacks
 }
 
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -68,6 +68,8 @@
 	Pending map[string]int
 	Pools   []PoolView
 	Waves   []WaveView
+	// Evacuated lists the evacuated data centres.
+	Evacuated []EvacuationView
 }
 
 // explain describes the state of a job and why its waiting tasks wait.
@@ -120,6 +122,7 @@
 		v.Pending[queue] = p.count
 	}
 	v.Pools = s.poolViewsLocked()
+	v.Evacuated = s.evacuationViewsLocked()
 	for n, w := range s.engine.ledger.Waves {
 		over := 0
 		for _, phase := range w.Phases {
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -30,6 +31,8 @@
 	lost int
 	// loseResult is set if the next command with starts is committed and its result is lost.
 	loseResult bool
+	// beforeStarts and afterStarts, if set, are called once, before or after the next command with starts is applied.
+	beforeStarts, afterStarts func()
 }
 
 func (f *fakeLog) Status() replica.Status {
@@ -50,9 +53,18 @@
 		f.lost--
 		return nil, 0, replica.ErrOutcomeUnknown
 	}
+	starts := bytes.Contains(command, []byte(`"Starts"`))
+	if f.beforeStarts != nil && starts {
+		f.beforeStarts()
+		f.beforeStarts = nil
+	}
 	f.index++
 	result := f.engine.Apply(f.index, command)
-	if f.loseResult && bytes.Contains(command, []byte(`"Starts"`)) {
+	if f.afterStarts != nil && starts {
+		f.afterStarts()
+		f.afterStarts = nil
+	}
+	if f.loseResult && starts {
 		f.loseResult = false
 		return nil, 0, replica.ErrOutcomeUnknown
 	}
@@ -105,7 +117,11 @@
 	figures             map[ledger.TaskID]int64 // reported for running tasks
 	paces               []PaceOrder
 	beforeStart         func() // called, with mu held, when the next start arrives
+	afterStop           func() // called, with mu held, after each run that a stop ended
 	unansweredPaces     int    // number of pace calls that get no answer next
+	// dataCentres and capacity are what the servers announce; the default capacity is 8000 millicores.
+	dataCentres map[string]string
+	capacity    map[string]int64
 }
 
 func newFakeServers(ids ...string) *fakeServers {
@@ -188,6 +204,9 @@
 	s.stopped[key] = true
 	if s.running[key] {
 		s.end(key, ledger.EndStopped)
+		if f.afterStop != nil {
+			f.afterStop()
+		}
 	}
 	return nil
 }
@@ -365,7 +384,8 @@
 
 func (r *rig) serverOf(id string, seq int64) *ledger.Server {
 	return &ledger.Server{
-		ID: id, Pool: "p", Address: id, Capacity: ledger.Resources{CPU: 8000, MemMB: 8000}, Born: 1, Seq: seq, ClockMS: r.servers.clock(),
+		ID: id, Pool: "p", Address: id, Capacity: ledger.Resources{CPU: cmp.Or(r.servers.capacity[id], 8000), MemMB: 8000}, Born: 1, Seq: seq,
+		ClockMS: r.servers.clock(), DataCentre: r.servers.dataCentres[id],
 	}
 }
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -58,6 +58,10 @@
 	if t == nil || t.Run != st.Run || t.Phase != ledger.Live || j.State.Final() || server == nil || server.Born != st.Born {
 		return Target{}, StartOrder{}, false
 	}
+	if s.inEvacuatedLocked(st.Worker) {
+		s.dropStartLocked(st)
+		return Target{}, StartOrder{}, false
+	}
 	deadline, known := s.grantLeaseLocked(st.Worker)
 	if !known {
 		return Target{}, StartOrder{}, false
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -47,6 +47,7 @@
 	s.logStarts(result.Started)
 	s.sendStarts(result.Started)
 	if len(result.Started) < len(starts) {
+		s.countDroppedStarts(starts, result.Started)
 		s.discardOrdersExcept(starts, result.Started)
 	}
 }
@@ -106,6 +107,7 @@
 func (s *session) planInputLocked() *schedule.Input {
 	return &schedule.Input{
 		Now: boottime.Now(), WallMS: time.Now().UnixMilli(), Ledger: s.engine.ledger, Fleet: s.fleet, Reserved: s.reserved, Due: s.dueServers,
+		Evacuated: s.engine.ledger.Evacuated(),
 	}
 }
 
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -163,6 +163,9 @@
 	var list []pools.Machine
 	for _, m := range machines {
 		s.settleMoveLocked(m, listedAt, now)
+		if s.machineEvacuatedLocked(m) {
+			continue // counts for no pool and isn't moved
+		}
 		if at, ok := s.movedAt[m.Name]; ok && m.Pool != s.movedTo[m.Name] && now-at < moveTransitTime {
 			m.Pool, m.State = s.movedTo[m.Name], MachineMoving
 		}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -67,6 +67,8 @@
 	startedAt   time.Duration
 	// machineLease is how long a machine is reserved for the leader that last sent an order for it.
 	machineLease time.Duration
+	// dataCentres are the names of the data centres in the settings.
+	dataCentres []string
 
 	// Guarded by engine.mu.
 	fleet     *fleet.Table
@@ -108,6 +110,8 @@
 	forecast   forecast.Forecast
 	// forecastReady is set once the forecast knows the sizes of the pools.
 	forecastReady bool
+	// machineDataCentre is the data centre of the server that a machine was last listed with.
+	machineDataCentre map[string]string
 	// loggedOutlooks is the last logged outlook of each pool.
 	loggedOutlooks map[string]forecast.Outlook
 
@@ -135,15 +139,15 @@
 	s := &session{
 		engine: d.engine, log: d.log.With("term", term), replica: d.replica, servers: d.servers, machines: d.machines,
 		leaderLease: d.leaderLease, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
-		startedAt: boottime.Now(), machineLease: d.machineLease,
+		startedAt: boottime.Now(), machineLease: d.machineLease, dataCentres: d.dataCentres,
 		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(begunJobs), pendingLoggedAt: make(map[string]time.Duration),
 		reserved: make(map[string]bool), sentPaces: make(map[runKey]sentPace), pacers: make(map[string]*pacing.Pacer),
 		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[upkeepKey]time.Duration),
 		missingSince: make(map[string]time.Duration), missingChecks: make(map[string]int),
 		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
 		moveUnanswered: make(map[string]bool), moveNotBefore: make(map[string]time.Duration), cachedMachines: &machineCache{}, movesInFlight: make(map[string]bool),
-		loggedOutlooks: make(map[string]forecast.Outlook),
-		wake:           make(chan struct{}, 1), ctx: ctx, cancel: cancel,
+		loggedOutlooks: make(map[string]forecast.Outlook), machineDataCentre: make(map[string]string),
+		wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
 	s.ends = newEndQueue(s)
 	s.engine.mu.Lock()
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -14,7 +14,11 @@
 	call         tally.Timer
 	refused      tally.Counter
 	machineCalls tally.Counter
-	scope        tally.Scope
+	// evacuatedDataCentres is the number of evacuated data centres, and startsDroppedEvacuated counts the starts that were
+	// planned before the evacuation of the server's data centre and not ordered.
+	evacuatedDataCentres   tally.Gauge
+	startsDroppedEvacuated tally.Counter
+	scope                  tally.Scope
 }
 
 // latencyBuckets double from 0.5 ms to 8 s. They range from the time of a plan to beyond proposeTimeout.
@@ -25,6 +29,7 @@
 	return &stats{
 		commit: timer("commit_latency"), order: timer("order_latency"), plan: timer("plan_latency"), call: timer("call_latency"),
 		refused: scope.Counter("orders_refused"), machineCalls: scope.Counter("machine_calls"), scope: scope,
+		evacuatedDataCentres: scope.Gauge("evacuated_data_centres"), startsDroppedEvacuated: scope.Counter("starts_dropped_evacuated"),
 	}
 }
 
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -28,7 +28,7 @@
 	machine string
 }
 
-// upkeepLoop carries out maintenance waves.
+// upkeepLoop carries out maintenance waves and moves lasting tasks out of evacuated data centres.
 func (s *session) upkeepLoop() {
 	ticker := time.NewTicker(waveCheckInterval)
 	defer ticker.Stop()
@@ -38,7 +38,11 @@
 			return
 		case <-ticker.C:
 		}
-		if s.machines == nil || !s.mayOrder() {
+		if !s.mayOrder() {
+			continue
+		}
+		s.moveLastingFromEvacuated()
+		if s.machines == nil {
 			continue
 		}
 		open := s.openWaves()
@@ -229,7 +233,7 @@
 
 // describeMachineLocked returns the input of upkeep.Next for a machine.
 func (s *session) describeMachineLocked(m Machine) upkeep.Machine {
-	d := upkeep.Machine{PoolInDemand: s.forecast.InTurn(m.Pool), Name: m.Name, Orderable: s.orderableLocked(m) && s.mayBeOrderedLocked(m.Name), Reserved: s.upkeepServer[m.Name] != "" && s.reserved[m.Server]}
+	d := upkeep.Machine{Evacuated: s.machineEvacuatedLocked(m), PoolInDemand: s.forecast.InTurn(m.Pool), Name: m.Name, Orderable: s.orderableLocked(m) && s.mayBeOrderedLocked(m.Name), Reserved: s.upkeepServer[m.Name] != "" && s.reserved[m.Server]}
 	for id, t := range s.engine.ledger.LiveOn(m.Server) {
 		step := &s.engine.ledger.Job(id.Job).Steps[id.Step]
 		d.Runs++
@@ -261,9 +265,14 @@
 
 // mayStopLocked reports whether stopping a lasting task stays within the MayMiss limit of its step.
 func (s *session) mayStopLocked(id ledger.TaskID, t *ledger.Task) bool {
+	step := &s.engine.ledger.Job(id.Job).Steps[id.Step]
+	return step.MayMiss == 0 || s.mayStopWithinLocked(id, step.MayMiss)
+}
+
+// mayStopWithinLocked reports whether at most limit tasks of a lasting step are unavailable once one more is stopped.
+func (s *session) mayStopWithinLocked(id ledger.TaskID, limit int) bool {
 	j := s.engine.ledger.Job(id.Job)
-	step := &j.Steps[id.Step]
-	if step.MayMiss == 0 || j.State.Final() {
+	if j.State.Final() {
 		return true
 	}
 	unavailable := 0
@@ -273,7 +282,7 @@
 			unavailable++
 		}
 	}
-	return unavailable < step.MayMiss
+	return unavailable < limit
 }
 
 // fullyRunningLocked reports whether a lasting task worked in full at the last report of its server, isn't being stopped,
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -141,7 +141,7 @@
 	d = dispatch.New(dispatch.Options{
 		Name: s.Name, Address: s.Listen, Engine: engine, Replica: node, Servers: deps.Servers, Machines: deps.Machines,
 		Log: log.Named("dispatch"), Scope: registry.Scope(), ElectionTime: tickInterval * electionTicks,
-		MachineLease: s.MachineLease.Std(),
+		MachineLease: s.MachineLease.Std(), DataCentres: s.DataCentres,
 	})
 	c := &control{settings: s, log: log, node: node, dispatcher: d, metrics: registry, deps: deps}
 	c.client = leader.NewClient(seedPeers, d, log.Named("leader"))
--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -425,3 +425,15 @@
 	must.StrHasPrefix(t, name+nameSeparator, other)
 	must.False(t, founder)
 }
+
+// Guards against a misspelt list of data centres, with which orders for an existing one would be refused.
+func TestDataCentresAreChecked(t *testing.T) {
+	for list, faults := range map[string]int{"": 0, "dc1": 0, "dc2 dc1": 0, "dc2": 1, "dc1 dc1": 1, "dc1 A": 1} {
+		s := DefaultSettings()
+		s.Name, s.DataCentre, s.Listen, s.PeerListen = "c", "dc1", "10.0.0.1:80", "10.0.0.1:7000"
+		s.DataDir, s.Seeds, s.DataCentres = "d", []string{"10.0.0.1:80"}, strings.Fields(list)
+		var found settings.Faults
+		s.Check(&found)
+		must.SliceLen(t, faults, found.List(), must.Sprint(list))
+	}
+}
--- a/internal/jobcontrol/settings.go
+++ b/internal/jobcontrol/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,6 +29,9 @@
 	Losses int `toml:"losses"`
 	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
 	MemoryMB int64 `toml:"memory_mb"`
+	// DataCentres are the names of all data centres of the deployment, for the check of orders that evacuate one; empty if only
+	// those of known backend servers are to be checked.
+	DataCentres []string `toml:"data_centres"`
 	// MachinesAddress is the address of the platform's machine interface, as IP:port; empty if there is none.
 	MachinesAddress string `toml:"machines"`
 	// MachineLease is how long a machine stays reserved for the leader that last sent it an order. Default 3s.
@@ -59,6 +63,15 @@
 	for i, seed := range s.Seeds {
 		settings.CheckAddress(f, settings.Element("seeds", i), seed)
 	}
+	for i, name := range s.DataCentres {
+		settings.CheckName(f, settings.Element("data_centres", i), name)
+		if slices.Contains(s.DataCentres[:i], name) {
+			f.Add(settings.Element("data_centres", i), "%q is listed twice", name)
+		}
+	}
+	if len(s.DataCentres) > 0 && !slices.Contains(s.DataCentres, s.DataCentre) {
+		f.Add("data_centres", "lacks %q, the data_centre of this instance", s.DataCentre)
+	}
 	if s.Losses < 0 {
 		f.Add("losses", "must not be negative")
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -19,6 +19,7 @@
 	"github.com/zeebo/errs"
 
 	"laburnumrouter/internal/dispatch"
+	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/version/accepted"
 )
 
@@ -46,6 +47,9 @@
 	maxConns = 32
 	// defaultCallTime is the time of a call without a deadline.
 	defaultCallTime = 2 * time.Second
+	// renewalTime is how long after its arrival an order for a data centre may be renewed because there was a newer one. An
+	// operator who gets no answer within one second gives another order, which must not be undone.
+	renewalTime = 900 * time.Millisecond
 	// idleTimeout is how long an unused connection stays open.
 	idleTimeout = 30 * time.Second
 	// maxBodyBytes bounds the size of a request or response body; the largest one carries a configuration.
@@ -142,12 +146,20 @@
 	if err != nil {
 		return &dispatch.Reply{Outcome: dispatch.Invalid, Reason: err.Error()}
 	}
-	anyMayHaveRun := false
+	anyMayHaveRun, began := false, boottime.Now()
 	for {
 		reply, attemptMayHaveRun, err := c.try(ctx, call, body)
 		anyMayHaveRun = anyMayHaveRun || attemptMayHaveRun
 		if err == nil {
-			return settleReply(call, reply, anyMayHaveRun)
+			renewed, outdated := call.Renew(reply)
+			if !outdated || ctx.Err() != nil || boottime.Now()-began > renewalTime {
+				return settleReply(call, reply, anyMayHaveRun)
+			}
+			call = renewed
+			if body, err = json.Marshal(call); err != nil {
+				return &dispatch.Reply{Outcome: dispatch.Invalid, Reason: err.Error()}
+			}
+			continue
 		}
 		if errors.Is(err, errNoLeader) && c.awaitLeader(ctx, call, len(body)) {
 			continue
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"laburnumrouter/internal/dispatch"
+	"laburnumrouter/internal/request/ledger"
 )
 
 // instance is a fake control instance whose responses a test controls.
@@ -23,6 +24,8 @@
 	calls  atomic.Int64
 	// reply is the response to calls; nil stands for OK.
 	reply atomic.Pointer[dispatch.Reply]
+	// newestOrder, unless 0, is the number of an order that calls must be later than.
+	newestOrder atomic.Int64
 	// drop aborts the connection of calls after they were received.
 	drop atomic.Bool
 	// hang blocks calls until the channel is closed.
@@ -37,8 +40,10 @@
 	mux.HandleFunc("GET "+LeaderPath, func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(i.status.Load())
 	})
-	mux.HandleFunc("POST "+CallPath, func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("POST "+CallPath, func(w http.ResponseWriter, r *http.Request) {
 		i.calls.Add(1)
+		var c dispatch.Call
+		_ = json.NewDecoder(r.Body).Decode(&c)
 		if hang := i.hang.Load(); hang != nil {
 			<-*hang
 		}
@@ -47,6 +52,8 @@
 			panic(http.ErrAbortHandler)
 		case !i.status.Load().Leads:
 			w.WriteHeader(http.StatusMisdirectedRequest)
+		case i.newestOrder.Load() != 0 && c.Evacuation.After != i.newestOrder.Load():
+			_ = json.NewEncoder(w).Encode(&dispatch.Reply{Outcome: dispatch.Unavailable, NewestOrder: i.newestOrder.Load()})
 		case i.reply.Load() != nil:
 			_ = json.NewEncoder(w).Encode(i.reply.Load())
 		default:
@@ -150,6 +157,24 @@
 	must.EqOp(t, 1, next.calls.Load())
 }
 
+// An order for a data centre that was prepared before the newest one is renewed while its sender waits for it. Later it may
+// have been replaced by another one, and is not renewed: a suspended process would undo that one.
+func TestOrderForDataCentreIsRenewedInTimeOnly(t *testing.T) {
+	a := newInstance(t, LeaderStatus{Leads: true})
+	a.newestOrder.Store(7)
+	c := NewClient([]string{a.address()}, nil, hclog.NewNullLogger())
+	order := &dispatch.Call{Op: dispatch.OpEvacuate, Evacuation: &ledger.EvacuationOrder{DataCentre: "dc1"}}
+	must.EqOp(t, dispatch.OK, c.Do(t.Context(), order).Outcome)
+	must.EqOp(t, 2, a.calls.Load())
+	must.EqOp(t, 0, order.Evacuation.After)
+	hang := make(chan struct{})
+	a.hang.Store(&hang)
+	time.AfterFunc(renewalTime+50*time.Millisecond, func() { close(hang) })
+	c.timeoutPerAttempt = time.Minute
+	must.EqOp(t, dispatch.Unavailable, c.Do(t.Context(), order).Outcome)
+	must.EqOp(t, 3, a.calls.Load())
+}
+
 // A process that reaches less than a majority of the members is cut off; one that reaches a majority is not, even while
 // there is no leader.
 func TestCutOff(t *testing.T) {
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -21,6 +21,9 @@
 	if c.Cancel != "" {
 		r.Cancel = l.applyCancel(c.Cancel)
 	}
+	if c.Evacuation != nil {
+		r.Evacuation, r.EvacuationNumber = l.applyEvacuation(c.Evacuation)
+	}
 	l.applyBegun(c.Begun)
 	for _, e := range c.Ends {
 		if l.applyEnd(e) {
@@ -178,8 +181,8 @@
 }
 
 // startsValid reports whether a group of starts may be applied: each task is waiting, its run number is higher than any
-// before, the steps it depends on are done, the group starts all tasks of a gang, the job's queue is configured, and the
-// workspace stays within its limit.
+// before, the steps it depends on are done, the group starts all tasks of a gang, the job's queue is configured, the
+// workspace stays within its limit, and no server is in an evacuated data centre.
 func (l *Ledger) startsValid(group []Start) bool {
 	var need Resources
 	for _, s := range group {
@@ -187,6 +190,9 @@
 		if j == nil || j.State.Final() || s.Task.Step >= len(j.Steps) || s.Task.Occurrence >= j.occurrences() {
 			return false
 		}
+		if l.evacuated[l.Servers[s.Worker].DataCentre] {
+			return false
+		}
 		step := &j.Steps[s.Task.Step]
 		if step.Gang && len(group) != step.Count {
 			return false
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -11,6 +11,9 @@
 	// Cancel is the ID of a job to cancel. An unknown ID is recorded as cancelled, so that a submission that arrives after
 	// its cancellation doesn't run.
 	Cancel string `json:",omitempty"`
+	// Evacuation takes a data centre out of service or restores it. It precedes Starts, so that it applies to those of the same
+	// command.
+	Evacuation *EvacuationOrder `json:",omitempty"`
 	// Begun lists jobs of which a backend server has accepted or reported a run.
 	Begun  []string `json:",omitempty"`
 	Ends   []End    `json:",omitempty"`
@@ -143,6 +146,18 @@
 	Phase   UpkeepPhase
 }
 
+// EvacuationOrder takes a data centre out of service, or restores it.
+type EvacuationOrder struct {
+	DataCentre string
+	// Evacuate is set to take the data centre out of service. If it isn't set, the data centre is restored.
+	Evacuate bool `json:",omitempty"`
+	// RequestID identifies the order: one that is applied twice has no effect the second time.
+	RequestID string
+	// After is the number of the newest order for the data centre that the sender knows of; 0 if it knows of none. The order has
+	// no effect if there is a newer one: it was delayed, and that one may have been acknowledged to an operator meanwhile.
+	After int64 `json:",omitempty"`
+}
+
 // MachineMove orders the move of a machine to a pool.
 type MachineMove struct {
 	Machine, Pool string
@@ -159,6 +174,8 @@
 	Superseded Verdict = "superseded"
 	// Conflict: different content is already recorded under the same version or wave number.
 	Conflict Verdict = "conflict"
+	// Outdated: the order was prepared before the newest order for the same data centre, and has no effect.
+	Outdated Verdict = "outdated"
 	// Unknown: the job to cancel is unknown.
 	Unknown Verdict = "unknown"
 	// NotConfigured: there is no configuration, or the one in force lacks the job's queue, or the queue isn't open and the
@@ -172,6 +189,9 @@
 	Submit Verdict `json:",omitempty"`
 	Cancel Verdict `json:",omitempty"`
 	Wave   Verdict `json:",omitempty"`
+	// Evacuation is the verdict on the order for a data centre. EvacuationNumber is the number of the newest order for it.
+	Evacuation       Verdict `json:",omitempty"`
+	EvacuationNumber int64   `json:",omitempty"`
 	// Started lists the starts that were accepted, in order.
 	Started []Start `json:",omitempty"`
 	// Ended lists the ends that were accepted, each of which closed a live run.
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -49,6 +49,8 @@
 	Orders map[string]uint64 `json:",omitempty"`
 	// Sizes holds, by pool, the number of machines that it had before any move. Later moves don't change it.
 	Sizes map[string]int `json:",omitempty"`
+	// Evacuations holds the state of each data centre for which there was an order.
+	Evacuations map[string]*Evacuation `json:",omitempty"`
 	// ClockMS is the highest NowMS of all applied commands.
 	ClockMS int64
 }
@@ -65,13 +67,15 @@
 	usage map[string]Resources
 	// load is the capacity that the live runs take up, by backend server.
 	load map[string]Resources
+	// evacuated is the set of evacuated data centres.
+	evacuated map[string]bool
 	// finished lists the IDs of finished jobs, the oldest first.
 	finished []string
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	l := &Ledger{contents: contents{Jobs: make(map[string]*Job), Servers: make(map[string]Server), Waves: make(map[int64]*Wave), Sizes: make(map[string]int), Orders: make(map[string]uint64)}}
+	l := &Ledger{contents: contents{Jobs: make(map[string]*Job), Servers: make(map[string]Server), Waves: make(map[int64]*Wave), Sizes: make(map[string]int), Orders: make(map[string]uint64), Evacuations: make(map[string]*Evacuation)}}
 	l.reindex()
 	return l
 }
@@ -103,6 +107,12 @@
 	l.liveRuns = make(map[string]map[TaskID]*Task)
 	l.usage = make(map[string]Resources)
 	l.load = make(map[string]Resources)
+	l.evacuated = make(map[string]bool)
+	for name, e := range l.Evacuations {
+		if e.Evacuated {
+			l.evacuated[name] = true
+		}
+	}
 	l.finished = nil
 	for id, j := range l.Jobs {
 		if j.State.Final() {
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -37,6 +37,8 @@
 	Reserved map[string]bool
 	// Due is the set of servers, by ID, whose machines have an upkeep before them. Lasting tasks avoid them.
 	Due map[string]bool
+	// Evacuated is the set of data centres in which no task may start.
+	Evacuated map[string]bool
 }
 
 // Plan returns the starts to order now, the most urgent first.
@@ -101,7 +103,7 @@
 	p := &planner{Input: in, serversByPool: make(map[string][]*serverState), plannedUsage: make(map[string]ledger.Resources)}
 	for id, s := range in.Fleet.All() {
 		// Without a reading of the server's clock no lease can be granted to it.
-		if s.Draining || in.Reserved[id] || !s.Clock.Known() || !s.Usable(in.Now, AnnouncementTimeout) {
+		if s.Draining || in.Reserved[id] || in.Evacuated[s.DataCentre] || !s.Clock.Known() || !s.Usable(in.Now, AnnouncementTimeout) {
 			continue
 		}
 		r := &serverState{server: s, free: s.Capacity.Minus(in.Ledger.Load(id)), slow: s.Health.Slow(in.Now), due: in.Due[id]}
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -158,6 +158,48 @@
 	}
 }
 
+// Guards against a path to an evacuated data centre: first runs and reruns, lasting tasks, gangs, trial runs of suspect
+// servers, and reservations for running tasks that are to be stopped.
+func TestNoPlacementInEvacuatedDataCentre(t *testing.T) {
+	for name, c := range map[string]struct {
+		step ledger.Step
+		want int // starts on the server in the other data centre
+	}{
+		"finite": {newStep(9, 1000), 4}, "filler": {ledger.Step{Count: 3, Fills: true}, 3}, "lasting": {ledger.Step{Count: 5, Lasting: true, Spread: 2}, 2},
+		"gang": {ledger.Step{Count: 4, Gang: true, Need: ledger.Resources{CPU: 1000}}, 4}, "large gang": {ledger.Step{Count: 5, Gang: true, Need: ledger.Resources{CPU: 1000}}, 0},
+		"gang on the rack of the data": {ledger.Step{Count: 2, Gang: true, RackLocal: true, Rack: "rack-a"}, 2}, "label": {ledger.Step{Count: 1, Label: "rack-a"}, 0},
+	} {
+		for _, suspect := range []bool{false, true} {
+			f := newFixture(t)
+			in := &Input{Now: f.now, WallMS: startMS, Ledger: f.ledger, Fleet: f.fleet, Evacuated: map[string]bool{"dc1": true}}
+			a := f.server("a", "p", func(s *ledger.Server) { s.DataCentre = "dc1" })
+			f.server("b", "p", func(s *ledger.Server) { s.DataCentre = "dc2" })
+			for range 3 {
+				if suspect {
+					a.Health.Failed(f.now - time.Minute)
+				}
+			}
+			f.submit("j", c.step)
+			starts := startsByServer(Plan(in))
+			must.EqOp(t, 0, starts["a"], must.Sprint(name, suspect))
+			must.EqOp(t, c.want, starts["b"], must.Sprint(name, suspect))
+		}
+	}
+	f := newFixture(t)
+	f.server("a", "p", func(s *ledger.Server) { s.DataCentre = "dc1" })
+	f.server("b", "p", func(s *ledger.Server) { s.DataCentre = "dc2" })
+	f.server("c", "p", func(s *ledger.Server) { s.DataCentre = "dc1" })
+	f.submit("j", ledger.Step{Count: 2, Lasting: true, Need: ledger.Resources{CPU: 2500}})
+	id := ledger.TaskID{Job: "j"}
+	f.ledger.Apply(&ledger.Command{Starts: []ledger.Start{{Task: id, Run: 1, Worker: "a"}}})
+	free := NewFreeCapacity(&Input{Now: f.now, Ledger: f.ledger, Fleet: f.fleet, Evacuated: map[string]bool{"dc1": true}})
+	must.True(t, free.ReserveElsewhere(id)) // on b
+	must.False(t, free.ReserveElsewhere(id))
+	f.ledger.Apply(&ledger.Command{Ends: []ledger.End{{Task: id, Run: 1, Worker: "a", How: ledger.EndStopped}}})
+	rerun := Plan(&Input{Now: f.now, WallMS: startMS, Ledger: f.ledger, Fleet: f.fleet, Evacuated: map[string]bool{"dc1": true}})
+	must.Eq(t, map[string]int{"b": 1}, startsByServer(rerun))
+}
+
 func TestPlanStaysWithinWorkspaceLimit(t *testing.T) {
 	f := newFixture(t)
 	f.server("a", "p", nil)
--- a/internal/request/schedule/why.go
+++ b/internal/request/schedule/why.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 
 	"laburnumrouter/internal/request/ledger"
 )
@@ -30,13 +33,21 @@
 		return fmt.Sprintf("workspace %s would exceed its upper limit: in use cpu %d, mem_mb %d, gpu %d; needed in addition cpu %d, mem_mb %d, gpu %d", j.Workspace,
 			in.Ledger.Usage(j.Workspace).CPU, in.Ledger.Usage(j.Workspace).MemMB, in.Ledger.Usage(j.Workspace).GPU, need.CPU, need.MemMB, need.GPU)
 	case len(p.serversByPool[c.pool]) == 0:
-		return fmt.Sprintf("no backend server of pool %s is usable", c.pool)
+		return fmt.Sprintf("no backend server of pool %s is usable", c.pool) + explainEvacuated(in)
 	case s.Gang && p.chooseGangServers(c, func(*serverState) bool { return true }) == nil, !s.Gang && p.chooseServer(c, liveTasksByServer(c)) == nil:
 		return p.explainNoCapacity(c)
 	}
 	return "the task can be placed by the next plan"
 }
 
+// explainEvacuated returns a part of a message that names the evacuated data centres, or nothing if there are none.
+func explainEvacuated(in *Input) string {
+	if len(in.Evacuated) == 0 {
+		return ""
+	}
+	return "; evacuated data centres: " + strings.Join(slices.Sorted(maps.Keys(in.Evacuated)), ", ")
+}
+
 // explainNoCapacity returns a message that compares the need of a task with what is free on the usable server with the
 // most free CPU.
 func (p *planner) explainNoCapacity(c candidate) string {
@@ -55,5 +66,5 @@
 		return fmt.Sprintf("no usable backend server of pool %s has the label %q", c.pool, s.Label)
 	}
 	return fmt.Sprintf("no room in pool %s: %d usable backend servers, most free cpu %d, mem_mb %d; a task needs %d, %d",
-		c.pool, eligible, mostFree.CPU, mostFree.MemMB, s.CapacityUse().CPU, s.CapacityUse().MemMB)
+		c.pool, eligible, mostFree.CPU, mostFree.MemMB, s.CapacityUse().CPU, s.CapacityUse().MemMB) + explainEvacuated(p.Input)
 }
--- a/internal/request/upkeep/upkeep.go
+++ b/internal/request/upkeep/upkeep.go
@@ -42,6 +42,8 @@
 	Steps []LastingStep
 	// Missing is set if the platform's list lacks the machine. It may have left for good.
 	Missing bool
+	// Evacuated is set if the machine is in an evacuated data centre, where no task starts.
+	Evacuated bool
 	// Reserved is set if the machine gets no new work because it is being drained for the wave.
 	Reserved bool
 }
@@ -151,11 +153,13 @@
 	return nowMS+rounds*(downtimeMS+drainMS)+safetyMarginMS >= w.StartedMS+w.DurationMS
 }
 
-// compareMachines sorts missing machines last and, among the others, reserved machines first, then those of pools with low demand, then those with the fewest lasting
+// compareMachines sorts missing machines last and, among the others, empty machines of evacuated data centres first, because
+// their pools don't use them, then reserved machines, then those of pools with low demand, then those with the fewest lasting
 // runs that may not be stopped, the fewest lasting runs and the lowest LongestTaskMS.
 func compareMachines(a, b Machine) int {
 	return cmp.Or(
 		cmp.Compare(boolRank(a.Missing), boolRank(b.Missing)),
+		cmp.Compare(boolRank(!a.emptyEvacuated()), boolRank(!b.emptyEvacuated())),
 		cmp.Compare(boolRank(!a.Reserved), boolRank(!b.Reserved)),
 		cmp.Compare(boolRank(a.PoolInDemand), boolRank(b.PoolInDemand)),
 		cmp.Compare(a.Unstoppable, b.Unstoppable),
@@ -165,6 +169,9 @@
 	)
 }
 
+// emptyEvacuated reports whether the machine is idle and remains so while its data centre is evacuated.
+func (m *Machine) emptyEvacuated() bool { return m.Evacuated && m.Runs == 0 }
+
 // boolRank returns the sort key of a condition that moves a machine towards the end.
 func boolRank(last bool) int {
 	if last {
--- a/internal/request/upkeep/upkeep_test.go
+++ b/internal/request/upkeep/upkeep_test.go
@@ -33,6 +33,7 @@
 		return list
 	}
 	drained := Machine{Name: "drained", Orderable: true, Reserved: true}
+	evacuated := Machine{Name: "z", Orderable: true, Evacuated: true}
 	cases := []struct {
 		name    string
 		wave    *ledger.Wave
@@ -44,6 +45,9 @@
 		{"upkeep of idle machines is ordered at once", wave(2), 0, []Machine{busy, idle}, []string{"idle"}, nil},
 		{"no order beyond the wave's bound", wave(1, "other"), 0, []Machine{idle}, nil, nil},
 		{"upkeep of a reserved machine is ordered first", wave(1), 0, []Machine{idle, drained}, []string{"drained"}, nil},
+		{"upkeep of an empty machine of an evacuated data centre is ordered first of all", wave(1), 0, []Machine{idle, drained, evacuated}, []string{"z"}, nil},
+		{"a busy machine there has its turn like others", wave(9), 17_000, []Machine{busy, {Name: "evacuated", Orderable: true, Evacuated: true, Runs: 1, LongestTaskMS: 950}},
+			nil, []string{"busy", "evacuated"}},
 		{"busy machines are not reserved while there is time", wave(2), 5_000, []Machine{busy, lasting}, nil, nil},
 		{"busy machines are reserved once time runs short", wave(2), 17_000, []Machine{busyPool, lasting, busy}, nil, []string{"busy", "lasting"}},
 		{"lasting tasks that leave one after the other begin early", wave(9), 5_000, serial(8), nil, []string{"a", "b"}},
