Stops of lasting tasks count every unanswered stop and the age of reports

Cause: after five unanswered stops (about 3 s) the task counted as working again, although each stop may be carried out for 12 s. A wave then stopped a second task of the step, and both ended together. A task also counted as working by a report of any age once its server had answered another order.

Change: an order records until when a sent stop may be carried out, and when the newest report on the run was requested. A task counts as working only by a report of at most 2.5 s. Right before a stop the bound is 0.5 s; older reports are requested at once. A restarted server's runs count as away until reported.

--- /dev/null
+++ b/internal/dispatch/avail_test.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+	"github.com/uber-go/tally/v4"
+
+	"laburnumrouter/internal/process/boottime"
+	"laburnumrouter/internal/request/ledger"
+)
+
+// lateStops answers no stop and carries out all of them together, 12 s after the first was sent: servers that execute orders
+// late do so after 2 to 12 s.
+type lateStops struct {
+	*fakeServers
+	firstStop time.Duration
+	// fewestRuns is the smallest number of live runs right after a stop was carried out.
+	fewestRuns int
+	// frozen servers answer no hold calls from now on, but answer everything else.
+	frozen map[string]bool
+}
+
+func (l *lateStops) Stop(ctx context.Context, to Target, o StopOrder) error {
+	l.mu.Lock()
+	if l.firstStop == 0 {
+		l.firstStop = boottime.Now()
+	}
+	executed := l.firstStop + 12*time.Second
+	l.mu.Unlock()
+	time.AfterFunc(executed-boottime.Now(), func() {
+		_ = l.fakeServers.Stop(context.Background(), to, o)
+		running := l.totalRuns()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.fewestRuns = min(l.fewestRuns, running)
+	})
+	<-ctx.Done()
+	return errNoAnswer
+}
+
+func (l *lateStops) Hold(ctx context.Context, to Target, o HoldOrder) (*HoldReport, error) {
+	l.mu.Lock()
+	frozen := l.frozen[to.ID]
+	l.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+		return nil, errNoAnswer
+	}
+	return l.fakeServers.Hold(ctx, to, o)
+}
+
+// newWaveRig returns a rig with one machine, m0, m1 and so on, for each server s0, s1 and so on.
+func newWaveRig(t *testing.T, servers int, wrap func(*fakeServers) Servers) (*rig, []string) {
+	t.Helper()
+	var ids, names []string
+	m := &fakeMachines{hidden: make(map[string]bool)}
+	for i := range servers {
+		ids, names = append(ids, fmt.Sprint("s", i)), append(names, fmt.Sprint("m", i))
+		m.list = append(m.list, Machine{Name: names[i], Pool: "p", State: MachineUp, Server: ids[i]})
+	}
+	engine := NewEngine(hclog.NewNullLogger())
+	f := newFakeServers(ids...)
+	r := &rig{t: t, engine: engine, log: &fakeLog{engine: engine}, servers: f}
+	r.d = New(Options{
+		Name: "c1", Engine: engine, Replica: r.log, Servers: wrap(f), Machines: m, Log: hclog.NewNullLogger(), Scope: tally.NoopScope,
+		ElectionTime: time.Hour,
+	})
+	r.start()
+	return r, names
+}
+
+// totalRuns returns the number of live runs on all servers.
+func (f *fakeServers) totalRuns() (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		n += len(s.running)
+	}
+	return n
+}
+
+// Guards against a wave that takes a second task of a step while the stop of the first, which was given up without an answer,
+// may still be carried out: both ended together although the step may miss only one.
+func TestUnansweredStopCountsUntilItCanNoLongerBeCarriedOut(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		late := &lateStops{fewestRuns: 2}
+		r, _ := newWaveRig(t, 4, func(f *fakeServers) Servers {
+			late.fakeServers = f
+			return late
+		})
+		r.submit("j", ledger.Step{Count: 2, Spread: 1, MayMiss: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+		r.until(func() bool { return r.servers.totalRuns() == 2 })
+		// The machine that is drained first comes last in the wave, so that the other one's task is considered before it.
+		var machines []string
+		for i := 3; i >= 0; i-- {
+			if len(r.servers.runs(fmt.Sprint("s", i))) > 0 {
+				machines = append(machines, fmt.Sprint("m", i))
+			}
+		}
+		r.startWave(machines, 20*time.Second, 1)
+		time.Sleep(60 * time.Second)
+		r.servers.mu.Lock()
+		defer r.servers.mu.Unlock()
+		must.EqOp(t, 1, late.fewestRuns)
+	})
+}
+
+// Guards against a stop that rests on an old report: a server whose holds go unanswered counted as working again after it had
+// answered another order, and a second task of the step was stopped.
+func TestStopRestsOnRecentReports(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		late := &lateStops{frozen: make(map[string]bool)}
+		r, _ := newWaveRig(t, 3, func(f *fakeServers) Servers {
+			late.fakeServers = f
+			return late
+		})
+		r.submit("j", ledger.Step{Count: 2, Spread: 1, MayMiss: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+		r.until(func() bool { return r.servers.totalRuns() == 2 })
+		s := r.d.session.Load()
+		first, second := ledger.TaskID{Job: "j"}, ledger.TaskID{Job: "j", Index: 1}
+		mayStop := func() bool {
+			s.engine.mu.Lock()
+			defer s.engine.mu.Unlock()
+			_, t := s.engine.ledger.Task(first)
+			return s.mayStopLocked(first, t)
+		}
+		r.until(mayStop)
+		time.Sleep(3 * time.Second)
+		must.True(t, mayStop()) // reports arrive at the usual interval
+		s.engine.mu.Lock()
+		_, other := s.engine.ledger.Task(second)
+		server := other.Worker
+		s.engine.mu.Unlock()
+		r.servers.mu.Lock()
+		late.frozen[server] = true
+		r.servers.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		s.engine.mu.Lock()
+		s.fleet.Get(server).Answered(boottime.Now()) // as after an answered start or pace
+		s.engine.mu.Unlock()
+		must.False(t, mayStop())
+	})
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -41,6 +41,8 @@
 	interrupted bool
 	// contacted is set once the server has answered a hold call, which carries this leader's fencing token.
 	contacted bool
+	// reportWanted is set while a report is wanted at once. It is guarded by engine.mu.
+	reportWanted bool
 }
 
 // ensureHoldLoopLocked starts a hold loop for a server unless one is running.
@@ -86,7 +88,10 @@
 	if server.Born != h.born {
 		h.born, h.committedEnd, h.ackedEnd, h.contacted = server.Born, 0, 0, false
 	}
-	o := HoldOrder{Fence: s.holder.Fence, AckedEnd: h.committedEnd, WaitMS: h.holdWaitLocked().Milliseconds()}
+	o := HoldOrder{Fence: s.holder.Fence, AckedEnd: h.committedEnd}
+	if !h.reportWanted {
+		o.WaitMS = h.holdWaitLocked().Milliseconds()
+	}
 	if server.FailedCalls == 0 {
 		// A server that doesn't answer gets no new deadline: a renewal that reached it unnoticed would postpone the lapse
 		// of its leases.
@@ -122,6 +127,15 @@
 	}
 }
 
+// requestReportLocked makes a server report at once what runs on it, unless it is being asked for that already.
+func (s *session) requestReportLocked(serverID string) {
+	s.ensureHoldLoopLocked(serverID)
+	if h := s.holdLoops[serverID]; h != nil && !h.reportWanted {
+		h.reportWanted = true
+		s.interruptHoldLocked(serverID)
+	}
+}
+
 // wasInterrupted reports whether this process itself aborted the call that ended without an answer.
 func (h *holdLoop) wasInterrupted() bool {
 	h.session.engine.mu.Lock()
@@ -193,6 +207,7 @@
 	s := h.session
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
+	h.reportWanted = false
 	server := s.fleet.Get(h.serverID)
 	if server == nil {
 		return
@@ -243,6 +258,7 @@
 func (h *holdLoop) processReport(report *HoldReport, asked, heard time.Duration) {
 	s := h.session
 	s.engine.mu.Lock()
+	h.reportWanted = false
 	server := s.fleet.Get(h.serverID)
 	if server == nil || report.Born < server.Born {
 		s.engine.mu.Unlock()
@@ -263,7 +279,7 @@
 	server.Clock.Observe(report.ClockMS, asked, heard)
 	listed := make(map[runKey]bool, len(report.Running)+len(report.Finished))
 	ends, newest := h.collectEndsLocked(report, server, listed, heard)
-	h.processRunningLocked(report, listed)
+	h.processRunningLocked(report, listed, asked)
 	h.handleUnlistedRunsLocked(listed, asked)
 	s.updatePacesLocked(h.serverID, report, heard)
 	h.contacted, server.HoldAnswered = true, true
@@ -296,7 +312,7 @@
 		if o.state == orderStopped {
 			o.state = orderUnanswered // the stop was sent to the earlier incarnation, not to this one
 		}
-		o.since, o.stopping = now, false
+		o.since, o.stopping, o.percent = now, false, 0
 	}
 	if len(runs) == 0 {
 		return
@@ -343,8 +359,9 @@
 	}
 }
 
-// processRunningLocked updates orders from the reported running tasks, and stops those that should not run.
-func (h *holdLoop) processRunningLocked(r *HoldReport, listed map[runKey]bool) {
+// processRunningLocked updates orders from the running tasks of a report that was requested at asked, and stops those that
+// should not run.
+func (h *holdLoop) processRunningLocked(r *HoldReport, listed map[runKey]bool, asked time.Duration) {
 	s := h.session
 	for _, row := range r.Running {
 		key := runKey{row.Task, row.Run}
@@ -363,7 +380,7 @@
 			o.state, o.since = orderTaken, boottime.Now()
 		}
 		s.runBeganLocked(key, h.serverID)
-		o.percent = row.Percent
+		o.percent, o.reportedAt = row.Percent, asked
 		if server := s.fleet.Get(h.serverID); row.Percent == 100 && j.Steps[row.Task.Step].Lasting {
 			server.Health.Working(o.since, boottime.Now())
 		}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -34,12 +34,16 @@
 	state orderState
 	// since is when the state was entered.
 	since time.Duration
-	// stopping is set while the run is being stopped.
-	stopping bool
+	// stopping is set while the run is being stopped. An unanswered stop may be carried out until stopPossibleUntil, also
+	// after the attempts were given up.
+	stopping          bool
+	stopPossibleUntil time.Duration
 	// checkpoint is the newest one that the server reported.
 	checkpoint string
-	// percent is how much of the task was in operation at the last report; 100 if it worked in full.
-	percent int
+	// percent is how much of the task was in operation at the last report; 100 if it worked in full. reportedAt is when that
+	// report was requested; 0 if none lists the run.
+	percent    int
+	reportedAt time.Duration
 }
 
 // sendStarts sends the orders of committed starts.
@@ -244,6 +248,9 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
+	s.engine.mu.Lock()
+	o.stopPossibleUntil = boottime.Now() + callTimeout + lateOrderBound
+	s.engine.mu.Unlock()
 	err := s.servers.Stop(ctx, to, StopOrder{Task: id, Run: run, Fence: s.holder.Fence})
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -28,7 +28,8 @@
 	minRefreshInterval = 600 * time.Millisecond
 	// maxCacheAge is the maximum age of the list without a known change.
 	maxCacheAge = 10 * time.Second
-	// lateOrderBound is how long an unanswered order for a machine may still be carried out (applied_late: 12 s).
+	// lateOrderBound is how long an unanswered order for a machine or to a backend server may still be carried out
+	// (applied_late: 12 s).
 	lateOrderBound = 13 * time.Second
 	// lendKeepFraction is the fraction of its initial size that a pool whose demand may rise at any time keeps while other
 	// pools lack machines. It carries the first second of a rise, in which the lent machines return.
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -20,6 +20,12 @@
 	gonePeriods = 2
 	// waveCheckInterval is the time between checks of the waves.
 	waveCheckInterval = 200 * time.Millisecond
+	// maxReportAge is how long ago the newest report on a lasting task may have been requested for the task to count as
+	// working: a server is asked again after each answer and may wait for holdWait, so two waits and a call pass at most.
+	maxReportAge = 2*holdWait + callTimeout + 100*time.Millisecond
+	// freshReportAge is the same bound for the moment at which another task of the step is stopped. Reports are requested at
+	// one check of the waves and used at one of the next two.
+	freshReportAge = 2*waveCheckInterval + 100*time.Millisecond
 )
 
 // upkeepKey identifies the upkeep of a machine in a wave.
@@ -253,38 +259,70 @@
 	}
 	for id, t := range s.engine.ledger.LiveOn(server) {
 		lasting := s.engine.ledger.Job(id.Job).Steps[id.Step].Lasting
-		if lasting && s.orderSentLocked(id, t) && s.mayStopLocked(id, t) && free.ReserveElsewhere(id) {
+		if lasting && s.orderSentLocked(id, t) && s.mayStopLocked(id, t) && (s.stoppingLocked(id, t) || s.reportsFreshLocked(id)) && free.ReserveElsewhere(id) {
 			s.stopLocked(id, t, "its machine has upkeep")
 		}
 	}
 }
 
+// stoppingLocked reports whether stops of a run are being sent.
+func (s *session) stoppingLocked(id ledger.TaskID, t *ledger.Task) bool {
+	o := s.orders[runKey{id, t.Run}]
+	return o != nil && o.stopping
+}
+
 // mayStopLocked reports whether stopping a lasting task stays within the MayMiss limit of its step.
-func (s *session) mayStopLocked(id ledger.TaskID, t *ledger.Task) bool {
+func (s *session) mayStopLocked(id ledger.TaskID, _ *ledger.Task) bool {
+	return s.mayMissLocked(id, len(s.othersAwayLocked(id, maxReportAge)))
+}
+
+// mayMissLocked reports whether a lasting task may be stopped while others of its step are away.
+func (s *session) mayMissLocked(id ledger.TaskID, away int) bool {
 	j := s.engine.ledger.Job(id.Job)
-	step := &j.Steps[id.Step]
-	if step.MayMiss == 0 || j.State.Final() {
+	limit := j.Steps[id.Step].MayMiss
+	return limit == 0 || j.State.Final() || away < limit
+}
+
+// othersAwayLocked returns the other tasks of a task's step that don't work in full by reports of at most maxAge.
+func (s *session) othersAwayLocked(id ledger.TaskID, maxAge time.Duration) (away []ledger.TaskID) {
+	o := s.engine.ledger.Job(id.Job).Occurrences[id.Occurrence]
+	if o == nil {
+		return nil // the job is over, and its occurrences are dropped
+	}
+	for i := range o.Steps[id.Step].Tasks {
+		other := id
+		if other.Index = i; other != id && !s.fullyRunningLocked(other, maxAge) {
+			away = append(away, other)
+		}
+	}
+	return away
+}
+
+// reportsFreshLocked reports whether stopping a lasting task stays within the MayMiss limit of its step by reports of at most
+// freshReportAge. Otherwise it requests reports on the step's other tasks.
+func (s *session) reportsFreshLocked(id ledger.TaskID) bool {
+	away := s.othersAwayLocked(id, freshReportAge)
+	if s.mayMissLocked(id, len(away)) {
 		return true
 	}
-	unavailable := 0
-	for i := range j.Occurrences[id.Occurrence].Steps[id.Step].Tasks {
-		other := ledger.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: i}
-		if other != id && !s.fullyRunningLocked(other) {
-			unavailable++
+	for _, other := range away {
+		if s.fullyRunningLocked(other, maxReportAge) {
+			_, t := s.engine.ledger.Task(other)
+			s.requestReportLocked(t.Worker)
 		}
 	}
-	return unavailable < step.MayMiss
+	return false
 }
 
-// fullyRunningLocked reports whether a lasting task worked in full at the last report of its server, isn't being stopped,
-// and the server hasn't failed to answer since.
-func (s *session) fullyRunningLocked(id ledger.TaskID) bool {
+// fullyRunningLocked reports whether a lasting task works in full: the last report of its server, requested at most maxAge
+// ago, says so, the server hasn't failed to answer since, and no stop of the run may still be carried out.
+func (s *session) fullyRunningLocked(id ledger.TaskID, maxAge time.Duration) bool {
 	_, t := s.engine.ledger.Task(id)
 	if t == nil || t.Phase != ledger.Live {
 		return false
 	}
-	o := s.orders[runKey{id, t.Run}]
-	if o == nil || o.stopping || o.percent < 100 {
+	now, o := boottime.Now(), s.orders[runKey{id, t.Run}]
+	if o == nil || o.stopping || now < o.stopPossibleUntil || o.percent < 100 || now-o.reportedAt > maxAge {
 		return false
 	}
 	server := s.fleet.Get(t.Worker)
