--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -109,7 +109,7 @@
 	}
 	for _, id := range candidates {
 		j, t := s.engine.ledger.Task(id)
-		if s.mayStopWithinLocked(id, max(1, j.Steps[id.Step].MayMiss)) && free.ReserveElsewhere(id) {
+		if s.reportsFreshLocked(id, max(1, j.Steps[id.Step].MayMiss)) && free.ReserveElsewhere(id) {
 			s.stopLocked(id, t, "its data centre is evacuated")
 		}
 	}
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -28,7 +28,8 @@
 	minRefreshInterval = 600 * time.Millisecond
 	// maxCacheAge is the maximum age of the list without a known change.
 	maxCacheAge = 10 * time.Second
-	// lateOrderBound is how long an unanswered order for a machine may still be carried out (applied_late: 12 s).
+	// lateOrderBound is how long an unanswered order for a machine or to a backend server may still be carried out
+	// (applied_late: 12 s).
 	lateOrderBound = 13 * time.Second
 	// firstTurnReserve and lendReserve are the machines that a pool without a turn so far keeps beyond those of its lasting
 	// tasks, as fractions of its initial size; lendReserve applies while other pools lack machines. A turn's demand reaches a
