Replication: proposals at the limit of unanswered appends are sent together

Cause: each proposal was sent as a message of its own to each follower, up to 32 of them unanswered, and each new commit index as a further message. Each message and each answer is a unary call.

Change: Ready sends what is due once, with all entries proposed since. At most two messages with entries are unanswered per follower (32 while the next message would be full), counted by their last index instead of by answers, so that answers to heartbeats don't free a place. On a log with two or more appends per tick, the commit index travels with the next append or at the next tick.

--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -150,6 +150,11 @@
 	votes            map[string]bool
 	progress         map[string]*progress
 	heartbeatRound   uint64
+	sendsDue         bool   // Ready has to look for entries and commit indexes to send
+	commitDue        bool   // the next Ready sends the commit index also on a busy log
+	lastRound        uint64 // last index of the log when rounds was last increased
+	rounds           int    // number of Readys in this tick for which the log had grown
+	roundsLastTick   int    // that of the last whole tick
 	transferee       string
 	transferStart    uint64
 	abdicating       bool // the leader steps down if the transfer fails
@@ -200,12 +205,13 @@
 
 // HasReady reports whether Ready would return any work.
 func (c *Core) HasReady() bool {
-	return c.hardStateChanged() || c.pendingSnapshot != nil || c.log.unwrittenCount() > 0 || len(c.messages) > 0 ||
+	return c.role == Leader && c.sendsDue || c.hardStateChanged() || c.pendingSnapshot != nil || c.log.unwrittenCount() > 0 || len(c.messages) > 0 ||
 		len(c.afterWrite) > 0 || c.log.commit > c.log.applied || len(c.readyReads) > 0
 }
 
 // Ready returns the work that is pending. The caller must do it and then call Advance.
 func (c *Core) Ready() Ready {
+	c.sendDueAppends()
 	r := Ready{Snapshot: c.pendingSnapshot, Reads: c.readyReads}
 	w := &Write{
 		Snapshot: c.pendingSnapshot, Entries: c.log.unwrittenEntries(), Messages: c.afterWrite,
--- a/internal/process/replica/core/election.go
+++ b/internal/process/replica/core/election.go
@@ -133,6 +133,7 @@
 	c.role, c.leader = Leader, c.cfg.Name
 	c.votes, c.transferee, c.transferCampaign, c.abdicating = nil, "", false, false
 	c.heartbeatElapsed = 0
+	c.rounds, c.roundsLastTick, c.lastRound = 0, 0, c.log.last()
 	c.reads = nil
 	c.progress = make(map[string]*progress)
 	c.syncProgress()
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -7,23 +7,29 @@
 )
 
 const (
-	// maxInflight is the maximum number of unanswered messages with entries per follower.
-	maxInflight = 32
+	// maxInflight is the maximum number of unanswered messages with entries per follower. Entries that arrive meanwhile are
+	// sent together. With two, the follower's disk has work while an answer and the next message travel.
+	maxInflight = 2
+	// maxFullInflight is that maximum while the next message would be full: a follower that catches up is sent several full
+	// messages at a time.
+	maxFullInflight = 32
+	// busyRounds is the number of appends within a tick from which on the next append is expected to follow soon.
+	busyRounds = 2
 	// entryOverhead is the estimated size of an encoded entry without its data, in bytes.
 	entryOverhead = 16
 )
 
 // progress is the leader's view of another member.
 type progress struct {
-	match           uint64 // highest index known to be durable there
-	next            uint64 // next index to send
-	probing         bool   // send one message at a time until the matching index is known
-	inflight        int
-	lastResponse    uint64 // tick of the last answer in this term
-	responded       bool   // lastResponse is set
-	ackedRound      uint64 // latest heartbeat round that was answered
-	sentCommit      uint64 // highest commit index that was sent
-	folderID        uint64 // data folder identifier in the member's last message; 0 if none came
+	match           uint64   // highest index known to be durable there
+	next            uint64   // next index to send
+	probing         bool     // send one message at a time until the matching index is known
+	inflight        []uint64 // last index of each unanswered message with entries, in order
+	lastResponse    uint64   // tick of the last answer in this term
+	responded       bool     // lastResponse is set
+	ackedRound      uint64   // latest heartbeat round that was answered
+	sentCommit      uint64   // highest commit index that was sent
+	folderID        uint64   // data folder identifier in the member's last message; 0 if none came
 	sendingSnapshot *laburnumv1.SnapshotMeta
 	snapshotOffset  uint64 // offset of the next snapshot chunk to send
 }
@@ -58,7 +64,7 @@
 	if c.members.add(e) {
 		c.syncProgress()
 	}
-	c.broadcastAppend()
+	c.sendsDue = true
 	return e.Index
 }
 
@@ -74,6 +80,8 @@
 			return
 		}
 	}
+	c.roundsLastTick, c.rounds = c.rounds, 0
+	c.sendsDue, c.commitDue = true, true
 	c.heartbeatElapsed++
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
 		c.broadcastHeartbeat()
@@ -111,21 +119,41 @@
 	return names
 }
 
-// broadcastAppend sends new entries to every member that is neither probed, receiving a snapshot nor at its
-// limit of unanswered messages.
-func (c *Core) broadcastAppend() {
+// sendDueAppends sends what has come due since the last Ready: new entries to every member that is neither probed,
+// receiving a snapshot nor at its limit of unanswered messages, and the commit index to those that get none. All entries
+// that were proposed since then are sent together.
+func (c *Core) sendDueAppends() {
+	if c.role != Leader || !c.sendsDue {
+		return
+	}
+	if c.log.last() > c.lastRound {
+		c.lastRound = c.log.last()
+		c.rounds++
+	}
 	for _, name := range c.peers() {
 		p := c.progress[name]
-		if p.sendingSnapshot == nil && !p.probing && p.inflight < maxInflight {
+		for !p.probing && p.sendingSnapshot == nil && p.next <= c.log.last() && c.mayAppend(p) {
 			c.sendAppend(name)
 		}
+		c.sendCommitIndex(name)
 	}
+	c.sendsDue, c.commitDue = false, false
+}
+
+// mayAppend reports whether the member's number of unanswered messages allows another one.
+func (c *Core) mayAppend(p *progress) bool {
+	switch n := len(p.inflight); {
+	case n < maxInflight:
+		return true
+	case n < maxFullInflight:
+		return c.log.exceeds(p.next-1, c.cfg.MaxAppendBytes)
+	}
+	return false
 }
 
 // sendHeartbeat sends a heartbeat. It also repeats a probe or snapshot chunk, which may have been lost.
 func (c *Core) sendHeartbeat(to string) {
 	p := c.progress[to]
-	p.inflight = 0
 	switch {
 	case p.sendingSnapshot != nil:
 		c.sendSnapshotChunk(to)
@@ -146,10 +174,10 @@
 	}
 	entries := c.log.batchAfter(p.next-1, c.cfg.MaxAppendBytes)
 	c.sendEntries(to, p.next-1, entries)
-	if !p.probing {
+	if !p.probing && len(entries) > 0 {
 		p.next += uint64(len(entries))
+		p.inflight = append(p.inflight, p.next-1)
 	}
-	p.inflight++
 }
 
 func (c *Core) sendEntries(to string, after uint64, entries []*laburnumv1.LogEntry) {
@@ -207,11 +235,13 @@
 		c.handleRejection(m, p)
 		return
 	}
-	p.inflight = max(0, p.inflight-1)
 	if m.Index > p.match {
 		p.match = m.Index
 		c.maybeCommit()
 	}
+	for len(p.inflight) > 0 && p.inflight[0] <= p.match {
+		p.inflight = p.inflight[1:]
+	}
 	if p.sendingSnapshot != nil && p.match >= p.sendingSnapshot.Index {
 		p.sendingSnapshot = nil
 	}
@@ -223,11 +253,7 @@
 	if c.transferee == m.From && c.maybeSendTimeoutNow() {
 		return
 	}
-	if p.next <= c.log.last() && p.inflight < maxInflight {
-		c.sendAppend(m.From)
-		return
-	}
-	c.sendCommitIndex(m.From)
+	c.sendsDue = true
 }
 
 // handleRejection continues the probe at the last index where the logs may match. Rejections at or below the known
@@ -240,7 +266,7 @@
 	if hint < c.log.baseIndex+1 && m.HintIndex < c.log.baseIndex {
 		hint = m.HintIndex
 	}
-	p.probing, p.inflight = true, 0
+	p.probing, p.inflight = true, nil
 	p.next = max(p.match, min(hint, m.Index-1)) + 1
 	c.sendAppend(m.From)
 }
@@ -275,16 +301,15 @@
 	}
 	c.log.commit = index
 	c.assignReadIndexes()
-	for _, name := range c.peers() {
-		c.sendCommitIndex(name)
-	}
+	c.sendsDue = true
 }
 
-// sendCommitIndex tells a follower without unanswered messages of a new commit index at once, instead of with the
-// next heartbeat.
+// sendCommitIndex tells a follower without unanswered messages of a new commit index, instead of with the next heartbeat.
+// On a busy log it leaves this to the next append or tick, whichever is first.
 func (c *Core) sendCommitIndex(to string) {
 	p := c.progress[to]
-	if p.sendingSnapshot == nil && !p.probing && p.inflight == 0 && p.sentCommit < c.log.commit {
+	busy := c.roundsLastTick >= busyRounds && !c.commitDue
+	if p.sendingSnapshot == nil && !p.probing && len(p.inflight) == 0 && p.sentCommit < c.log.commit && !busy {
 		c.sendEntries(to, p.next-1, nil)
 	}
 }
--- a/internal/process/replica/core/log.go
+++ b/internal/process/replica/core/log.go
@@ -81,6 +81,17 @@
 	return entries
 }
 
+// exceeds reports whether the entries after index have a total of more than maxBytes.
+func (l *log) exceeds(index uint64, maxBytes int) bool {
+	size := 0
+	for _, e := range l.entriesAfter(index) {
+		if size += len(e.Data) + entryOverhead; size > maxBytes {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *log) unwrittenCount() int { return int(l.last() - min(l.written, l.last())) }
 
 func (l *log) unwrittenEntries() []*laburnumv1.LogEntry { return l.entriesAfter(l.written) }
