Replication: one stream per direction between two members

Cause: each batch of consensus messages was a unary HTTP/2 call, at some 100 us of CPU time on each side.

Change: ReplicaService.Stream, a client stream with one batch per message. A link asks its peer once whether it knows streams and uses Step otherwise. HTTP/2 pings on connections of their own find a silent one after 0.6 s at the latest; a send that blocks as long ends the stream too. Connections are numbered within a link, and the receiver drops batches of an earlier one, which also covers Step calls that arrive after their timeout. The receiver ends replaced streams and, at a stop of the program, all streams, as the server's graceful shutdown would wait for them. One message with entries is unanswered per follower instead of two: see maxInflight.

--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -72,6 +72,14 @@
 	return &Dialer{client: &http.Client{Transport: transport}, scheme: scheme}
 }
 
+// WithPings returns a dialer with connections of its own, on which silence is found earlier: a connection from which nothing
+// came for after is closed unless a ping is answered within timeout.
+func (d *Dialer) WithPings(after, timeout time.Duration) *Dialer {
+	transport := d.client.Transport.(*http.Transport).Clone()
+	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: after, PingTimeout: timeout}
+	return &Dialer{client: &http.Client{Transport: transport}, scheme: d.scheme}
+}
+
 // dialTLS returns a dial function that uses the current certificates of source and logs a failed TLS handshake.
 func dialTLS(dialer *net.Dialer, source *tlsconf.Source) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/connection/replication/commit_bench_test.go
+++ b/internal/connection/replication/commit_bench_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/shoenig/test/must"
 
 	"laburnumrouter/internal/connection/peer"
@@ -25,7 +26,6 @@
 	"laburnumrouter/internal/process/journal"
 	"laburnumrouter/internal/process/replica"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
-	"laburnumrouter/proto/laburnum/v1/laburnumv1connect"
 )
 
 const (
@@ -79,13 +79,10 @@
 	return nil, 0, replica.ErrNotLeader
 }
 
-type stepServer struct {
-	laburnumv1connect.UnimplementedReplicaServiceHandler
-	node *replica.Node
-}
+type replicaServer struct{ *replication.Receiver }
 
-func (s *stepServer) Step(ctx context.Context, req *laburnumv1.StepRequest) (*laburnumv1.StepResponse, error) {
-	return &laburnumv1.StepResponse{}, s.node.Receive(ctx, req.Messages)
+func (replicaServer) Propose(context.Context, *laburnumv1.ProposeRequest) (*laburnumv1.ProposeResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, replica.ErrNotLeader)
 }
 
 func listenLoopback() net.Listener {
@@ -112,7 +109,8 @@
 		panic(err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle(laburnumv1connect.NewReplicaServiceHandler(&stepServer{node: node}, peer.CompressLarge()))
+	receiver := replication.NewReceiver(node.Receive)
+	mux.Handle(receiver.Handler(replicaServer{receiver}, peer.CompressLarge()))
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	go func() { _ = (&http.Server{Handler: mux, Protocols: protocols}).Serve(l) }()
--- /dev/null
+++ b/internal/connection/replication/link.go
@@ -0,0 +1,244 @@
+package replication
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"laburnumrouter/internal/connection/peer"
+	"laburnumrouter/internal/process/settings"
+	laburnumv1 "laburnumrouter/proto/laburnum/v1"
+)
+
+const (
+	// sendTimeout bounds one Step call, one send on a stream, and the check whether a peer knows streams. After a timeout the
+	// peer is dialled again, before an election timeout has passed.
+	sendTimeout = 600 * time.Millisecond
+	// pingAfter and pingTimeout bound the time for which a stream's connection may be silent. A stream carries no answers, so
+	// that a dead connection is found by the pings, at three a second and connection, at the latest after sendTimeout.
+	pingAfter   = sendTimeout / 2
+	pingTimeout = sendTimeout / 2
+	// maxQueuedMessages bounds the queue to one peer. When it is full, the queued messages are dropped; the log sends them
+	// again.
+	maxQueuedMessages = 256
+	// idleTimeout is the time without messages after which a stream is closed.
+	idleTimeout = 10 * time.Second
+	// stepPeriod is how long Step is used for a peer that doesn't know streams before it is asked again. It may have been
+	// replaced by a newer version meanwhile.
+	stepPeriod = 10 * time.Second
+)
+
+// link is the connection to one peer and the queue of messages to it. One goroutine sends one batch at a time, in order,
+// and runs only while there are messages or a stream is open.
+type link struct {
+	id      uint64
+	address string
+	dial    func() *peer.Dialer
+	wake    chan struct{} // holds an element if the queue is not empty
+
+	mu      sync.Mutex
+	peer    *peer.Peer
+	streams *peer.Peer // connections for streams only, as their pings find silence earlier
+	queue   []*laburnumv1.ReplicaMessage
+	running bool
+
+	// The fields below are used by the sending goroutine only.
+	connection uint64 // number of the newest connection
+	stream     *stream
+	streaming  bool      // the peer is known to support streams
+	stepUntil  time.Time // Step is used until then
+}
+
+func newLink(address string, dial func() *peer.Dialer) *link {
+	l := &link{id: rand.Uint64() | 1, address: address, dial: dial, wake: make(chan struct{}, 1)}
+	l.redial()
+	return l
+}
+
+// enqueue queues messages and starts the sending goroutine unless it is running.
+func (l *link) enqueue(messages []*laburnumv1.ReplicaMessage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.queue)+len(messages) > maxQueuedMessages {
+		l.queue = nil
+	}
+	l.queue = append(l.queue, messages...)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	if !l.running {
+		l.running = true
+		go l.run()
+	}
+}
+
+// run sends what is queued until there was nothing for idleTimeout.
+func (l *link) run() {
+	idle := time.NewTimer(idleTimeout)
+	defer idle.Stop()
+	for {
+		select {
+		case <-l.wake:
+			if batch := l.takeQueue(); len(batch) > 0 {
+				l.send(batch)
+			}
+			idle.Reset(idleTimeout)
+		case <-idle.C:
+			if l.stopIfIdle() {
+				return
+			}
+		}
+	}
+}
+
+func (l *link) takeQueue() []*laburnumv1.ReplicaMessage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	batch := l.queue
+	l.queue = nil
+	return batch
+}
+
+// stopIfIdle closes the stream and lets the sending goroutine end, unless messages are queued.
+func (l *link) stopIfIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.queue) > 0 {
+		return false
+	}
+	l.closeStream()
+	l.running = false
+	return true
+}
+
+// send sends a batch on the stream, or by Step if the peer doesn't know streams. If the stream has failed, the batch is
+// sent once more on a new one.
+func (l *link) send(batch []*laburnumv1.ReplicaMessage) {
+	for range 2 {
+		if !l.supportsStreams() {
+			l.step(batch)
+			return
+		}
+		opened := l.stream == nil
+		err := l.sendOnStream(batch)
+		if err == nil {
+			return
+		}
+		l.closeStream()
+		// A connection that worked may be dead, and one on which nothing moves is.
+		if !opened || errors.Is(err, context.Canceled) {
+			l.redial()
+		}
+		if connect.CodeOf(err) == connect.CodeUnimplemented {
+			l.streaming = false
+		} else if opened {
+			return
+		}
+	}
+}
+
+// supportsStreams reports whether the peer knows streams. It asks the peer first, by a stream with an empty message, so that
+// no batch is lost on a stream that the peer refuses.
+func (l *link) supportsStreams() bool {
+	if l.streaming || time.Now().Before(l.stepUntil) {
+		return l.streaming
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	_, streams := l.peers()
+	s, err := streams.Replica.Stream(ctx)
+	if err == nil {
+		_ = s.Send(&laburnumv1.StepRequest{}) // the answer tells whether it failed
+		_, err = s.CloseAndReceive()
+	}
+	switch {
+	case err == nil:
+		l.streaming = true
+	case connect.CodeOf(err) == connect.CodeUnimplemented:
+		l.stepUntil = time.Now().Add(stepPeriod)
+	case ctx.Err() != nil:
+		l.redial()
+	}
+	return l.streaming
+}
+
+// stream is an open stream.
+type stream struct {
+	*connect.ClientStreamForClientSimple[laburnumv1.StepRequest, laburnumv1.StepResponse]
+	cancel context.CancelFunc
+	// watchdog cancels the stream. It runs while a message is being sent.
+	watchdog *time.Timer
+}
+
+// sendOnStream sends a batch on the stream and opens one if there is none.
+func (l *link) sendOnStream(batch []*laburnumv1.ReplicaMessage) error {
+	req := &laburnumv1.StepRequest{Messages: batch}
+	if l.stream == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		_, streams := l.peers()
+		client, err := streams.Replica.Stream(ctx)
+		if err != nil {
+			cancel()
+			return err
+		}
+		l.connection++
+		req.Link, req.Connection = l.id, l.connection
+		l.stream = &stream{client, cancel, time.AfterFunc(sendTimeout, cancel)}
+	} else {
+		l.stream.watchdog.Reset(sendTimeout)
+	}
+	defer l.stream.watchdog.Stop()
+	err := l.stream.Send(req)
+	if errors.Is(err, io.EOF) { // the stream has ended; its response tells why
+		_, err = l.stream.CloseAndReceive()
+		if err == nil {
+			err = io.EOF
+		}
+	}
+	return err
+}
+
+func (l *link) closeStream() {
+	if l.stream != nil {
+		l.stream.cancel()
+		l.stream = nil
+	}
+}
+
+// step sends a batch by a Step call. After a timeout a late arrival of the batch must not follow later ones, which
+// therefore belong to a new connection.
+func (l *link) step(batch []*laburnumv1.ReplicaMessage) {
+	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	defer cancel()
+	if l.connection == 0 {
+		l.connection = 1
+	}
+	p, _ := l.peers()
+	_, err := p.Replica.Step(ctx, &laburnumv1.StepRequest{Messages: batch, Link: l.id, Connection: l.connection})
+	if err != nil && ctx.Err() != nil {
+		l.connection++
+		l.redial()
+	}
+}
+
+// redial replaces the connections, which may be dead, by new ones.
+func (l *link) redial() {
+	dialer := l.dial()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.peer = dialer.Peer(settings.Peer{Address: l.address})
+	l.streams = dialer.WithPings(pingAfter, pingTimeout).Peer(settings.Peer{Address: l.address})
+}
+
+// peers returns the peer with its current connections, for calls and for streams.
+func (l *link) peers() (calls, streams *peer.Peer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peer, l.streams
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,6 +16,7 @@
 
 	"laburnumrouter/internal/connection/peer"
 	"laburnumrouter/internal/connection/platform"
+	"laburnumrouter/internal/connection/replication"
 	"laburnumrouter/internal/process/membership"
 	"laburnumrouter/internal/process/metrics"
 	"laburnumrouter/internal/process/operators"
@@ -151,7 +152,8 @@
 	mux.Handle(laburnumv1connect.NewReportServiceHandler(&reportServer{control: c}, peer.CompressLarge()))
 	mux.Handle(laburnumv1connect.NewGlobalRecordServiceHandler(&globalRecordServer{batcher: c.records}, peer.CompressLarge()))
 	mux.Handle(laburnumv1connect.NewSliceServiceHandler(&sliceServer{slicer: c.slicer}, peer.CompressLarge()))
-	mux.Handle(laburnumv1connect.NewReplicaServiceHandler(&replicaServer{node: c.replica}, peer.CompressLarge()))
+	receiver := replication.NewReceiver(c.replica.Receive)
+	mux.Handle(receiver.Handler(&replicaServer{receiver, c.replica}, peer.CompressLarge()))
 	mux.Handle(laburnumv1connect.NewJobServiceHandler(&jobServer{control: c}, peer.CompressLarge()))
 	return mux
 }
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -13,7 +13,6 @@
 	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/process/settings"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
-	"laburnumrouter/proto/laburnum/v1/laburnumv1connect"
 )
 
 // replicaTransport implements replica.Transport over connections to the other control instances.
@@ -58,18 +57,10 @@
 
 // replicaServer implements ReplicaService, which receives the control log's messages.
 type replicaServer struct {
-	laburnumv1connect.UnimplementedReplicaServiceHandler
+	*replication.Receiver
 	node *replica.Node
 }
 
-// Step implements ReplicaService.
-func (s *replicaServer) Step(ctx context.Context, req *laburnumv1.StepRequest) (*laburnumv1.StepResponse, error) {
-	if err := s.node.Receive(ctx, req.Messages); err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
-	}
-	return &laburnumv1.StepResponse{}, nil
-}
-
 // Propose implements ReplicaService. An error with CodeFailedPrecondition means that the command is in no log.
 func (s *replicaServer) Propose(ctx context.Context, req *laburnumv1.ProposeRequest) (*laburnumv1.ProposeResponse, error) {
 	data, err := proto.Marshal(req.Command)
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
@@ -22,7 +23,6 @@
 	"laburnumrouter/internal/process/metrics"
 	"laburnumrouter/internal/process/replica"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
-	"laburnumrouter/proto/laburnum/v1/laburnumv1connect"
 )
 
 const (
@@ -112,6 +112,7 @@
 	settings   *Settings
 	log        hclog.Logger
 	node       *replica.Node
+	receiver   *replication.Receiver
 	dispatcher *dispatch.Dispatcher
 	client     *leader.Client
 	members    *members
@@ -143,7 +144,7 @@
 		Log: log.Named("dispatch"), Scope: registry.Scope(), ElectionTime: tickInterval * electionTicks,
 		MachineLease: s.MachineLease.Std(),
 	})
-	c := &control{settings: s, log: log, node: node, dispatcher: d, metrics: registry, deps: deps}
+	c := &control{settings: s, log: log, node: node, receiver: replication.NewReceiver(node.Receive), dispatcher: d, metrics: registry, deps: deps}
 	c.client = leader.NewClient(seedPeers, d, log.Named("leader"))
 	if deps.ReloadSeeds != nil {
 		c.client.ReadSeedsWith(func() ([]string, error) {
@@ -195,15 +196,12 @@
 	return nil, 0, replica.ErrNotLeader
 }
 
-// stepServer receives the log's messages from other members.
-type stepServer struct {
-	laburnumv1connect.UnimplementedReplicaServiceHandler
-	node *replica.Node
-}
+// replicaServer implements ReplicaService without forwarded commands.
+type replicaServer struct{ *replication.Receiver }
 
-// Step implements ReplicaService.
-func (s *stepServer) Step(ctx context.Context, req *laburnumv1.StepRequest) (*laburnumv1.StepResponse, error) {
-	return &laburnumv1.StepResponse{}, s.node.Receive(ctx, req.Messages)
+// Propose implements ReplicaService.
+func (replicaServer) Propose(context.Context, *laburnumv1.ProposeRequest) (*laburnumv1.ProposeResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, replica.ErrNotLeader)
 }
 
 // leaderStatus reports what this instance knows about the leader.
@@ -221,7 +219,7 @@
 
 func (c *control) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(laburnumv1connect.NewReplicaServiceHandler(&stepServer{node: c.node}, peer.CompressLarge()))
+	mux.Handle(c.receiver.Handler(replicaServer{c.receiver}, peer.CompressLarge()))
 	leader.Handle(mux, c.dispatcher, c.leaderStatus)
 	c.members.handle(mux)
 	return mux
@@ -286,6 +284,7 @@
 	c.node.TransferLeadership(ctx)
 	<-ctx.Done()
 	cancel()
+	c.receiver.Close()
 	ctx, cancel = context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, s := range servers {
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -8,8 +8,9 @@
 
 const (
 	// maxInflight is the maximum number of unanswered messages with entries per follower. Entries that arrive meanwhile are
-	// sent together. With two, the follower's disk has work while an answer and the next message travel.
-	maxInflight = 2
+	// sent together. With two, the second one waited for the follower's sync of the first: with syncs of 5 ms the median commit
+	// took 14 ms instead of 9 ms at 300 proposals a second, and more messages were sent.
+	maxInflight = 1
 	// maxFullInflight is that maximum while the next message would be full: a follower that catches up is sent several full
 	// messages at a time.
 	maxFullInflight = 32
--- a/proto/laburnum/v1/laburnumv1connect/peer.connect.go
+++ b/proto/laburnum/v1/laburnumv1connect/peer.connect.go
@@ -41,6 +41,8 @@
 const (
 	// ReplicaServiceStepProcedure is the fully-qualified name of the ReplicaService's Step RPC.
 	ReplicaServiceStepProcedure = "/laburnum.v1.ReplicaService/Step"
+	// ReplicaServiceStreamProcedure is the fully-qualified name of the ReplicaService's Stream RPC.
+	ReplicaServiceStreamProcedure = "/laburnum.v1.ReplicaService/Stream"
 	// ReplicaServiceProposeProcedure is the fully-qualified name of the ReplicaService's Propose RPC.
 	ReplicaServiceProposeProcedure = "/laburnum.v1.ReplicaService/Propose"
 	// FeedServiceFetchProcedure is the fully-qualified name of the FeedService's Fetch RPC.
@@ -55,6 +57,9 @@
 type ReplicaServiceClient interface {
 	// Step delivers a batch of consensus messages; replies to them are sent as separate messages.
 	Step(context.Context, *v1.StepRequest) (*v1.StepResponse, error)
+	// Stream delivers batches like Step, one in each message of the stream. Only the first message has link and
+	// connection. A stream ends with an error once a later connection of its link delivers.
+	Stream(context.Context) (*connect.ClientStreamForClientSimple[v1.StepRequest, v1.StepResponse], error)
 	// Propose forwards a command to the leader and waits for its result.
 	Propose(context.Context, *v1.ProposeRequest) (*v1.ProposeResponse, error)
 }
@@ -76,6 +81,12 @@
 			connect.WithSchema(replicaServiceMethods.ByName("Step")),
 			connect.WithClientOptions(opts...),
 		),
+		stream: connect.NewClient[v1.StepRequest, v1.StepResponse](
+			httpClient,
+			baseURL+ReplicaServiceStreamProcedure,
+			connect.WithSchema(replicaServiceMethods.ByName("Stream")),
+			connect.WithClientOptions(opts...),
+		),
 		propose: connect.NewClient[v1.ProposeRequest, v1.ProposeResponse](
 			httpClient,
 			baseURL+ReplicaServiceProposeProcedure,
@@ -88,6 +99,7 @@
 // replicaServiceClient implements ReplicaServiceClient.
 type replicaServiceClient struct {
 	step    *connect.Client[v1.StepRequest, v1.StepResponse]
+	stream  *connect.Client[v1.StepRequest, v1.StepResponse]
 	propose *connect.Client[v1.ProposeRequest, v1.ProposeResponse]
 }
 
@@ -100,6 +112,11 @@
 	return nil, err
 }
 
+// Stream calls laburnum.v1.ReplicaService.Stream.
+func (c *replicaServiceClient) Stream(ctx context.Context) (*connect.ClientStreamForClientSimple[v1.StepRequest, v1.StepResponse], error) {
+	return c.stream.CallClientStreamSimple(ctx)
+}
+
 // Propose calls laburnum.v1.ReplicaService.Propose.
 func (c *replicaServiceClient) Propose(ctx context.Context, req *v1.ProposeRequest) (*v1.ProposeResponse, error) {
 	response, err := c.propose.CallUnary(ctx, connect.NewRequest(req))
@@ -113,6 +130,9 @@
 type ReplicaServiceHandler interface {
 	// Step delivers a batch of consensus messages; replies to them are sent as separate messages.
 	Step(context.Context, *v1.StepRequest) (*v1.StepResponse, error)
+	// Stream delivers batches like Step, one in each message of the stream. Only the first message has link and
+	// connection. A stream ends with an error once a later connection of its link delivers.
+	Stream(context.Context, *connect.ClientStream[v1.StepRequest]) (*v1.StepResponse, error)
 	// Propose forwards a command to the leader and waits for its result.
 	Propose(context.Context, *v1.ProposeRequest) (*v1.ProposeResponse, error)
 }
@@ -130,6 +150,12 @@
 		connect.WithSchema(replicaServiceMethods.ByName("Step")),
 		connect.WithHandlerOptions(opts...),
 	)
+	replicaServiceStreamHandler := connect.NewClientStreamHandlerSimple(
+		ReplicaServiceStreamProcedure,
+		svc.Stream,
+		connect.WithSchema(replicaServiceMethods.ByName("Stream")),
+		connect.WithHandlerOptions(opts...),
+	)
 	replicaServiceProposeHandler := connect.NewUnaryHandlerSimple(
 		ReplicaServiceProposeProcedure,
 		svc.Propose,
@@ -140,6 +166,8 @@
 		switch r.URL.Path {
 		case ReplicaServiceStepProcedure:
 			replicaServiceStepHandler.ServeHTTP(w, r)
+		case ReplicaServiceStreamProcedure:
+			replicaServiceStreamHandler.ServeHTTP(w, r)
 		case ReplicaServiceProposeProcedure:
 			replicaServiceProposeHandler.ServeHTTP(w, r)
 		default:
@@ -155,6 +183,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("laburnum.v1.ReplicaService.Step is not implemented"))
 }
 
+func (UnimplementedReplicaServiceHandler) Stream(context.Context, *connect.ClientStream[v1.StepRequest]) (*v1.StepResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("laburnum.v1.ReplicaService.Stream is not implemented"))
+}
+
 func (UnimplementedReplicaServiceHandler) Propose(context.Context, *v1.ProposeRequest) (*v1.ProposeResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("laburnum.v1.ReplicaService.Propose is not implemented"))
 }
