--- a/internal/orderforward/client.go
+++ b/internal/orderforward/client.go
@@ -71,6 +71,7 @@
 
 	// Used by Run only.
 	gate     gate
+	slots    []string         // members in use
 	links    map[string]*link // by member
 	retries  map[string]retry
 	draining map[*link]time.Duration // boottime at which each is closed
@@ -119,20 +120,18 @@
 // check brings the links up to date with the members, the load and the state of the streams.
 func (c *Client) check(now time.Duration) {
 	status := c.Status()
-	wanted, reason := c.wanted(&status, now)
+	members := c.fill(&status, now)
 	for name, l := range c.links {
-		m, active := wanted[name]
+		m, wanted := members[name]
 		switch {
-		case len(wanted) == 0:
-			c.retire(name, reason)
-		case !active:
-			c.retire(name, "the member is not active")
+		case !wanted:
+			c.retire(name, retireReason(&status, name))
 		case l.term != status.Term || l.address != m.Address:
 			c.retire(name, "the term or the member's address has changed")
 		}
 	}
-	for name, m := range wanted {
-		if c.links[name] == nil && now >= c.retries[name].at {
+	for name, m := range members {
+		if c.links[name] == nil {
 			c.links[name] = openLink(m, status.Term, c.Dial(m.Address), c.stats, c.MayOrder)
 		}
 	}
@@ -148,21 +147,41 @@
 	c.expireBypasses(now)
 }
 
-// wanted returns the members to which links are needed, or the reason for which there are none.
-func (c *Client) wanted(status *Status, now time.Duration) (wanted map[string]Member, reason string) {
-	busy := c.gate.update(c.calls.Load(), now)
+// retireReason returns why a member whose link has not failed isn't used any more.
+func retireReason(status *Status, name string) string {
 	switch {
 	case !status.Leads:
+		return "this instance does not lead"
+	case !slices.ContainsFunc(status.Active, func(m Member) bool { return m.Name == name }):
+		return "the member is not active"
+	}
+	return "the load needs fewer forwarders"
+}
+
+// fill fills the slots and returns the members in them.
+func (c *Client) fill(status *Status, now time.Duration) map[string]Member {
+	n := c.gate.update(c.calls.Load(), now)
+	if !status.Leads {
 		clear(c.retries)
-		return nil, "this instance does not lead"
-	case !busy:
-		return nil, "the load is low"
+		c.slots = nil
+		return nil
 	}
-	wanted = make(map[string]Member, len(status.Active))
+	members := make(map[string]Member)
+	var candidates []string
 	for _, m := range status.Active {
-		wanted[m.Name] = m
+		if now >= c.retries[m.Name].at {
+			members[m.Name] = m
+			candidates = append(candidates, m.Name)
+		}
+	}
+	slices.Sort(candidates)
+	c.slots = fillSlots(c.slots, n, candidates)
+	for name := range members {
+		if !slices.Contains(c.slots, name) {
+			delete(members, name)
+		}
 	}
-	return wanted, "no other member is active"
+	return members
 }
 
 // retire takes a link out of use. It is closed once its calls have results.
@@ -178,12 +197,7 @@
 // updateTable replaces links that have failed and stores the table of those that may get calls.
 func (c *Client) updateTable(term uint64, now time.Duration) {
 	next := &table{term: term}
-	names := make([]string, 0, len(c.links))
-	for name := range c.links {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for slot, name := range c.slots {
 		l := c.links[name]
 		usable := l.check(now)
 		if failed, _ := l.failure(); failed != "" {
@@ -201,10 +215,11 @@
 		}
 		if usable {
 			next.links = append(next.links, l)
-			next.hashes = append(next.hashes, nameHash(name))
+			next.hashes = append(next.hashes, slotHash(slot))
 		}
 	}
-	if before := c.table.Load(); before == nil || before.term != next.term || !slices.Equal(before.links, next.links) {
+	if before := c.table.Load(); before == nil || before.term != next.term || !slices.Equal(before.links, next.links) ||
+		!slices.Equal(before.hashes, next.hashes) {
 		c.table.Store(next)
 	}
 }
--- a/internal/orderforward/decisions_test.go
+++ b/internal/orderforward/decisions_test.go
@@ -14,25 +14,31 @@
 
 // Guards against a reassignment of servers whose forwarder stays, and against forwarders that get far more than their share.
 func TestOnlyServersOfLostForwarderAreReassigned(t *testing.T) {
-	var forwarders []uint64
+	var slots []uint64
 	for i := range 7 {
-		forwarders = append(forwarders, nameHash(fmt.Sprintf("10.1.0.%d:7740", i)))
+		slots = append(slots, slotHash(i))
 	}
 	const lost = 3
-	left := append(append([]uint64{}, forwarders[:lost]...), forwarders[lost+1:]...)
-	share := make([]int, len(forwarders))
+	left := append(append([]uint64{}, slots[:lost]...), slots[lost+1:]...)
+	share := make([]int, len(slots))
 	for i := range 350 {
 		server := fmt.Sprintf("i-%08x", i)
-		before := assign(server, forwarders)
+		before := assign(server, slots)
 		share[before]++
 		if before != lost {
-			must.Eq(t, forwarders[before], left[assign(server, left)])
+			must.Eq(t, slots[before], left[assign(server, left)])
 		}
 	}
 	for _, n := range share {
 		must.Between(t, 25, n, 75) // 50 each on average
 	}
 	must.Eq(t, -1, assign("i-1", nil))
+
+	must.Eq(t, []string{"a", "b"}, fillSlots(nil, 2, []string{"a", "b", "c"}))
+	must.Eq(t, []string{"c", "b"}, fillSlots([]string{"a", "b"}, 2, []string{"b", "c"}))
+	must.Eq(t, []string{"a", "c"}, fillSlots([]string{"a", "b"}, 2, []string{"a", "c"}))
+	must.Eq(t, []string{"b", "a", "c"}, fillSlots([]string{"b"}, 4, []string{"a", "b", "c"}))
+	must.Eq(t, []string{"b"}, fillSlots([]string{"a", "b"}, 2, []string{"b"}))
 }
 
 func TestAdmission(t *testing.T) {
@@ -73,22 +79,22 @@
 }
 
 // Guards against forwarding in small deployments, and against streams that open and close with every lull.
-func TestGateFollowsCallRate(t *testing.T) {
+func TestForwardersFollowCallRate(t *testing.T) {
 	var g gate
 	var total uint64
 	now := time.Second
-	run := func(perSecond int, d time.Duration) (open bool) {
-		for end := now + d; now < end; now += 50 * time.Millisecond {
-			total += uint64(perSecond) / 20
-			open = g.update(total, now)
+	for _, step := range []struct {
+		perSecond int
+		seconds   time.Duration
+		want      int
+	}{{180, 10, 0}, {400, 1, 2}, {0, 3, 2}, {120, 10, 2}, {60, 7, 0}, {3000, 2, 2}, {6000, 2, 4}, {3100, 10, 4}, {1000, 7, 2}, {0, 7, 0}} {
+		got := 0
+		for end := now + step.seconds*time.Second; now < end; now += 50 * time.Millisecond {
+			total += uint64(step.perSecond) / 20
+			got = g.update(total, now)
 		}
-		return open
+		must.Eq(t, step.want, got, must.Sprintf("at %d calls per second", step.perSecond))
 	}
-	must.False(t, run(180, 10*time.Second))
-	must.True(t, run(400, time.Second))
-	must.True(t, run(0, 3*time.Second))
-	must.True(t, run(120, 10*time.Second)) // over half of the threshold
-	must.False(t, run(60, 7*time.Second))
 }
 
 // Guards against a report that loses or mixes up runs: the leader takes a run that isn't listed for lost.
--- a/internal/orderforward/stream_test.go
+++ b/internal/orderforward/stream_test.go
@@ -126,7 +126,7 @@
 			return peer.NewDialer().Peer(settings.Peer{Address: a}).Orders
 		},
 	})
-	w.client.gate = gate{open: true, lowSince: math.MaxInt64}
+	w.client.gate = gate{wanted: 2, lowSince: math.MaxInt64}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { defer close(ended); _ = w.client.Run(ctx) }()
@@ -156,6 +156,13 @@
 	must.Wait(w.t, wait.InitialSuccess(wait.BoolFunc(f), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
 }
 
+// awaitEnd waits for the end of a call on the forwarder that would end by itself or with its stream after 2 s or more.
+func (w *world) awaitEnd() {
+	began := time.Now()
+	w.await(func() bool { return w.forwarder.count("ended") == 1 })
+	must.Less(w.t, time.Second, time.Since(began))
+}
+
 // proxy passes bytes on, except while paused is set.
 func (w *world) proxy(l net.Listener, to string) {
 	for {
@@ -353,7 +360,8 @@
 	go func() { _, _ = w.hold(5 * time.Second) }()
 	w.await(func() bool { return w.forwarder.count("hold") == 1 })
 	w.lead(2, w.status.Load().Active...)
-	w.await(func() bool { return w.forwarder.count("ended") == 1 })
+	w.await(func() bool { return w.usable(2) })
+	w.awaitEnd()
 }
 
 // Guards against a hold that stays open at the server, and occupies a connection, after the session has ended it.
@@ -364,7 +372,7 @@
 	go func() { _, _ = w.client.Hold(ctx, server, dispatch.HoldOrder{Fence: 1, WaitMS: 4000}) }()
 	w.await(func() bool { return w.forwarder.count("hold") == 1 })
 	cancel()
-	w.await(func() bool { return w.forwarder.count("ended") == 1 })
+	w.awaitEnd()
 }
 
 func TestStartCarriesSpecThatForwarderLacks(t *testing.T) {
