Waves: a report counts as fresh for 1.7 s

Change: the bound is the interval of reports plus that of a check, well below the 5.5 s after which users count a task as away.

--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -23,9 +23,10 @@
 	// maxReportAge is how long ago the newest report on a lasting task may have been requested for the task to count as
 	// working: a server is asked again after each answer and may wait for holdWait, so two waits and a call pass at most.
 	maxReportAge = 2*holdWait + callTimeout + 100*time.Millisecond
-	// freshReportAge is the same bound for the moment at which another task of the step is stopped. Reports are requested at
-	// one check of the waves and used at one of the next two.
-	freshReportAge = 2*waveCheckInterval + 100*time.Millisecond
+	// freshReportAge is the same bound for the moment at which another task of the step is stopped. A report on a server whose
+	// tasks run on is up to holdWait old when it is processed, and a check of the waves takes up to half a second, because it
+	// waits for calls to the platform. The users count a task as away once it hasn't worked for 5.5 s (notice_ms).
+	freshReportAge = holdWait + 700*time.Millisecond
 )
 
 // upkeepKey identifies the upkeep of a machine in a wave.
