--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -138,17 +138,24 @@
 	inVirtualTime(t, func(t *testing.T) {
 		r := newEvacuationRig(t, nil, "dc1", "dc2")
 		r.evacuate(true, "dc2")
-		r.submit("lasts", ledger.Step{Count: 2, Lasting: true, Need: ledger.Resources{CPU: 1000}})
+		r.submit("lasts", ledger.Step{Count: 1, Lasting: true, Need: ledger.Resources{CPU: 1000}})
 		r.submit("ends", small)
-		r.until(func() bool { return r.running("a") == 3 })
+		r.until(func() bool { return r.running("a") == 2 })
 		r.servers.mu.Lock()
 		r.servers.silent["a"] = true
 		r.servers.mu.Unlock()
+		silentAt := boottime.Now()
+		time.Sleep(2 * time.Second)
 		r.evacuate(false, "dc2")
 		r.evacuate(true, "dc1")
-		evacuatedAt := boottime.Now()
-		r.until(func() bool { return r.running("b") == 3 })
-		must.Between(t, leaseTime, boottime.Now()-evacuatedAt, 2*leaseTime)
+		time.Sleep(time.Second)
+		s := r.d.session.Load()
+		s.engine.mu.Lock()
+		stopping := s.orders[key("lasts", 0, 1)].stopping
+		s.engine.mu.Unlock()
+		must.False(t, stopping) // a stop could be carried out long after
+		r.until(func() bool { return r.running("b") == 2 })
+		must.Between(t, leaseTime, boottime.Now()-silentAt, 2*leaseTime)
 		r.servers.mu.Lock()
 		r.servers.silent["a"] = false
 		clear(r.servers.servers["a"].running) // their leases have lapsed
--- a/internal/dispatch/schedules_test.go
+++ b/internal/dispatch/schedules_test.go
@@ -39,11 +39,21 @@
 func TestSchedules(t *testing.T) {
 	for n := range *schedules {
 		seed := *firstSeed + uint64(n)
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { runSchedule(t, seed) }) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { runSchedule(t, seed, false) }) })
 	}
 }
 
-func runSchedule(t *testing.T, seed uint64) {
+// TestEvacuationSchedules plays half as many schedules, with evacuations of data centres among the faults. In addition it
+// checks that no task starts in an evacuated data centre and that delayed and repeated orders undo no later one: work would
+// not end. Evacuations are no part of TestSchedules, so that its seeds play what they played before.
+func TestEvacuationSchedules(t *testing.T) {
+	for n := range (*schedules + 1) / 2 {
+		seed := *firstSeed + uint64(n)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { runSchedule(t, seed, true) }) })
+	}
+}
+
+func runSchedule(t *testing.T, seed uint64, evacuations bool) {
 	ctx, cancel := context.WithCancel(t.Context())
 	w := newSimulation(ctx, seed)
 	if *logSchedules {
@@ -67,6 +77,9 @@
 	for range 2 + draw.IntN(8) {
 		w.spawn(w.drawFault(draw))
 	}
+	if evacuations {
+		w.drawEvacuations(rand.New(rand.NewPCG(seed, 3)))
+	}
 	w.spawn(w.watchPending)
 	_ = sleepFor(ctx, faultPhase+5*time.Second)
 	w.awaitCompletion(t, seed)
@@ -183,6 +196,76 @@
 	}
 }
 
+// drawEvacuations evacuates each data centre up to three times, in one of four schedules all at the same times.
+func (w *simulation) drawEvacuations(draw *rand.Rand) {
+	type evacuation struct{ pause, length, copyDelay time.Duration }
+	draws := func() (list []evacuation) {
+		for range draw.IntN(4) {
+			list = append(list, evacuation{
+				time.Duration(draw.IntN(4000)) * time.Millisecond, time.Duration(draw.IntN(5000)) * time.Millisecond, time.Duration(draw.IntN(12000)) * time.Millisecond,
+			})
+		}
+		return list
+	}
+	together, common := draw.IntN(4) == 0, draws()
+	for n := range dataCentreCount {
+		name, list := fmt.Sprint("dc", n), draws()
+		if together {
+			list = common
+		}
+		w.spawn(func() {
+			for _, e := range list {
+				if sleepFor(w.ctx, e.pause) != nil {
+					return
+				}
+				w.orderEvacuation(name, true, e.copyDelay)
+				w.mu.Lock()
+				w.evacuated[name] = w.now()
+				w.mu.Unlock()
+				_ = sleepFor(w.ctx, e.length)
+				w.mu.Lock()
+				delete(w.evacuated, name)
+				w.mu.Unlock()
+				w.orderEvacuation(name, false, e.copyDelay)
+			}
+		})
+	}
+}
+
+// orderEvacuation evacuates or restores a data centre. Two copies of the order arrive late: a repetition under its request
+// ID and one under another, as if the operator had repeated the order through another instance.
+func (w *simulation) orderEvacuation(name string, evacuate bool, copyDelay time.Duration) {
+	w.mu.Lock()
+	w.lastOrder++
+	id, after := fmt.Sprint("order-", w.lastOrder), w.orderNumbers[name]
+	w.orderNumbers[name]++
+	w.mu.Unlock()
+	c := Call{Op: OpEvacuate, RequestID: id, Evacuation: &ledger.EvacuationOrder{DataCentre: name, Evacuate: evacuate, After: after}}
+	if reply := w.do(w.ctx, &c); reply != nil && reply.Outcome != OK {
+		w.mu.Lock()
+		w.recordViolation("EVACUATE: order for %s is refused: %s", name, reply.Reason)
+		w.mu.Unlock()
+	}
+	for _, copyID := range []string{id, id + "-copy"} {
+		late := c
+		late.RequestID = copyID
+		w.spawn(func() {
+			if sleepFor(w.ctx, copyDelay) != nil {
+				return
+			}
+			w.mu.Lock()
+			var d *Dispatcher
+			if w.leader >= 0 {
+				d = w.instances[w.leader].d
+			}
+			w.mu.Unlock()
+			if d != nil {
+				_, _ = d.Do(w.ctx, &late) // its sender has given up
+			}
+		})
+	}
+}
+
 // leave drains the server and ends it later. A new incarnation follows.
 func (s *simServer) leave(after time.Duration) {
 	s.w.mu.Lock()
--- a/internal/dispatch/virtual_log_test.go
+++ b/internal/dispatch/virtual_log_test.go
@@ -41,6 +41,7 @@
 	i.d = New(Options{
 		Name: fmt.Sprint("c", i.index), Address: fmt.Sprint("c", i.index), Engine: i.engine, Replica: i, Servers: &simCalls{i},
 		Log: i.w.logger, Scope: tally.NoopScope, ElectionTime: electionTimeout, MachineLease: 3 * time.Second,
+		DataCentres: []string{"dc0", "dc1", "dc2"},
 	})
 	d := i.d
 	ctx, cancel := context.WithCancel(i.w.ctx)
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -19,6 +20,7 @@
 	capacity            ledger.Resources
 	rejectsOverCapacity bool // else the leader alone keeps within the capacity
 	up, partitioned     bool
+	dataCentre          string
 	draining            bool
 	seq                 int64
 
@@ -49,7 +51,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := &simServer{
-		w: w, id: id, clockRate: minClockRate + (1-minClockRate)*w.rng.Float64(), capacity: ledger.Resources{CPU: cpu, MemMB: 1 << 20}, rejectsOverCapacity: rejectsOverCapacity,
+		w: w, id: id, dataCentre: fmt.Sprint("dc", len(w.servers)%dataCentreCount), clockRate: minClockRate + (1-minClockRate)*w.rng.Float64(), capacity: ledger.Resources{CPU: cpu, MemMB: 1 << 20}, rejectsOverCapacity: rejectsOverCapacity,
 	}
 	w.servers[id] = s
 	s.startIncarnation()
@@ -83,6 +85,7 @@
 		s.seq++
 		a := ledger.Server{
 			ID: s.id, Pool: "p", Address: s.id, Capacity: s.capacity, Born: s.born, Seq: s.seq, ClockMS: s.clock(s.w.now()), Draining: s.draining,
+			DataCentre: s.dataCentre,
 		}
 		s.w.mu.Unlock()
 		ctx, cancel := context.WithTimeout(s.w.ctx, time.Second)
@@ -312,6 +315,9 @@
 			}
 		}
 	}
+	if acked, ok := w.evacuated[at.dataCentre]; ok && (w.now() > acked+evacuateGrace || !late && w.now() > acked+networkDelay) {
+		w.recordViolation("EVACUATE: %v starts in %s %v after its evacuation was acknowledged", o.Task, at.dataCentre, w.now()-acked)
+	}
 	if step.Spread > 0 && spread >= step.Spread {
 		w.recordViolation("SPREAD: %v exceeds the number of tasks of its step allowed on %s", o.Task, at.id)
 	}
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -28,6 +28,12 @@
 	// 2 s for which a count may be out of date). pendingInterval is the time between queries.
 	pendingGrace    = 5 * time.Second
 	pendingInterval = 200 * time.Millisecond
+	// evacuateGrace is how long after an acknowledged evacuation a task may start in the data centre (evacuate_ms), and
+	// networkDelay the time that an order which was sent before may take unless it is carried out late.
+	evacuateGrace = 5 * time.Second
+	networkDelay  = 10 * time.Millisecond
+	// dataCentreCount is the number of data centres; the servers are spread over them.
+	dataCentreCount = 3
 )
 
 var errUnreachable = errors.New("cut off")
@@ -57,6 +63,12 @@
 
 	// Network faults: the fractions of calls that are carried out late and of answers that are lost.
 	lateRate, lossRate float64
+
+	// evacuated holds when the evacuation of a data centre was acknowledged, until its restoration is ordered.
+	evacuated map[string]time.Duration
+	// lastOrder and orderNumbers count the orders for data centres, in all and by data centre.
+	lastOrder    int
+	orderNumbers map[string]int64
 }
 
 type simJob struct {
@@ -81,6 +93,7 @@
 	return &simulation{
 		rng: rand.New(rand.NewPCG(seed, 1)), startedAt: time.Now(), ctx: ctx, servers: make(map[string]*simServer),
 		jobs: make(map[string]*simJob), pending: make(map[int][]byte), leader: -1, logger: hclog.NewNullLogger(),
+		evacuated: make(map[string]time.Duration), orderNumbers: make(map[string]int64),
 	}
 }
 
@@ -160,6 +173,12 @@
 			callCtx, cancel := context.WithTimeout(ctx, time.Second)
 			reply, err := d.Do(callCtx, &again)
 			cancel()
+			if err == nil {
+				if renewed, ok := c.Renew(reply); ok {
+					c = renewed
+					continue
+				}
+			}
 			if err == nil && reply.Outcome != OutcomeUnknown && reply.Outcome != Unavailable {
 				return reply
 			}
