laburnumctl: jobs evacuate, jobs restore, and evacuated data centres in jobs status

Cause: operators could evacuate a data centre only by a call of the platform.

Change: two commands, which send the same order to the leader as the platform's calls; a table of evacuated data centres with servers, runs and lasting tasks in jobs status.

Result: the tests of laburnumctl pass with -race.

--- a/cmd/laburnumctl/jobs.go
+++ b/cmd/laburnumctl/jobs.go
@@ -11,6 +11,7 @@
 
 	"laburnumrouter/internal/dispatch"
 	"laburnumrouter/internal/leader"
+	"laburnumrouter/internal/request/ledger"
 )
 
 // jobsExplainCommand is the command "jobs explain", for control instances in mode jobs.
@@ -21,6 +22,16 @@
 // jobsStatusCommand is the command "jobs status", for control instances in mode jobs.
 type jobsStatusCommand struct{}
 
+// jobsEvacuateCommand is the command "jobs evacuate", for control instances in mode jobs.
+type jobsEvacuateCommand struct {
+	DataCentre string `arg:"" help:"Name of the data centre."`
+}
+
+// jobsRestoreCommand is the command "jobs restore", for control instances in mode jobs.
+type jobsRestoreCommand struct {
+	DataCentre string `arg:"" help:"Name of the data centre."`
+}
+
 // callLeader sends a call to the leader of the control instances, which must run in mode jobs.
 func (c *commandLine) callLeader(call *dispatch.Call) (*dispatch.Reply, error) {
 	if len(c.Control) == 0 {
@@ -65,6 +76,28 @@
 	}
 }
 
+// Run evacuates the data centre and waits for the commit.
+func (e *jobsEvacuateCommand) Run(cli *commandLine) error {
+	return cli.orderEvacuation(&ledger.EvacuationOrder{DataCentre: e.DataCentre, Evacuate: true})
+}
+
+// Run restores the data centre and waits for the commit.
+func (r *jobsRestoreCommand) Run(cli *commandLine) error {
+	return cli.orderEvacuation(&ledger.EvacuationOrder{DataCentre: r.DataCentre})
+}
+
+func (c *commandLine) orderEvacuation(o *ledger.EvacuationOrder) error {
+	reply, err := c.callLeader(&dispatch.Call{Op: dispatch.OpEvacuate, Evacuation: o})
+	if err != nil {
+		return err
+	}
+	state := "restored"
+	if o.Evacuate {
+		state = "evacuated"
+	}
+	return c.print(reply, func(w io.Writer) { fmt.Fprintf(w, "%s\t%s\n", o.DataCentre, state) })
+}
+
 // Run prints the state of the fleet.
 func (*jobsStatusCommand) Run(cli *commandLine) error {
 	reply, err := cli.callLeader(&dispatch.Call{Op: dispatch.OpStatus})
@@ -93,6 +126,12 @@
 	for _, v := range s.Waves {
 		fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%s\t%s\n", v.Number, v.Machines, v.Down, v.Over, formatUnixMS(v.StartedMS), formatUnixMS(v.StartedMS+v.DurationMS))
 	}
+	if len(s.Evacuated) > 0 {
+		fmt.Fprintln(w, "\nEVACUATED\tSINCE\tSERVERS\tRUNS\tLASTING")
+	}
+	for _, e := range s.Evacuated {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", e.DataCentre, formatUnixMS(e.SinceMS), e.Servers, e.Runs, e.Lasting)
+	}
 }
 
 // formatUnixMS formats a time in Unix milliseconds; 0 gives "-".
--- a/cmd/laburnumctl/jobs_test.go
+++ b/cmd/laburnumctl/jobs_test.go
@@ -40,6 +40,21 @@
 	must.EqOp(t, "5c0e", last.Path)
 }
 
+func TestJobsEvacuateAndRestore(t *testing.T) {
+	address, last := fakeJobControl(t, dispatch.Reply{Outcome: dispatch.OK})
+	must.NoError(t, (&jobsEvacuateCommand{DataCentre: "dc1"}).Run(commandLineFor(address)))
+	must.EqOp(t, dispatch.OpEvacuate, last.Op)
+	must.Eq(t, &ledger.EvacuationOrder{DataCentre: "dc1", Evacuate: true}, last.Evacuation)
+	must.NotEqOp(t, "", last.RequestID)
+	*last = dispatch.Call{} // decoding leaves absent fields as they are
+	must.NoError(t, (&jobsRestoreCommand{DataCentre: "dc1"}).Run(commandLineFor(address)))
+	must.False(t, last.Evacuation.Evacuate)
+	unknown, _ := fakeJobControl(t, dispatch.Reply{Outcome: dispatch.Invalid, Reason: "unknown data centre; known are dc1"})
+	err := (&jobsEvacuateCommand{DataCentre: "dc2"}).Run(commandLineFor(unknown))
+	must.EqOp(t, exitFailed, exitCode(err))
+	must.ErrorContains(t, err, "known are dc1")
+}
+
 func TestJobsExitCodes(t *testing.T) {
 	gone, _ := fakeJobControl(t, dispatch.Reply{Outcome: dispatch.NotFound, Reason: "no such job is in the record"})
 	err := (&jobsExplainCommand{ID: "x"}).Run(commandLineFor(gone))
@@ -65,8 +80,9 @@
 	renderStatus(&b, &dispatch.StatusView{
 		Leader: "c1", Term: 3, Pools: []dispatch.PoolView{{Name: "p", Servers: 2, Suspect: 1, Runs: 5, UsedCPU: 1500, CPU: 64000}},
 		Pending: map[string]int{"q": 7}, Waves: []dispatch.WaveView{{Number: 1, Machines: 9, Over: 4}},
+		Evacuated: []dispatch.EvacuationView{{DataCentre: "dc1", SinceMS: 1000, Servers: 3, Runs: 7, Lasting: 2}},
 	})
-	for _, part := range []string{"LEADER\tc1", "p\t2\t0\t0\t1\t5\t1.5\t64.0", "q\t7", "1\t9\t0\t4"} {
+	for _, part := range []string{"LEADER\tc1", "p\t2\t0\t0\t1\t5\t1.5\t64.0", "q\t7", "1\t9\t0\t4", "dc1\t1970-01-01T00:00:01.000Z\t3\t7\t2"} {
 		must.StrContains(t, b.String(), part)
 	}
 }
--- a/cmd/laburnumctl/main.go
+++ b/cmd/laburnumctl/main.go
@@ -65,7 +65,10 @@
 	} `cmd:"" help:"Maintenance waves."`
 	Jobs struct {
 		Explain jobsExplainCommand `cmd:"" help:"Show where a job's tasks are, why they wait and how runs ended."`
-		Status  jobsStatusCommand  `cmd:"" help:"Show the leader, pools, queues and waves."`
+		Status  jobsStatusCommand  `cmd:"" help:"Show the leader, pools, queues, waves and evacuated data centres."`
+
+		Evacuate jobsEvacuateCommand `cmd:"" help:"Take a data centre out of service: no task starts there until it is restored."`
+		Restore  jobsRestoreCommand  `cmd:"" help:"Take an evacuated data centre into service again."`
 	} `cmd:"" help:"Control instances in mode jobs; --control names their peer_listen addresses."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print or install shell completion."`
 }
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -95,6 +95,9 @@
 			must.EqOp(t, 8, r.running("c"))
 		}
 		must.EqOp(t, ledger.Queued, r.state("j2"))
+		view := r.do(&Call{Op: OpStatus}).Status.Evacuated[2]
+		view.SinceMS = 0
+		must.Eq(t, EvacuationView{DataCentre: "dc3", Servers: 1, Runs: 8}, view)
 		must.StrContains(t, r.explain("j2").Steps[0].Waits, "evacuated data centres: dc1, dc2, dc3")
 		must.EqOp(t, 3, int(r.scope.Snapshot().Gauges()["evacuated_data_centres+"].Value()))
 		r.evacuate(false, "dc2")
