Evacuation: test of a restart of all control instances

Cause: that an evacuation survives what a configuration survives was tested on the ledger only.

Change: three real control instances are stopped together and one loses its data folder; a job submitted before still waits, and runs after the restoration. The test's server announces a data centre, which other tests don't read.

--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -264,7 +264,7 @@
 func (c *cluster) announce() {
 	c.seq++
 	c.do(&dispatch.Call{Op: dispatch.OpAnnounce, Server: &ledger.Server{
-		ID: "i-1", Pool: "p", Address: "x", Capacity: ledger.Resources{CPU: 8000, MemMB: 8000}, Born: 1, Seq: c.seq, ClockMS: c.servers.clock(),
+		ID: "i-1", Pool: "p", Address: "x", Capacity: ledger.Resources{CPU: 8000, MemMB: 8000}, Born: 1, Seq: c.seq, ClockMS: c.servers.clock(), DataCentre: "dc",
 	}})
 }
 
@@ -325,6 +325,42 @@
 	}
 }
 
+// Guards against an evacuation that is forgotten when all instances are restarted and one of them has lost its disk: a job
+// would start at once.
+func TestEvacuationSurvivesRestartOfAllInstances(t *testing.T) {
+	c := newCluster(t, http.NotFoundHandler())
+	must.EqOp(t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: &accepted.Config{
+		Version: 1, Raw: []byte(`{"version":1}`),
+		Queues: []accepted.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 2, Open: true}},
+		Pools:  []accepted.Pool{{Name: "p", Guards: true}},
+	}}).Outcome)
+	c.announce()
+	order := &ledger.EvacuationOrder{DataCentre: "dc", Evacuate: true}
+	must.EqOp(t, dispatch.Invalid, c.do(&dispatch.Call{Op: dispatch.OpEvacuate, Evacuation: &ledger.EvacuationOrder{DataCentre: "other"}}).Outcome)
+	for range 2 {
+		must.EqOp(t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpEvacuate, Evacuation: order}).Outcome)
+	}
+	c.submit("j")
+	var stopped sync.WaitGroup
+	for i := range founders {
+		stopped.Go(c.stop[i])
+	}
+	stopped.Wait()
+	must.NoError(t, os.RemoveAll(c.dirs[0]))
+	for i := range founders {
+		c.start(i, false)
+	}
+	for range 10 {
+		must.False(t, c.completed("j"))
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.servers.mu.Lock()
+	must.MapEmpty(t, c.servers.starts)
+	c.servers.mu.Unlock()
+	must.EqOp(t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpEvacuate, Evacuation: &ledger.EvacuationOrder{DataCentre: "dc"}}).Outcome)
+	c.waitUntil(func() bool { return c.completed("j") })
+}
+
 // An instance whose only seed doesn't lead joins the log nevertheless: the seed names the members.
 func TestInstanceJoinsThroughFollower(t *testing.T) {
 	c := newCluster(t, http.NotFoundHandler())
