Order forwarding: a stopping forwarder cuts no call; blocked streams end

Cause: an open stream kept a stopping instance from shutting its server down, and a forwarder whose leader doesn't read kept a blocked goroutine. A leader that hadn't run for a while took its own delay for the forwarders' silence.

Change: a stopping forwarder rejects further calls, answers those in progress and then ends its stream. Writes have a deadline, and the peer server closes a connection that makes no progress for 2 s. Links aren't judged in a check that is late.

--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -50,7 +50,10 @@
 	// journalCheckInterval is the time between checks for a failure of the journal.
 	journalCheckInterval = 100 * time.Millisecond
 	maxHeaderBytes       = 16 << 10
-	idleTimeout          = 60 * time.Second
+	// peerWriteTimeout is the time without progress after which a connection that has something to be written is closed. It
+	// ends streams to a process that is suspended or cut off.
+	peerWriteTimeout = 2 * time.Second
+	idleTimeout      = 60 * time.Second
 )
 
 // Dependencies holds what the program passes in: clients of the backend servers and machines, the file system, and the
@@ -250,6 +253,7 @@
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	servers := []*http.Server{newServer(c.deps.Public(c.client.Do)), newServer(c.peerHandler())}
+	servers[1].HTTP2 = &http.HTTP2Config{WriteByteTimeout: peerWriteTimeout}
 	var group errgroup.Group
 	for i, l := range []net.Listener{public, peers} {
 		group.Go(func() error { return serve(servers[i], l) })
@@ -295,10 +299,16 @@
 func (c *control) stop(servers []*http.Server) {
 	c.log.Info("stopping", "leads", c.dispatcher.Leads())
 	c.dispatcher.Stop()
+	if c.forwarding != nil {
+		c.forwarding.service.Drain()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), drainPeriod)
 	c.node.TransferLeadership(ctx)
 	<-ctx.Done()
 	cancel()
+	if c.forwarding != nil {
+		c.forwarding.service.Close() // an open stream would keep the server from shutting down
+	}
 	ctx, cancel = context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	for _, s := range servers {
--- a/internal/orderforward/client.go
+++ b/internal/orderforward/client.go
@@ -21,6 +21,8 @@
 const (
 	// checkInterval is the time between checks of members and links.
 	checkInterval = 50 * time.Millisecond
+	// lateCheck is the time between two checks from which this process, and not the other side, may be the cause of silence.
+	lateCheck = 2 * checkInterval
 	// directReserve is the part of the caller's time that a forwarded stop or hold leaves, so that it can be repeated
 	// directly if the forwarder has no answer.
 	directReserve = 150 * time.Millisecond
@@ -70,11 +72,12 @@
 	bypass   map[string]time.Duration // by server: boottime until which it is called directly
 
 	// Used by Run only.
-	gate     gate
-	slots    []string         // members in use
-	links    map[string]*link // by member
-	retries  map[string]retry
-	draining map[*link]time.Duration // boottime at which each is closed
+	checkedAt time.Duration
+	gate      gate
+	slots     []string         // members in use
+	links     map[string]*link // by member
+	retries   map[string]retry
+	draining  map[*link]time.Duration // boottime at which each is closed
 }
 
 type retry struct {
@@ -135,13 +138,15 @@
 			c.links[name] = openLink(m, status.Term, c.Dial(m.Address), c.stats, c.MayOrder)
 		}
 	}
-	c.updateTable(status.Term, now)
+	late := now-c.checkedAt > lateCheck
+	c.checkedAt = now
+	c.updateTable(status.Term, now, late)
 	for l, until := range c.draining {
 		if failed, pending := l.failure(); failed != "" || pending == 0 || now >= until {
 			l.fail("out of use")
 			delete(c.draining, l)
 		} else {
-			l.check(now)
+			l.check(now, late)
 		}
 	}
 	c.expireBypasses(now)
@@ -195,11 +200,11 @@
 }
 
 // updateTable replaces links that have failed and stores the table of those that may get calls.
-func (c *Client) updateTable(term uint64, now time.Duration) {
+func (c *Client) updateTable(term uint64, now time.Duration, late bool) {
 	next := &table{term: term}
 	for slot, name := range c.slots {
 		l := c.links[name]
-		usable := l.check(now)
+		usable := l.check(now, late)
 		if failed, _ := l.failure(); failed != "" {
 			c.linkFailed(name, l, failed, now)
 			continue
@@ -210,7 +215,7 @@
 				delete(c.retries, name)
 				c.Log.Info("forwarder in use", "forwarder", name, "address", l.address, "term", term)
 			} else {
-				c.Log.Info("forwarder out of use", "forwarder", name, "term", term, "reason", "no sign of life for a while")
+				c.Log.Info("forwarder out of use", "forwarder", name, "term", term, "reason", "it stops, or hasn't been heard for a while")
 			}
 		}
 		if usable {
--- a/internal/orderforward/link.go
+++ b/internal/orderforward/link.go
@@ -20,7 +20,7 @@
 	openTimeout = time.Second
 	// suspectAfter is the silence after which a link gets no new calls. A forwarder sends a mark every 50 ms, or later if it
 	// is short of CPU time.
-	suspectAfter = 150 * time.Millisecond
+	suspectAfter = 200 * time.Millisecond
 	// silentAfter is the silence after which a stream is closed. Until then, calls in progress may still be answered.
 	silentAfter = 400 * time.Millisecond
 	// keepAliveInterval is the longest time between batches to a forwarder.
@@ -88,6 +88,7 @@
 	writingAt atomic.Int64 // boottime at which the current write began; 0 if there is none
 	sentAt    atomic.Int64 // boottime of the last batch
 	inline    atomic.Int64 // boottime until which starts carry their specs
+	stopping  atomic.Bool  // the forwarder has said that it stops
 
 	mu        sync.Mutex
 	failed    string // reason; empty while the link is usable
@@ -348,8 +349,11 @@
 }
 
 // check fails a link that is silent or blocked, wakes one that has sent nothing for a while, and reports whether it may get
-// calls.
-func (l *link) check(now time.Duration) (usable bool) {
+// calls. late says that this process hasn't run for a while, so that what has arrived may not have been read yet.
+func (l *link) check(now time.Duration, late bool) (usable bool) {
+	if late {
+		return l.inUse
+	}
 	if at := time.Duration(l.writingAt.Load()); at != 0 && now-at > writeTimeout {
 		l.fail("a write to the stream hangs")
 		return false
@@ -366,5 +370,5 @@
 	if now-time.Duration(l.sentAt.Load()) > keepAliveInterval {
 		signal(l.wake)
 	}
-	return l.ready() && silence <= suspectAfter
+	return l.ready() && silence <= suspectAfter && !l.stopping.Load()
 }
--- a/internal/orderforward/orderforward.go
+++ b/internal/orderforward/orderforward.go
@@ -43,4 +43,5 @@
 	laburnumv1.OrderRejection_ORDER_REJECTION_BUSY:        "too many calls in progress",
 	laburnumv1.OrderRejection_ORDER_REJECTION_NO_SPEC:     "spec not known yet",
 	laburnumv1.OrderRejection_ORDER_REJECTION_UNREACHABLE: "backend server not reachable from the forwarder",
+	laburnumv1.OrderRejection_ORDER_REJECTION_STOPPING:    "forwarder stops",
 }
--- a/internal/orderforward/service.go
+++ b/internal/orderforward/service.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -59,8 +60,12 @@
 	term       uint64 // highest of any stream
 	current    *stream
 	inProgress int
+	draining   bool
+	closed     bool
 }
 
+type bidiHandler = connect.BidiStream[laburnumv1.OrderBatch, laburnumv1.OrderResults]
+
 // NewService returns a service without streams.
 func NewService(o ServiceOptions) *Service {
 	return &Service{
@@ -81,49 +86,71 @@
 }
 
 // Forward implements OrderServiceHandler.
-func (s *Service) Forward(ctx context.Context, bidi *connect.BidiStream[laburnumv1.OrderBatch, laburnumv1.OrderResults]) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+func (s *Service) Forward(ctx context.Context, bidi *bidiHandler) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	control, _ := ctx.Value(controllerKey{}).(*http.ResponseController)
 	st := &stream{service: s, ctx: ctx, cancel: cancel, control: control, calls: make(map[uint64]context.CancelFunc), wake: make(chan struct{}, 1)}
-	st.extendRead()
-	batch, err := bidi.Receive()
-	if err != nil {
-		return err
-	}
-	st.term = batch.Term
-	if !s.register(st) {
-		return connect.NewError(connect.CodeFailedPrecondition, Error.New("term %d is over", st.term))
-	}
-	s.Log.Info("orders are forwarded for a leader", "term", st.term)
+	st.heardAt.Store(int64(boottime.Now()))
+	opened := make(chan struct{})
+	go st.receive(bidi, opened) // ends when this function has returned, at the latest
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		defer cancel()
-		st.write(bidi)
+		select {
+		case <-opened:
+			s.Log.Info("orders are forwarded for a leader", "term", st.term)
+			st.write(bidi)
+		case <-ctx.Done():
+		}
 	}()
-	for {
-		st.accept(batch)
-		st.extendRead()
-		if batch, err = bidi.Receive(); err != nil || ctx.Err() != nil {
-			break
+	ticker := time.NewTicker(leaderSilence / 4)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+			if boottime.Now()-time.Duration(st.heardAt.Load()) > leaderSilence {
+				cancel(Error.New("the leader is silent"))
+			}
 		}
 	}
-	cancel()
 	<-written // nothing may be written once the handler has returned
-	s.Log.Info("orders are no longer forwarded for a leader", "term", st.term, "cause", err)
-	return err
+	cause := context.Cause(ctx)
+	select {
+	case <-opened:
+		s.Log.Info("orders are no longer forwarded for a leader", "term", st.term, "cause", cause)
+	default:
+	}
+	return connect.NewError(connect.CodeUnavailable, cause)
+}
+
+// Drain makes the service reject further calls. Calls in progress are still answered.
+func (s *Service) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// Close ends the stream, and lets no further one begin.
+func (s *Service) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining, s.closed = true, true
+	if s.current != nil {
+		s.current.cancel(Error.New("the process stops"))
+	}
 }
 
 // register puts st in the place of an earlier stream, whose calls are dropped. It returns false if a higher term is known.
 func (s *Service) register(st *stream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st.term < max(s.term, s.Term()) {
+	if s.closed || st.term < max(s.term, s.Term()) {
 		return false
 	}
 	if s.current != nil {
-		s.current.cancel()
+		s.current.cancel(Error.New("another stream takes its place"))
 	}
 	s.term, s.current = st.term, st
 	return true
@@ -136,15 +163,18 @@
 	return max(s.term, s.Term())
 }
 
-// reserve counts a call as in progress unless there are too many.
-func (s *Service) reserve() bool {
+// reserve counts a call as in progress, or returns the reason for which it is rejected.
+func (s *Service) reserve() laburnumv1.OrderRejection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inProgress >= maxInProgress {
-		return false
+	switch {
+	case s.draining:
+		return laburnumv1.OrderRejection_ORDER_REJECTION_STOPPING
+	case s.inProgress >= maxInProgress:
+		return laburnumv1.OrderRejection_ORDER_REJECTION_BUSY
 	}
 	s.inProgress++
-	return true
+	return laburnumv1.OrderRejection_ORDER_REJECTION_UNSPECIFIED
 }
 
 func (s *Service) release(n int) {
@@ -159,8 +189,9 @@
 	term    uint64
 	// ctx ends when the stream ends or another takes its place.
 	ctx     context.Context
-	cancel  context.CancelFunc
+	cancel  context.CancelCauseFunc
 	control *http.ResponseController // nil if the stream can't be given deadlines
+	heardAt atomic.Int64             // boottime of the last batch
 
 	mu      sync.Mutex
 	calls   map[uint64]context.CancelFunc // in progress, by number
@@ -168,10 +199,24 @@
 	wake    chan struct{}
 }
 
-// extendRead makes the stream end if the leader is silent from now on.
-func (st *stream) extendRead() {
-	if st.control != nil {
-		_ = st.control.SetReadDeadline(time.Now().Add(leaderSilence)) // without it, the stream ends with its connection
+// receive accepts batches until the stream ends.
+func (st *stream) receive(bidi *bidiHandler, opened chan<- struct{}) {
+	for first := true; ; first = false {
+		batch, err := bidi.Receive()
+		if err != nil {
+			st.cancel(Error.Wrap(err))
+			return
+		}
+		st.heardAt.Store(int64(boottime.Now()))
+		if first {
+			st.term = batch.Term
+			if !st.service.register(st) {
+				st.cancel(Error.New("term %d is over, or the process stops", st.term))
+				return
+			}
+			close(opened)
+		}
+		st.accept(batch)
 	}
 }
 
@@ -187,9 +232,9 @@
 	}
 	echo := time.Duration(batch.Echo) * time.Microsecond
 	for _, call := range batch.Calls {
-		if !st.service.reserve() {
+		if reason := st.service.reserve(); reason != laburnumv1.OrderRejection_ORDER_REJECTION_UNSPECIFIED {
 			st.service.rejected.Inc(1)
-			st.report(rejected(call.Number, laburnumv1.OrderRejection_ORDER_REJECTION_BUSY), false)
+			st.report(rejected(call.Number, reason), false)
 			continue
 		}
 		spec := ""
@@ -221,7 +266,7 @@
 	switch {
 	case st.ctx.Err() != nil:
 	case len(st.results) >= maxResults:
-		st.cancel() // the leader doesn't read
+		st.cancel(Error.New("the leader doesn't read the results"))
 	default:
 		st.results = append(st.results, result)
 	}
@@ -330,7 +375,7 @@
 }
 
 // write sends results and marks until the stream ends.
-func (st *stream) write(bidi *connect.BidiStream[laburnumv1.OrderBatch, laburnumv1.OrderResults]) {
+func (st *stream) write(bidi *bidiHandler) {
 	timer := time.NewTimer(0) // the first mark is sent at once
 	defer timer.Stop()
 	for {
@@ -350,6 +395,7 @@
 			_ = st.control.SetWriteDeadline(time.Now().Add(writeTimeout)) // without it, a blocked write ends with the connection
 		}
 		if err := bidi.Send(st.take()); err != nil {
+			st.cancel(Error.Wrap(err))
 			return
 		}
 		timer.Reset(markInterval)
