Order forwarding: a late writer doesn't end its stream

Cause: the write deadline of a forwarder's stream stayed armed between writes.

Change: the stream's watch judges a write by the number of checks in which it is found in progress, and sets the deadline only to abort it. The task of a call is four fields instead of a list, which saves an allocation.

--- a/internal/orderforward/encode.go
+++ b/internal/orderforward/encode.go
@@ -24,15 +24,11 @@
 }
 
 func setTask(c *laburnumv1.OrderCall, id ledger.TaskID, run int) {
-	c.Job, c.Task = id.Job, []int64{int64(id.Occurrence), int64(id.Step), int64(id.Index), int64(run)}
+	c.Job, c.Occurrence, c.Step, c.Index, c.Run = id.Job, int64(id.Occurrence), int64(id.Step), int64(id.Index), int64(run)
 }
 
-// taskOf returns the task and run of a call; ok is false if the call is malformed.
-func taskOf(c *laburnumv1.OrderCall) (id ledger.TaskID, run int, ok bool) {
-	if len(c.Task) != 4 {
-		return ledger.TaskID{}, 0, false
-	}
-	return ledger.TaskID{Job: c.Job, Occurrence: int(c.Task[0]), Step: int(c.Task[1]), Index: int(c.Task[2])}, int(c.Task[3]), true
+func taskOf(c *laburnumv1.OrderCall) (id ledger.TaskID, run int) {
+	return ledger.TaskID{Job: c.Job, Occurrence: int(c.Occurrence), Step: int(c.Step), Index: int(c.Index)}, int(c.Run)
 }
 
 // textTable collects texts, each once. Positions count from 1; 0 is the empty text.
--- a/internal/orderforward/service.go
+++ b/internal/orderforward/service.go
@@ -31,6 +31,8 @@
 	// leaderSilence is how long a leader may send nothing on a stream before the forwarder closes it. It is a multiple of
 	// keepAliveInterval.
 	leaderSilence = 2 * time.Second
+	// writeCheckInterval is the time between checks of a stream on the forwarder.
+	writeCheckInterval = 50 * time.Millisecond
 	// specWait and specPollInterval are how long, and how often, a start waits for the ledger to apply the job. A follower
 	// that isn't needed for a quorum may be sent entries 50 ms late.
 	specWait         = 120 * time.Millisecond
@@ -104,17 +106,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	ticker := time.NewTicker(leaderSilence / 4)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-			if boottime.Now()-time.Duration(st.heardAt.Load()) > leaderSilence {
-				cancel(Error.New("the leader is silent"))
-			}
-		}
-	}
+	st.watch()
 	<-written // nothing may be written once the handler has returned
 	cause := context.Cause(ctx)
 	select {
@@ -192,6 +184,7 @@
 	cancel  context.CancelCauseFunc
 	control *http.ResponseController // nil if the stream can't be given deadlines
 	heardAt atomic.Int64             // boottime of the last batch
+	writing atomic.Uint64            // number of the write in progress; 0 if there is none
 
 	mu      sync.Mutex
 	calls   map[uint64]context.CancelFunc // in progress, by number
@@ -199,6 +192,37 @@
 	wake    chan struct{}
 }
 
+// watch returns when the stream ends. It ends a stream whose leader is silent or doesn't read. A write that takes long is
+// judged by the number of checks in which it was found, because this process may itself have stood still.
+func (st *stream) watch() {
+	ticker := time.NewTicker(writeCheckInterval)
+	defer ticker.Stop()
+	writing, checks := uint64(0), 0
+	for {
+		select {
+		case <-st.ctx.Done():
+			st.abortWrite()
+			return
+		case <-ticker.C:
+		}
+		if now := st.writing.Load(); now == 0 || now != writing {
+			writing, checks = now, 0
+		} else if checks++; checks > int(writeTimeout/writeCheckInterval) {
+			st.cancel(Error.New("a write to the stream hangs"))
+		}
+		if boottime.Now()-time.Duration(st.heardAt.Load()) > leaderSilence {
+			st.cancel(Error.New("the leader is silent"))
+		}
+	}
+}
+
+// abortWrite makes a write in progress fail.
+func (st *stream) abortWrite() {
+	if st.control != nil && st.writing.Load() != 0 {
+		_ = st.control.SetWriteDeadline(time.Now()) // without it, a blocked write ends with the connection
+	}
+}
+
 // receive accepts batches until the stream ends.
 func (st *stream) receive(bidi *bidiHandler, opened chan<- struct{}) {
 	for first := true; ; first = false {
@@ -331,10 +355,7 @@
 func (st *stream) send(ctx context.Context, call *laburnumv1.OrderCall, spec string) *laburnumv1.OrderResult {
 	result := &laburnumv1.OrderResult{Status: laburnumv1.OrderStatus_ORDER_STATUS_ANSWERED}
 	servers, to := st.service.Servers, dispatch.Target{ID: call.Server, Address: call.Address}
-	id, run, valid := taskOf(call)
-	if !valid && call.Kind != laburnumv1.OrderKind_ORDER_KIND_HOLD {
-		return rejected(call.Number, laburnumv1.OrderRejection_ORDER_REJECTION_UNSPECIFIED)
-	}
+	id, run := taskOf(call)
 	var err error
 	switch call.Kind {
 	case laburnumv1.OrderKind_ORDER_KIND_START:
@@ -378,7 +399,7 @@
 func (st *stream) write(bidi *bidiHandler) {
 	timer := time.NewTimer(0) // the first mark is sent at once
 	defer timer.Stop()
-	for {
+	for writes := uint64(0); ; {
 		select {
 		case <-st.ctx.Done():
 			return
@@ -391,10 +412,11 @@
 			case <-timer.C:
 			}
 		}
-		if st.control != nil {
-			_ = st.control.SetWriteDeadline(time.Now().Add(writeTimeout)) // without it, a blocked write ends with the connection
-		}
-		if err := bidi.Send(st.take()); err != nil {
+		writes++
+		st.writing.Store(writes)
+		err := bidi.Send(st.take())
+		st.writing.Store(0)
+		if err != nil {
 			st.cancel(Error.Wrap(err))
 			return
 		}
