--- a/internal/orderforward/bench_test.go
+++ b/internal/orderforward/bench_test.go
@@ -62,6 +62,37 @@
 	return r, nil
 }
 
+// parkedServers answers the starts of the last 10 ms together. It shows what it costs that the caller of the blocking
+// interface waits for an answer.
+type parkedServers struct {
+	instantServers
+	mu      sync.Mutex
+	waiting []chan struct{}
+}
+
+func (p *parkedServers) Start(ctx context.Context, to dispatch.Target, o dispatch.StartOrder) (dispatch.StartAnswer, int64, error) {
+	done := make(chan struct{}, 1)
+	p.mu.Lock()
+	p.waiting = append(p.waiting, done)
+	p.mu.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	return p.instantServers.Start(ctx, to, o)
+}
+
+func (p *parkedServers) run() {
+	for range time.Tick(10 * time.Millisecond) {
+		p.mu.Lock()
+		for _, c := range p.waiting {
+			c <- struct{}{}
+		}
+		p.waiting = p.waiting[:0]
+		p.mu.Unlock()
+	}
+}
+
 func benchTask(i int) ledger.TaskID {
 	return ledger.TaskID{Job: fmt.Sprintf("job-%012d", i/3), Index: i}
 }
@@ -132,6 +163,9 @@
 		}
 	}
 	measure("none", instantServers{})
+	parked := &parkedServers{}
+	go parked.run()
+	measure("parked", parked)
 	measure("direct", platform.NewServerClient())
 	for _, n := range []int{2, 7} { // the number that the gate chooses, and all
 		status := Status{Leads: true, Term: uint64(n)}
--- a/internal/orderforward/client.go
+++ b/internal/orderforward/client.go
@@ -214,8 +214,11 @@
 			if usable {
 				delete(c.retries, name)
 				c.Log.Info("forwarder in use", "forwarder", name, "address", l.address, "term", term)
+			} else if l.stopping.Load() {
+				c.Log.Info("forwarder out of use", "forwarder", name, "term", term, "reason", "it stops")
 			} else {
-				c.Log.Info("forwarder out of use", "forwarder", name, "term", term, "reason", "it stops, or hasn't been heard for a while")
+				l.giveUpIdempotent()
+				c.Log.Info("forwarder out of use", "forwarder", name, "term", term, "reason", "not heard for a while")
 			}
 		}
 		if usable {
--- a/internal/orderforward/link.go
+++ b/internal/orderforward/link.go
@@ -18,9 +18,9 @@
 const (
 	// openTimeout bounds the time until a new stream's first mark arrives.
 	openTimeout = time.Second
-	// suspectAfter is the silence after which a link gets no new calls. A forwarder sends a mark every 50 ms, or later if it
-	// is short of CPU time.
-	suspectAfter = 200 * time.Millisecond
+	// suspectAfter is the silence after which a link gets no new calls, and holds and stops on it are given up, so that they
+	// can be repeated within the caller's 400 ms. A forwarder sends a mark every 50 ms, or later if it is short of CPU time.
+	suspectAfter = 150 * time.Millisecond
 	// silentAfter is the silence after which a stream is closed. Until then, calls in progress may still be answered.
 	silentAfter = 400 * time.Millisecond
 	// keepAliveInterval is the longest time between batches to a forwarder.
@@ -341,6 +341,21 @@
 	l.queue = nil
 }
 
+// giveUpIdempotent ends the holds and stops without a result, which may be repeated over another path.
+func (l *link) giveUpIdempotent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for number, p := range l.pending {
+		if k := p.message.Kind; k != laburnumv1.OrderKind_ORDER_KIND_HOLD && k != laburnumv1.OrderKind_ORDER_KIND_STOP || !p.sent {
+			continue
+		}
+		delete(l.pending, number)
+		l.cancelled = append(l.cancelled, number)
+		p.finish(unanswered, nil)
+	}
+	signal(l.wake)
+}
+
 // failure returns why the link failed, or an empty string, and the number of calls without a result.
 func (l *link) failure() (reason string, pending int) {
 	l.mu.Lock()
