--- a/internal/orderforward/link.go
+++ b/internal/orderforward/link.go
@@ -18,8 +18,8 @@
 const (
 	// openTimeout bounds the time until a new stream's first mark arrives.
 	openTimeout = time.Second
-	// suspectAfter is the silence after which a link gets no new calls. A forwarder sends a mark every 50 ms, or later if it
-	// is short of CPU time.
+	// suspectAfter is the silence after which a link gets no new calls, and holds and stops on it are given up, so that they
+	// can be repeated within the caller's 400 ms. A forwarder sends a mark every 50 ms, or later if it is short of CPU time.
 	suspectAfter = 150 * time.Millisecond
 	// silentAfter is the silence after which a stream is closed. Until then, calls in progress may still be answered.
 	silentAfter = 400 * time.Millisecond
@@ -88,6 +88,7 @@
 	writingAt atomic.Int64 // boottime at which the current write began; 0 if there is none
 	sentAt    atomic.Int64 // boottime of the last batch
 	inline    atomic.Int64 // boottime until which starts carry their specs
+	stopping  atomic.Bool  // the forwarder has said that it stops
 
 	mu        sync.Mutex
 	failed    string // reason; empty while the link is usable
@@ -340,6 +341,21 @@
 	l.queue = nil
 }
 
+// giveUpIdempotent ends the holds and stops without a result, which may be repeated over another path.
+func (l *link) giveUpIdempotent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for number, p := range l.pending {
+		if k := p.message.Kind; k != laburnumv1.OrderKind_ORDER_KIND_HOLD && k != laburnumv1.OrderKind_ORDER_KIND_STOP || !p.sent {
+			continue
+		}
+		delete(l.pending, number)
+		l.cancelled = append(l.cancelled, number)
+		p.finish(unanswered, nil)
+	}
+	signal(l.wake)
+}
+
 // failure returns why the link failed, or an empty string, and the number of calls without a result.
 func (l *link) failure() (reason string, pending int) {
 	l.mu.Lock()
@@ -348,8 +364,11 @@
 }
 
 // check fails a link that is silent or blocked, wakes one that has sent nothing for a while, and reports whether it may get
-// calls.
-func (l *link) check(now time.Duration) (usable bool) {
+// calls. late says that this process hasn't run for a while, so that what has arrived may not have been read yet.
+func (l *link) check(now time.Duration, late bool) (usable bool) {
+	if late {
+		return l.inUse
+	}
 	if at := time.Duration(l.writingAt.Load()); at != 0 && now-at > writeTimeout {
 		l.fail("a write to the stream hangs")
 		return false
@@ -366,5 +385,5 @@
 	if now-time.Duration(l.sentAt.Load()) > keepAliveInterval {
 		signal(l.wake)
 	}
-	return l.ready() && silence <= suspectAfter
+	return l.ready() && silence <= suspectAfter && !l.stopping.Load()
 }
