Servers that turned starts away take work again once they accept one

Cause: a start that was refused as busy, or repeatedly left unanswered, counted like a failed run. Three made the server suspect, and a suspect server got one trial run every 2 s until one had succeeded.

Change: failed starts are counted apart from failed runs, and an accepted start clears them; one more failure makes the server suspect again until a run succeeds. A reported run that began after the last failed run and has worked for 1 s clears failed runs, whether it is a lasting task or not.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -381,8 +381,8 @@
 		}
 		s.runBeganLocked(key, h.serverID)
 		o.percent, o.reportedAt = row.Percent, asked
-		if server := s.fleet.Get(h.serverID); row.Percent == 100 && j.Steps[row.Task.Step].Lasting {
-			server.Health.Working(o.since, boottime.Now())
+		if provesWorking(&j.Steps[row.Task.Step], row) {
+			s.fleet.Get(h.serverID).Health.Working(o.since, boottime.Now())
 		}
 		if row.Checkpoint != "" {
 			o.checkpoint = row.Checkpoint
@@ -393,6 +393,15 @@
 	}
 }
 
+// provesWorking reports whether a running task shows that its server works. A lasting task does once it works in full. A
+// member of a gang may wait for the others, and shows nothing.
+func provesWorking(step *ledger.Step, row RunningTask) bool {
+	if step.Lasting {
+		return row.Percent == 100
+	}
+	return !step.Gang
+}
+
 // stopStrayLocked stops a run that the ledger does not hold as live, such as one whose start was carried out late.
 func (s *session) stopStrayLocked(serverID string, id ledger.TaskID, run int) {
 	server := s.fleet.Get(serverID)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -121,6 +121,7 @@
 func (s *session) startAcceptedLocked(st ledger.Start) {
 	if server := s.fleet.Get(st.Worker); server != nil && server.Born == st.Born {
 		server.StartAnswered()
+		server.Health.StartAccepted()
 	}
 }
 
@@ -132,7 +133,7 @@
 		server.StartAnswered()
 		server.AvoidUntil = now + startBackoff
 		if answer == StartUnhealthy {
-			server.Health.Failed(now)
+			server.Health.StartFailed(now)
 		}
 	}
 	s.ends.add(ledger.End{Task: st.Task, Run: st.Run, Worker: st.Worker, How: ledger.EndRefused})
@@ -155,7 +156,7 @@
 		server.Unanswered(now)
 		if server.StartUnanswered(now, callTimeout) {
 			server.AvoidUntil = now + startBackoff
-			server.Health.Failed(now)
+			server.Health.StartFailed(now)
 		}
 	}
 	s.setOrderStateLocked(runKey{st.Task, st.Run}, orderUnanswered)
--- a/internal/dispatch/virtual_log_test.go
+++ b/internal/dispatch/virtual_log_test.go
@@ -39,7 +39,7 @@
 	i.applied, i.up, i.partitioned, i.believedTerm = 0, true, false, 0
 	i.w.catchUpLocked(i)
 	i.d = New(Options{
-		Name: fmt.Sprint("c", i.index), Address: fmt.Sprint("c", i.index), Engine: i.engine, Replica: i, Servers: &simCalls{i},
+		Name: fmt.Sprint("c", i.index), Address: fmt.Sprint("c", i.index), Engine: i.engine, Replica: i, Servers: &simCalls{i}, Machines: i.w.machines,
 		Log: i.w.logger, Scope: tally.NoopScope, ElectionTime: electionTimeout, MachineLease: 3 * time.Second,
 	})
 	d := i.d
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -19,8 +20,10 @@
 	capacity            ledger.Resources
 	rejectsOverCapacity bool // else the leader alone keeps within the capacity
 	up, partitioned     bool
-	draining            bool
-	seq                 int64
+	// busy servers start nothing and answer every call that they are too busy.
+	busy     bool
+	draining bool
+	seq      int64
 
 	fence      uint64
 	deadlineMS int64 // end of the lease on the server's clock
@@ -369,11 +372,12 @@
 
 // call delivers a request and its answer over the simulated network. exec runs with the simulation's lock held and
 // returns the answer.
-func (c *simCalls) call(ctx context.Context, to Target, exec func(s *simServer, late bool) any) (any, error) {
+func (c *simCalls) call(ctx context.Context, to Target, order bool, exec func(s *simServer, late bool) any) (any, error) {
 	w := c.i.w
 	requestDelay, replyDelay := w.between(500*time.Microsecond, 3*time.Millisecond), w.between(500*time.Microsecond, 3*time.Millisecond)
 	w.mu.Lock()
-	late, lose := w.rng.Float64() < w.lateRate, w.rng.Float64() < w.lossRate
+	hit := order || !w.ordersOnly
+	late, lose := w.rng.Float64() < w.lateRate && hit, w.rng.Float64() < w.lossRate
 	w.mu.Unlock()
 	answers := make(chan any, 1)
 	w.spawn(func() {
@@ -396,7 +400,10 @@
 		}
 		w.mu.Lock()
 		var answer any
-		if s.up && s.incarnation == reachedIncarnation {
+		switch {
+		case s.up && s.incarnation == reachedIncarnation && s.busy && hit:
+			answer = errBusy
+		case s.up && s.incarnation == reachedIncarnation:
 			answer = exec(s, late)
 		}
 		w.mu.Unlock()
@@ -411,6 +418,9 @@
 	})
 	select {
 	case answer := <-answers:
+		if answer == error(errBusy) {
+			return nil, errBusy
+		}
 		return answer, nil
 	case <-ctx.Done():
 		return nil, errUnreachable
@@ -425,9 +435,12 @@
 
 // Start implements Servers.
 func (c *simCalls) Start(ctx context.Context, to Target, o StartOrder) (StartAnswer, int64, error) {
-	answer, err := c.call(ctx, to, func(s *simServer, late bool) any {
+	answer, err := c.call(ctx, to, true, func(s *simServer, late bool) any {
 		return startReply{s.startLocked(o, late), s.clock(s.w.now())}
 	})
+	if errors.Is(err, errBusy) {
+		return StartUnhealthy, 0, nil
+	}
 	if err != nil {
 		return 0, 0, err
 	}
@@ -436,7 +449,7 @@
 
 // Stop implements Servers.
 func (c *simCalls) Stop(ctx context.Context, to Target, o StopOrder) error {
-	fenced, err := c.call(ctx, to, func(s *simServer, _ bool) any {
+	fenced, err := c.call(ctx, to, true, func(s *simServer, _ bool) any {
 		s.w.endDueRunsLocked()
 		if o.Fence < s.fence {
 			return true
@@ -456,7 +469,7 @@
 func (c *simCalls) Hold(ctx context.Context, to Target, o HoldOrder) (*HoldReport, error) {
 	end := c.i.w.now() + time.Duration(o.WaitMS)*time.Millisecond
 	for first := true; ; first = false {
-		answer, err := c.call(ctx, to, func(s *simServer, _ bool) any {
+		answer, err := c.call(ctx, to, false, func(s *simServer, _ bool) any {
 			s.w.endDueRunsLocked()
 			if o.Fence < s.fence {
 				return (*HoldReport)(nil)
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -30,7 +30,10 @@
 	pendingInterval = 200 * time.Millisecond
 )
 
-var errUnreachable = errors.New("cut off")
+var (
+	errUnreachable = errors.New("cut off")
+	errBusy        = errors.New("too busy")
+)
 
 // simulation is the state of one simulated schedule.
 type simulation struct {
@@ -46,6 +49,7 @@
 	hasLastingJob bool // a job of lasting tasks has been drawn
 	violations    []string
 	logger        hclog.Logger
+	machines      Machines // nil if no platform manages machines
 
 	// The replicated log.
 	entries          [][]byte
@@ -57,6 +61,9 @@
 
 	// Network faults: the fractions of calls that are carried out late and of answers that are lost.
 	lateRate, lossRate float64
+	// ordersOnly is set if calls are carried out late, or refused by busy servers, only if they are orders: hold calls are
+	// answered.
+	ordersOnly bool
 }
 
 type simJob struct {
--- a/internal/request/fleet/health.go
+++ b/internal/request/fleet/health.go
@@ -3,14 +3,14 @@
 import "time"
 
 const (
-	// suspectAfter is the number of consecutive failed runs after which a server gets only single trial runs. A single
-	// failure is normal: on the users' sites, less than 3% of the runs fail (error_share).
+	// suspectAfter is the number of consecutive failed runs, or of consecutive failed starts, after which a server gets only
+	// single trial runs. A single failure is normal: on the users' sites, less than 3% of the runs fail (error_share).
 	suspectAfter = 3
 	// trialDelay is how long after a failure or the start of a trial run a suspect server gets no trial run. The users'
 	// servers fail for 4 to 8 s at a time, so trials this far apart notice a recovery soon.
 	trialDelay = 2 * time.Second
-	// recoveryTime is how long a run that never ends by itself must have worked on a suspect server to clear it. The users'
-	// sick servers fail a run within 50 ms.
+	// recoveryTime is how long a run must have worked on a suspect server to clear it. The users' sick servers fail a run within
+	// 50 ms.
 	recoveryTime = time.Second
 	// slowThreshold is the mean ratio of actual to expected run time at which a server counts as slow. Healthy servers stay
 	// under 1.5 (remote_factor), with an error of 0.2 in the estimates.
@@ -21,8 +21,10 @@
 
 // Health tracks whether runs on a server fail or are slow. The zero value is a healthy server.
 type Health struct {
-	consecutiveFailures int
+	consecutiveFailures int // failed runs in a row
 	failedAt            time.Duration
+	startFailures       int // starts in a row that the server turned away, or repeatedly left unanswered
+	startFailedAt       time.Duration
 	trialAt             time.Duration // start of the last trial run
 	slowdown            float64       // moving average of actual to expected run time; 0 before the first run with an estimate
 	slowdownAt          time.Duration
@@ -30,7 +32,7 @@
 
 // Done records a successful run. took is its run time, expected the estimate of it, or 0 if there is none.
 func (h *Health) Done(took, expected, now time.Duration) {
-	h.consecutiveFailures = 0
+	h.consecutiveFailures, h.startFailures = 0, 0
 	if expected <= 0 {
 		return
 	}
@@ -48,13 +50,25 @@
 	h.failedAt = now
 }
 
-// Suspect reports whether the last suspectAfter runs on the server failed.
-func (h *Health) Suspect() bool { return h.consecutiveFailures >= suspectAfter }
+// StartFailed records that the server turned a start away because it takes no work now, or repeatedly left starts unanswered.
+func (h *Health) StartFailed(now time.Duration) {
+	h.startFailures++
+	h.startFailedAt = now
+}
+
+// StartAccepted records that the server accepted a start, so it takes work again. Until a run succeeds there, one more failed
+// start makes it suspect again.
+func (h *Health) StartAccepted() { h.startFailures = min(h.startFailures, suspectAfter-1) }
+
+// Suspect reports whether the last suspectAfter runs or starts on the server failed.
+func (h *Health) Suspect() bool {
+	return h.consecutiveFailures >= suspectAfter || h.startFailures >= suspectAfter
+}
 
-// Working records that a run which began at since works in full at now. It clears a suspect server if the run began after
-// the last failure.
+// Working records that a run which began at since works in full at now. If the run began after the last failed run, the
+// server's failed runs no longer count.
 func (h *Health) Working(since, now time.Duration) {
-	if h.Suspect() && since > h.failedAt && now-since >= recoveryTime {
+	if h.consecutiveFailures > 0 && since > h.failedAt && now-since >= recoveryTime {
 		h.consecutiveFailures = 0
 	}
 }
@@ -64,7 +78,7 @@
 
 // TrialDue reports whether a suspect server may get a trial run.
 func (h *Health) TrialDue(now time.Duration) bool {
-	return now-max(h.failedAt, h.trialAt) >= trialDelay
+	return now-max(h.failedAt, h.startFailedAt, h.trialAt) >= trialDelay
 }
 
 // Slow reports whether runs on the server take much longer than expected. A server without a completed run for
--- a/internal/request/fleet/health_test.go
+++ b/internal/request/fleet/health_test.go
@@ -44,3 +44,33 @@
 	s.StartAnswered()
 	must.False(t, at(2800))
 }
+
+// Guards against a backlog that waits for the end of single trial runs: a server that turned starts away, or left them
+// unanswered, takes work again once it has accepted one. Until a run succeeds, one more failure makes it suspect again.
+func TestAcceptedStartClearsFailedStarts(t *testing.T) {
+	var h Health
+	for range suspectAfter {
+		h.StartFailed(time.Second)
+	}
+	must.True(t, h.Suspect())
+	must.False(t, h.TrialDue(time.Second+trialDelay-1))
+	h.Working(2*time.Second, time.Minute)
+	must.True(t, h.Suspect(), must.Sprint("a run shows nothing about the answers to starts"))
+	h.StartAccepted()
+	must.False(t, h.Suspect())
+	h.StartFailed(4 * time.Second)
+	must.True(t, h.Suspect())
+	h.Done(0, 0, 5*time.Second)
+	h.StartFailed(6 * time.Second)
+	must.False(t, h.Suspect())
+}
+
+// An accepted start shows nothing about a server on which runs fail.
+func TestAcceptedStartKeepsFailedRuns(t *testing.T) {
+	var h Health
+	for range suspectAfter {
+		h.Failed(time.Second)
+	}
+	h.StartAccepted()
+	must.True(t, h.Suspect())
+}
