--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -221,6 +221,10 @@
 // the reply.
 func (s *session) announce(c *Call) (*Reply, error) {
 	s.engine.mu.Lock()
+	if s.engine.ledger.HasLeft(c.Server.ID, c.Server.Born) {
+		s.engine.mu.Unlock()
+		return &Reply{Outcome: OK, Reason: "this incarnation has left"}, nil
+	}
 	now := boottime.Now()
 	before := s.fleet.Get(c.Server.ID)
 	change := s.fleet.Announce(*c.Server, now)
@@ -283,7 +287,8 @@
 	if runs > 0 {
 		return s.commitDraining(draining, mustCommit)
 	}
-	if _, err := s.propose(&ledger.Command{Gone: []ledger.Incarnation{gone}}); err != nil {
+	left := []ledger.Incarnation{gone}
+	if _, err := s.propose(&ledger.Command{Gone: left, Left: left}); err != nil {
 		return nil, err
 	}
 	s.engine.mu.Lock()
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -36,6 +36,9 @@
 			delete(l.Servers, g.ID)
 		}
 	}
+	for _, g := range c.Left {
+		l.recordDeparture(g)
+	}
 	if c.Wave != nil {
 		r.Wave = l.applyWave(c.Wave)
 	}
@@ -54,6 +57,7 @@
 		}
 	}
 	l.expireFinished()
+	l.expireDepartures()
 	return r
 }
 
@@ -353,8 +357,11 @@
 	}
 }
 
-// applyServer records a backend server's announcement unless a newer one is recorded already.
+// applyServer records a backend server's announcement unless a newer one is recorded already or the incarnation has left.
 func (l *Ledger) applyServer(s Server) {
+	if l.HasLeft(s.ID, s.Born) {
+		return
+	}
 	existing, ok := l.Servers[s.ID]
 	if ok && (s.Born < existing.Born || (s.Born == existing.Born && s.Seq < existing.Seq)) {
 		return
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -18,7 +18,10 @@
 	// Servers lists backend servers that appeared, changed their pool or address, or announced that they are draining.
 	Servers []Server `json:",omitempty"`
 	// Gone lists incarnations of backend servers that ended.
-	Gone   []Incarnation      `json:",omitempty"`
+	Gone []Incarnation `json:",omitempty"`
+	// Left lists those of Gone that said themselves that they leave. Only they are remembered as departed: a server that was
+	// removed for its silence may announce itself again.
+	Left   []Incarnation      `json:",omitempty"`
 	Wave   *WaveOrder         `json:",omitempty"`
 	Upkeep []UpkeepTransition `json:",omitempty"`
 	// Moves lists machines that the leader is about to move to another pool.
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -49,6 +49,8 @@
 	Orders map[string]uint64 `json:",omitempty"`
 	// Sizes holds, by pool, the number of machines that it had before any move. Later moves don't change it.
 	Sizes map[string]int `json:",omitempty"`
+	// Departures lists the incarnations of backend servers that left in the last departureRetentionMS, the oldest first.
+	Departures []Departure `json:",omitempty"`
 	// ClockMS is the highest NowMS of all applied commands.
 	ClockMS int64
 }
@@ -67,6 +69,8 @@
 	load map[string]Resources
 	// finished lists the IDs of finished jobs, the oldest first.
 	finished []string
+	// departed holds, by server, the newest incarnation in Departures.
+	departed map[string]int64
 }
 
 // New returns an empty ledger.
@@ -104,6 +108,7 @@
 	l.usage = make(map[string]Resources)
 	l.load = make(map[string]Resources)
 	l.finished = nil
+	l.indexDepartures()
 	for id, j := range l.Jobs {
 		if j.State.Final() {
 			l.finished = append(l.finished, id)
