A session acts only with the leader lease of its own term, machine orders ask again

Cause: mayOrder accepted the lease of a later term of the same instance, so a session that had not noticed its end could act after another instance had led. An order for a machine carries no deadline; if the process was paused after the check, or the call waited up to 2 s for a connection, the order was written without permission. Start orders have a deadline on the server's clock and a fencing token, so they start nothing then.

Change: the session's lease is bound to its term. Orders for machines ask again when the request's body is written; without permission the request stays incomplete and the call fails. The simulation of TestSchedules records each order that is sent in a term after a later one has begun.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -121,7 +121,7 @@
 // activeSession returns the current session, or nil unless this instance holds the leader lease.
 func (d *Dispatcher) activeSession() *session {
 	s := d.session.Load()
-	if s == nil || !d.leaderLease.Held() {
+	if s == nil || !s.leaderLease.Held() {
 		return nil
 	}
 	return s
@@ -157,7 +157,7 @@
 	if err != nil {
 		reply = &Reply{Outcome: OutcomeUnknown, Reason: err.Error()}
 	}
-	if isRead(c.Op) && !d.leaderLease.Held() {
+	if isRead(c.Op) && !s.leaderLease.Held() {
 		// A new leader may have committed changes while the state was read.
 		return nil, ErrNotLeader
 	}
--- a/internal/dispatch/leaderlease.go
+++ b/internal/dispatch/leaderlease.go
@@ -37,6 +37,16 @@
 	return l.term.Load() > l.revokedThrough.Load() && int64(boottime.Now()) < l.validUntil.Load()
 }
 
+// termLease is the leader lease as the session of one term sees it: the lease of a later term of the same instance doesn't
+// count, because another instance may have led in between.
+type termLease struct {
+	lease *leaderLease
+	term  uint64
+}
+
+// Held implements leaseHolder.
+func (t termLease) Held() bool { return t.lease.term.Load() == t.term && t.lease.Held() }
+
 // revoke ends the lease for a term and all earlier ones. It is called before leadership is transferred, because the next
 // leader then doesn't wait for the lease to expire.
 func (l *leaderLease) revoke(term uint64) { l.revokedThrough.Store(term) }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -240,6 +240,9 @@
 	}
 	to := Target{ID: serverID, Address: server.Address}
 	planned := o.state == orderPlanned
+	if !planned {
+		o.stopPossibleUntil = boottime.Now() + callTimeout + lateOrderBound
+	}
 	s.engine.mu.Unlock()
 	if planned {
 		return false // the start order is still being sent
@@ -249,9 +252,6 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	s.engine.mu.Lock()
-	o.stopPossibleUntil = boottime.Now() + callTimeout + lateOrderBound
-	s.engine.mu.Unlock()
 	err := s.servers.Stop(ctx, to, StopOrder{Task: id, Run: run, Fence: s.holder.Fence})
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -409,7 +409,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, machineTimeout)
 	defer cancel()
-	answer, err := s.machines.Move(ctx, s.holder, m.Machine, m.To)
+	answer, err := s.machines.Move(WithPermission(ctx, s.mayOrder), s.holder, m.Machine, m.To)
 	s.stats.machineCalls.Inc(1)
 	s.log.Info("machine moves", "machine", m.Machine, "server", server, "from", m.From, "to", m.To, "answer", answer, "error", err)
 	s.engine.mu.Lock()
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithCancel(parent)
 	s := &session{
 		engine: d.engine, log: d.log.With("term", term), replica: d.replica, servers: d.servers, machines: d.machines,
-		leaderLease: d.leaderLease, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
+		leaderLease: termLease{d.leaderLease, term}, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
 		startedAt: boottime.Now(), machineLease: d.machineLease,
 		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(begunJobs), pendingLoggedAt: make(map[string]time.Duration),
 		reserved: make(map[string]bool), sentPaces: make(map[runKey]sentPace), pacers: make(map[string]*pacing.Pacer),
@@ -188,6 +188,22 @@
 // mayOrder reports whether orders may be sent.
 func (s *session) mayOrder() bool { return !s.closed.Load() && s.leaderLease.Held() }
 
+// permissionKey is the context key of the function that Permitted calls.
+type permissionKey struct{}
+
+// WithPermission returns a context for an order that may be sent only while mayOrder allows it. It is used for orders for
+// machines: they carry no deadline, and the process may have been paused since the session last asked.
+func WithPermission(ctx context.Context, mayOrder func() bool) context.Context {
+	return context.WithValue(ctx, permissionKey{}, mayOrder)
+}
+
+// Permitted reports whether an order may still be sent. Clients of outside systems call it with the context of the call right
+// before they write the order.
+func Permitted(ctx context.Context) bool {
+	mayOrder, ok := ctx.Value(permissionKey{}).(func() bool)
+	return !ok || mayOrder()
+}
+
 // propose commits a command and returns its result.
 func (s *session) propose(c *ledger.Command) (*ledger.Result, error) {
 	c.NowMS = time.Now().UnixMilli()
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -369,7 +369,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, machineTimeout)
 	defer cancel()
-	answer, err := s.machines.Upkeep(ctx, s.holder, m.Machine, m.Wave)
+	answer, err := s.machines.Upkeep(WithPermission(ctx, s.mayOrder), s.holder, m.Machine, m.Wave)
 	s.stats.machineCalls.Inc(1)
 	s.log.Info("upkeep ordered", "wave", m.Wave, "machine", m.Machine, "server", server, "answer", answer, "error", err)
 	if err != nil {
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -427,6 +427,16 @@
 	}
 }
 
+// checkSender records a violation if an order is sent in a term after a later one has begun.
+func (c *simCalls) checkSender(fence uint64) {
+	w := c.i.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if fence < w.term {
+		w.recordViolation("HANDOVER: c%d sends an order of term %d in term %d", c.i.index, fence, w.term)
+	}
+}
+
 // startReply is the answer to a StartOrder.
 type startReply struct {
 	answer StartAnswer
@@ -435,6 +445,7 @@
 
 // Start implements Servers.
 func (c *simCalls) Start(ctx context.Context, to Target, o StartOrder) (StartAnswer, int64, error) {
+	c.checkSender(o.Fence)
 	answer, err := c.call(ctx, to, true, func(s *simServer, late bool) any {
 		return startReply{s.startLocked(o, late), s.clock(s.w.now())}
 	})
@@ -449,6 +460,7 @@
 
 // Stop implements Servers.
 func (c *simCalls) Stop(ctx context.Context, to Target, o StopOrder) error {
+	c.checkSender(o.Fence)
 	fenced, err := c.call(ctx, to, true, func(s *simServer, _ bool) any {
 		s.w.endDueRunsLocked()
 		if o.Fence < s.fence {
@@ -467,6 +479,7 @@
 
 // Hold implements Servers.
 func (c *simCalls) Hold(ctx context.Context, to Target, o HoldOrder) (*HoldReport, error) {
+	c.checkSender(o.Fence)
 	end := c.i.w.now() + time.Duration(o.WaitMS)*time.Millisecond
 	for first := true; ; first = false {
 		answer, err := c.call(ctx, to, false, func(s *simServer, _ bool) any {
