--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -126,7 +126,7 @@
 // activeSession returns the current session, or nil unless this instance holds the leader lease.
 func (d *Dispatcher) activeSession() *session {
 	s := d.session.Load()
-	if s == nil || !d.leaderLease.Held() {
+	if s == nil || !s.leaderLease.Held() {
 		return nil
 	}
 	return s
@@ -162,7 +162,7 @@
 	if err != nil {
 		reply = &Reply{Outcome: OutcomeUnknown, Reason: err.Error()}
 	}
-	if isRead(c.Op) && !d.leaderLease.Held() {
+	if isRead(c.Op) && !s.leaderLease.Held() {
 		// A new leader may have committed changes while the state was read.
 		return nil, ErrNotLeader
 	}
@@ -228,6 +228,10 @@
 // the reply.
 func (s *session) announce(c *Call) (*Reply, error) {
 	s.engine.mu.Lock()
+	if s.engine.ledger.HasLeft(c.Server.ID, c.Server.Born) {
+		s.engine.mu.Unlock()
+		return &Reply{Outcome: OK, Reason: "this incarnation has left"}, nil
+	}
 	now := boottime.Now()
 	before := s.fleet.Get(c.Server.ID)
 	change := s.fleet.Announce(*c.Server, now)
@@ -290,7 +294,8 @@
 	if runs > 0 {
 		return s.commitDraining(draining, mustCommit)
 	}
-	if _, err := s.propose(&ledger.Command{Gone: []ledger.Incarnation{gone}}); err != nil {
+	left := []ledger.Incarnation{gone}
+	if _, err := s.propose(&ledger.Command{Gone: left, Left: left}); err != nil {
 		return nil, err
 	}
 	s.engine.mu.Lock()
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -125,6 +125,7 @@
 func (s *session) startAcceptedLocked(st ledger.Start) {
 	if server := s.fleet.Get(st.Worker); server != nil && server.Born == st.Born {
 		server.StartAnswered()
+		server.Health.StartAccepted()
 	}
 }
 
@@ -136,7 +137,7 @@
 		server.StartAnswered()
 		server.AvoidUntil = now + startBackoff
 		if answer == StartUnhealthy {
-			server.Health.Failed(now)
+			server.Health.StartFailed(now)
 		}
 	}
 	s.ends.add(ledger.End{Task: st.Task, Run: st.Run, Worker: st.Worker, How: ledger.EndRefused})
@@ -159,7 +160,7 @@
 		server.Unanswered(now)
 		if server.StartUnanswered(now, callTimeout) {
 			server.AvoidUntil = now + startBackoff
-			server.Health.Failed(now)
+			server.Health.StartFailed(now)
 		}
 	}
 	s.setOrderStateLocked(runKey{st.Task, st.Run}, orderUnanswered)
@@ -243,6 +244,9 @@
 	}
 	to := Target{ID: serverID, Address: server.Address}
 	planned := o.state == orderPlanned
+	if !planned {
+		o.stopPossibleUntil = boottime.Now() + callTimeout + lateOrderBound
+	}
 	s.engine.mu.Unlock()
 	if planned {
 		return false // the start order is still being sent
@@ -252,9 +256,6 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	s.engine.mu.Lock()
-	o.stopPossibleUntil = boottime.Now() + callTimeout + lateOrderBound
-	s.engine.mu.Unlock()
 	err := s.servers.Stop(ctx, to, StopOrder{Task: id, Run: run, Fence: s.holder.Fence})
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -21,8 +22,10 @@
 	rejectsOverCapacity bool // else the leader alone keeps within the capacity
 	up, partitioned     bool
 	dataCentre          string
-	draining            bool
-	seq                 int64
+	// busy servers start nothing and answer every call that they are too busy.
+	busy     bool
+	draining bool
+	seq      int64
 
 	fence      uint64
 	deadlineMS int64 // end of the lease on the server's clock
@@ -375,11 +378,12 @@
 
 // call delivers a request and its answer over the simulated network. exec runs with the simulation's lock held and
 // returns the answer.
-func (c *simCalls) call(ctx context.Context, to Target, exec func(s *simServer, late bool) any) (any, error) {
+func (c *simCalls) call(ctx context.Context, to Target, order bool, exec func(s *simServer, late bool) any) (any, error) {
 	w := c.i.w
 	requestDelay, replyDelay := w.between(500*time.Microsecond, 3*time.Millisecond), w.between(500*time.Microsecond, 3*time.Millisecond)
 	w.mu.Lock()
-	late, lose := w.rng.Float64() < w.lateRate, w.rng.Float64() < w.lossRate
+	hit := order || !w.ordersOnly
+	late, lose := w.rng.Float64() < w.lateRate && hit, w.rng.Float64() < w.lossRate
 	w.mu.Unlock()
 	answers := make(chan any, 1)
 	w.spawn(func() {
@@ -402,7 +406,10 @@
 		}
 		w.mu.Lock()
 		var answer any
-		if s.up && s.incarnation == reachedIncarnation {
+		switch {
+		case s.up && s.incarnation == reachedIncarnation && s.busy && hit:
+			answer = errBusy
+		case s.up && s.incarnation == reachedIncarnation:
 			answer = exec(s, late)
 		}
 		w.mu.Unlock()
@@ -417,12 +424,25 @@
 	})
 	select {
 	case answer := <-answers:
+		if answer == error(errBusy) {
+			return nil, errBusy
+		}
 		return answer, nil
 	case <-ctx.Done():
 		return nil, errUnreachable
 	}
 }
 
+// checkSender records a violation if an order is sent in a term after a later one has begun.
+func (c *simCalls) checkSender(fence uint64) {
+	w := c.i.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if fence < w.term {
+		w.recordViolation("HANDOVER: c%d sends an order of term %d in term %d", c.i.index, fence, w.term)
+	}
+}
+
 // startReply is the answer to a StartOrder.
 type startReply struct {
 	answer StartAnswer
@@ -431,9 +451,13 @@
 
 // Start implements Servers.
 func (c *simCalls) Start(ctx context.Context, to Target, o StartOrder) (StartAnswer, int64, error) {
-	answer, err := c.call(ctx, to, func(s *simServer, late bool) any {
+	c.checkSender(o.Fence)
+	answer, err := c.call(ctx, to, true, func(s *simServer, late bool) any {
 		return startReply{s.startLocked(o, late), s.clock(s.w.now())}
 	})
+	if errors.Is(err, errBusy) {
+		return StartUnhealthy, 0, nil
+	}
 	if err != nil {
 		return 0, 0, err
 	}
@@ -442,7 +466,8 @@
 
 // Stop implements Servers.
 func (c *simCalls) Stop(ctx context.Context, to Target, o StopOrder) error {
-	fenced, err := c.call(ctx, to, func(s *simServer, _ bool) any {
+	c.checkSender(o.Fence)
+	fenced, err := c.call(ctx, to, true, func(s *simServer, _ bool) any {
 		s.w.endDueRunsLocked()
 		if o.Fence < s.fence {
 			return true
@@ -460,9 +485,10 @@
 
 // Hold implements Servers.
 func (c *simCalls) Hold(ctx context.Context, to Target, o HoldOrder) (*HoldReport, error) {
+	c.checkSender(o.Fence)
 	end := c.i.w.now() + time.Duration(o.WaitMS)*time.Millisecond
 	for first := true; ; first = false {
-		answer, err := c.call(ctx, to, func(s *simServer, _ bool) any {
+		answer, err := c.call(ctx, to, false, func(s *simServer, _ bool) any {
 			s.w.endDueRunsLocked()
 			if o.Fence < s.fence {
 				return (*HoldReport)(nil)
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -36,7 +36,10 @@
 	dataCentreCount = 3
 )
 
-var errUnreachable = errors.New("cut off")
+var (
+	errUnreachable = errors.New("cut off")
+	errBusy        = errors.New("too busy")
+)
 
 // simulation is the state of one simulated schedule.
 type simulation struct {
@@ -52,6 +55,7 @@
 	hasLastingJob bool // a job of lasting tasks has been drawn
 	violations    []string
 	logger        hclog.Logger
+	machines      Machines // nil if no platform manages machines
 
 	// The replicated log.
 	entries          [][]byte
@@ -69,6 +73,9 @@
 	// lastOrder and orderNumbers count the orders for data centres, in all and by data centre.
 	lastOrder    int
 	orderNumbers map[string]int64
+	// ordersOnly is set if calls are carried out late, or refused by busy servers, only if they are orders: hold calls are
+	// answered.
+	ordersOnly bool
 }
 
 type simJob struct {
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -51,6 +51,8 @@
 	Sizes map[string]int `json:",omitempty"`
 	// Evacuations holds the state of each data centre for which there was an order.
 	Evacuations map[string]*Evacuation `json:",omitempty"`
+	// Departures lists the incarnations of backend servers that left in the last departureRetentionMS, the oldest first.
+	Departures []Departure `json:",omitempty"`
 	// ClockMS is the highest NowMS of all applied commands.
 	ClockMS int64
 }
@@ -71,6 +73,8 @@
 	evacuated map[string]bool
 	// finished lists the IDs of finished jobs, the oldest first.
 	finished []string
+	// departed holds, by server, the newest incarnation in Departures.
+	departed map[string]int64
 }
 
 // New returns an empty ledger.
@@ -114,6 +118,7 @@
 		}
 	}
 	l.finished = nil
+	l.indexDepartures()
 	for id, j := range l.Jobs {
 		if j.State.Final() {
 			l.finished = append(l.finished, id)
