--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -20,6 +20,7 @@
 	"laburnumrouter/test/measure/recorder"
 	"laburnumrouter/test/measure/report"
 	"laburnumrouter/test/measure/requests"
+	"laburnumrouter/test/measure/session"
 )
 
 // areaTimeout bounds the measurement of one area.
@@ -43,6 +44,7 @@
 	{"membership", membership.Run},
 	{"product", product.Run},
 	{"requests", requests.Run},
+	{"session", session.Run},
 }
 
 func main() {
