Schedule: the same plans at a lower cost

Cause: a plan formatted the ID of each candidate, counted the waiting tasks of each open job, looked at each live run for lasting tasks, and tried all servers of a pool for each waiting job although none had room. Change: IDs are formatted only to break ties that job IDs don't decide. The ledger indexes jobs with waiting tasks, counts waiting tasks by step and lasting runs by server. A step whose task needs more than the largest free amount of a pool is no candidate, and a need for which no server was found isn't tried again in one plan.

--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -89,7 +89,7 @@
 	}
 	j := &Job{Submission: *s, State: Queued, AcceptedMS: l.ClockMS, Occurrences: make(map[int]*Occurrence), Work: s.estimatedWork()}
 	l.Jobs[s.ID] = j
-	l.open[s.ID] = j
+	l.open[s.ID], l.waiting[s.ID] = j, j
 	return Accepted
 }
 
@@ -111,6 +111,7 @@
 // finish moves a job to a final state. Its steps and occurrences are kept while it has live runs.
 func (l *Ledger) finish(j *Job, s JobState) {
 	j.State, j.FinishedMS = s, l.ClockMS
+	delete(l.waiting, j.ID)
 	l.finished = append(l.finished, j.ID)
 	l.releaseFinished(j)
 }
@@ -214,6 +215,7 @@
 	o := &Occurrence{Steps: make([]StepRecord, len(j.Steps))}
 	for i := range j.Steps {
 		o.Steps[i].Tasks = make([]Task, j.Steps[i].Count)
+		o.Steps[i].waiting = j.Steps[i].Count
 	}
 	return o
 }
@@ -224,9 +226,13 @@
 		j.Occurrences[s.Task.Occurrence] = newOccurrence(j)
 	}
 	t := j.task(s.Task)
-	t.Phase, t.Run, t.Worker, t.Born, t.OrderedMS = Live, s.Run, s.Worker, s.Born, l.ClockMS
+	j.Occurrences[s.Task.Occurrence].Steps[s.Task.Step].setPhase(t, Live)
+	t.Run, t.Worker, t.Born, t.OrderedMS = s.Run, s.Worker, s.Born, l.ClockMS
 	j.Live++
 	j.Runs++
+	if !j.hasWaiting() {
+		delete(l.waiting, j.ID)
+	}
 	l.addLive(j, s.Task, t)
 }
 
@@ -254,7 +260,8 @@
 	}
 	l.dropLive(j, e.Task, t)
 	j.Live--
-	t.Phase, t.EndedMS = Waiting, l.ClockMS
+	j.Occurrences[e.Task.Occurrence].Steps[e.Task.Step].setPhase(t, Waiting)
+	t.EndedMS = l.ClockMS
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
@@ -271,6 +278,9 @@
 	case e.How == EndFailed:
 		l.taskFailed(j, e.Task, t)
 	}
+	if !j.State.Final() && j.hasWaiting() {
+		l.waiting[j.ID] = j
+	}
 	l.releaseFinished(j)
 	return true
 }
@@ -282,11 +292,11 @@
 	record := &o.Steps[id.Step]
 	if j.Steps[id.Step].Gang {
 		for i := range record.Tasks {
-			l.closeGangTask(j, TaskID{Job: j.ID, Occurrence: id.Occurrence, Step: id.Step, Index: i}, &record.Tasks[i])
+			l.closeGangTask(j, TaskID{Job: j.ID, Occurrence: id.Occurrence, Step: id.Step, Index: i}, record, &record.Tasks[i])
 		}
 		record.Done = len(record.Tasks)
 	} else {
-		j.task(id).Phase = Done
+		record.setPhase(j.task(id), Done)
 		record.Done++
 	}
 	if record.Done < len(record.Tasks) {
@@ -302,12 +312,12 @@
 	}
 }
 
-func (l *Ledger) closeGangTask(j *Job, id TaskID, t *Task) {
+func (l *Ledger) closeGangTask(j *Job, id TaskID, record *StepRecord, t *Task) {
 	if t.Phase == Live {
 		l.dropLive(j, id, t)
 		j.Live--
 	}
-	t.Phase = Done
+	record.setPhase(t, Done)
 }
 
 // taskFailed counts a failed run. The failures of a gang are counted together, in the record of its first task. A task
--- a/internal/request/ledger/job.go
+++ b/internal/request/ledger/job.go
@@ -4,7 +4,7 @@
 package ledger
 
 import (
-	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -151,12 +151,21 @@
 }
 
 // String returns JOB.OCCURRENCE.STEP.INDEX.
-func (t TaskID) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
-}
+func (t TaskID) String() string { return string(t.append(nil)) }
 
 // MarshalText implements encoding.TextMarshaler.
-func (t TaskID) MarshalText() ([]byte, error) { return []byte(t.String()), nil }
+func (t TaskID) MarshalText() ([]byte, error) { return t.append(nil), nil }
+
+// append appends the text of the ID. A leader formats several for each run.
+func (t TaskID) append(b []byte) []byte {
+	const numbers = len(".0000.0000.0000")
+	b = slices.Grow(b, len(t.Job)+numbers)
+	b = append(b, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		b = strconv.AppendInt(append(b, '.'), int64(n), 10)
+	}
+	return b
+}
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (t *TaskID) UnmarshalText(text []byte) error {
@@ -230,6 +239,49 @@
 type StepRecord struct {
 	Tasks []Task
 	Done  int // tasks that are done
+	// waiting is the number of tasks in phase Waiting; it is derived from Tasks.
+	waiting int
+}
+
+// Waiting returns the number of tasks in phase Waiting.
+func (s *StepRecord) Waiting() int { return s.waiting }
+
+// setPhase moves a task of the step to a phase.
+func (s *StepRecord) setPhase(t *Task, phase Phase) {
+	if t.Phase == Waiting {
+		s.waiting--
+	}
+	if phase == Waiting {
+		s.waiting++
+	}
+	t.Phase = phase
+}
+
+// countWaiting derives the numbers of waiting tasks.
+func (j *Job) countWaiting() {
+	for _, o := range j.Occurrences {
+		for s := range o.Steps {
+			o.Steps[s].waiting = 0
+			for i := range o.Steps[s].Tasks {
+				if o.Steps[s].Tasks[i].Phase == Waiting {
+					o.Steps[s].waiting++
+				}
+			}
+		}
+	}
+}
+
+// hasWaiting reports whether a task of the job is waiting, or whether an occurrence that hasn't begun may be due.
+func (j *Job) hasWaiting() bool {
+	if j.Times > 0 || j.Occurrences[0] == nil {
+		return true
+	}
+	for s := range j.Occurrences[0].Steps {
+		if j.Occurrences[0].Steps[s].waiting > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // Occurrence is the record of one occurrence of a job.
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -59,6 +59,10 @@
 	index *accepted.Index
 	// open holds the jobs that aren't in a final state, and those in a final state that still have live runs.
 	open map[string]*Job
+	// waiting holds the jobs that aren't in a final state and have waiting tasks.
+	waiting map[string]*Job
+	// lasting is the number of live runs of lasting tasks, by backend server.
+	lasting map[string]int
 	// liveRuns holds the live runs by backend server.
 	liveRuns map[string]map[TaskID]*Task
 	// usage is the sum of the needs of the live runs, by workspace.
@@ -100,6 +104,8 @@
 		l.index = accepted.NewIndex(l.Config)
 	}
 	l.open = make(map[string]*Job)
+	l.waiting = make(map[string]*Job)
+	l.lasting = make(map[string]int)
 	l.liveRuns = make(map[string]map[TaskID]*Task)
 	l.usage = make(map[string]Resources)
 	l.load = make(map[string]Resources)
@@ -113,6 +119,10 @@
 			if j.Occurrences == nil {
 				j.Occurrences = make(map[int]*Occurrence)
 			}
+			j.countWaiting()
+		}
+		if !j.State.Final() && j.hasWaiting() {
+			l.waiting[id] = j
 		}
 		l.eachLive(j, l.addLive)
 	}
@@ -141,11 +151,19 @@
 	runs[id] = t
 	l.usage[j.Workspace] = l.usage[j.Workspace].Plus(j.Steps[id.Step].Need)
 	l.load[t.Worker] = l.load[t.Worker].Plus(j.Steps[id.Step].CapacityUse())
+	if j.Steps[id.Step].Lasting {
+		l.lasting[t.Worker]++
+	}
 }
 
 func (l *Ledger) dropLive(j *Job, id TaskID, t *Task) {
 	delete(l.liveRuns[t.Worker], id)
 	l.load[t.Worker] = l.load[t.Worker].Minus(j.Steps[id.Step].CapacityUse())
+	if j.Steps[id.Step].Lasting {
+		if l.lasting[t.Worker]--; l.lasting[t.Worker] == 0 {
+			delete(l.lasting, t.Worker)
+		}
+	}
 	if len(l.liveRuns[t.Worker]) == 0 {
 		delete(l.liveRuns, t.Worker)
 		delete(l.load, t.Worker)
@@ -172,6 +190,13 @@
 // must not change the map.
 func (l *Ledger) Open() map[string]*Job { return l.open }
 
+// Waiting returns the jobs that aren't in a final state and have waiting tasks, and all scheduled jobs that aren't in one. The
+// caller must not change the map.
+func (l *Ledger) Waiting() map[string]*Job { return l.waiting }
+
+// LastingOn returns the number of live runs of lasting tasks on a backend server.
+func (l *Ledger) LastingOn(server string) int { return l.lasting[server] }
+
 // LiveOn returns the live runs of a backend server; the caller must not change the map.
 func (l *Ledger) LiveOn(server string) map[TaskID]*Task { return l.liveRuns[server] }
 
--- a/internal/request/ledger/ledger_test.go
+++ b/internal/request/ledger/ledger_test.go
@@ -230,3 +230,35 @@
 	l.Apply(&Command{NowMS: 1000 + finishedJobRetentionMS})
 	must.Nil(t, l.Job("j"))
 }
+
+// Guards against a job that is never planned again because the index of waiting jobs lost it, after any sequence of starts
+// and ends and after a restart.
+func TestWaitingJobsAreIndexed(t *testing.T) {
+	l := newLedger(t)
+	submit(t, l, "j", Step{Count: 2}, Step{Count: 2, Gang: true, After: []int{0}})
+	check := func(waiting bool, first, second int) {
+		t.Helper()
+		for range 2 {
+			must.EqOp(t, waiting, l.Waiting()["j"] != nil)
+			o := l.Job("j").Occurrences[0]
+			must.Eq(t, []int{first, second}, []int{o.Steps[0].Waiting(), o.Steps[1].Waiting()})
+			l = reload(t, l)
+		}
+	}
+	must.True(t, start(l, task("j", 0, 0), 1))
+	check(true, 1, 2)
+	must.True(t, end(l, task("j", 0, 0), 1, EndLost))
+	check(true, 2, 2)
+	for i := range 2 {
+		must.True(t, start(l, task("j", 0, i), 2))
+		must.True(t, end(l, task("j", 0, i), 2, EndDone))
+	}
+	check(true, 0, 2)
+	gang := []Start{{Task: task("j", 1, 0), Run: 1, Worker: "w"}, {Task: task("j", 1, 1), Run: 1, Worker: "w"}}
+	must.EqOp(t, 2, len(l.Apply(&Command{Starts: gang}).Started))
+	check(false, 0, 0)
+	must.True(t, end(l, task("j", 1, 0), 1, EndLost))
+	check(true, 0, 1)
+	must.True(t, end(l, task("j", 1, 1), 1, EndDone))
+	must.EqOp(t, 0, len(l.Waiting()))
+}
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -40,8 +40,9 @@
 }
 
 // Plan returns the starts to order now, the most urgent first.
-func Plan(in *Input) []ledger.Start {
-	p := newPlanner(in)
+func Plan(in *Input) []ledger.Start { return plan(newPlanner(in)) }
+
+func plan(p *planner) []ledger.Start {
 	for _, c := range p.candidates() {
 		if len(p.starts) >= maxStartsPerPlan {
 			break
@@ -84,8 +85,25 @@
 	serversByPool map[string][]*serverState
 	plannedUsage  map[string]ledger.Resources // needs of the planned starts, by workspace
 	starts        []ledger.Start
+	// largest holds, by pool, the largest free amount of each resource on any one server when the plan began. A task that
+	// needs more fits nowhere.
+	largest map[string]ledger.Resources
+	// unplaced holds, by pool, needs for which no server was found. Free capacity only shrinks while a plan is made, so a
+	// task that needs as much or more fits nowhere either.
+	unplaced map[string][]unplacedNeed
+	// exhaustive turns the two shortcuts off. Tests compare the plans.
+	exhaustive bool
+}
+
+// unplacedNeed is a need for which no server with a label was found.
+type unplacedNeed struct {
+	need  ledger.Resources
+	label string
 }
 
+// maxUnplaced bounds the recorded needs of a pool: each candidate is compared with all of them.
+const maxUnplaced = 16
+
 // serverState is a usable server with its free capacity.
 type serverState struct {
 	server     *fleet.Server
@@ -98,23 +116,27 @@
 }
 
 func newPlanner(in *Input) *planner {
-	p := &planner{Input: in, serversByPool: make(map[string][]*serverState), plannedUsage: make(map[string]ledger.Resources)}
+	p := &planner{
+		Input: in, serversByPool: make(map[string][]*serverState), plannedUsage: make(map[string]ledger.Resources),
+		largest: make(map[string]ledger.Resources), unplaced: make(map[string][]unplacedNeed),
+	}
+	states := make([]serverState, 0, len(in.Fleet.All()))
 	for id, s := range in.Fleet.All() {
 		// Without a reading of the server's clock no lease can be granted to it.
 		if s.Draining || in.Reserved[id] || !s.Clock.Known() || !s.Usable(in.Now, AnnouncementTimeout) {
 			continue
 		}
-		r := &serverState{server: s, free: s.Capacity.Minus(in.Ledger.Load(id)), slow: s.Health.Slow(in.Now), due: in.Due[id]}
-		for task := range in.Ledger.LiveOn(id) {
-			r.hasLasting = r.hasLasting || in.Ledger.Job(task.Job).Steps[task.Step].Lasting
-		}
-		if s.Health.Suspect() {
-			if !s.Health.TrialDue(in.Now) {
-				continue
-			}
-			r.trialOnly = true
+		if s.Health.Suspect() && !s.Health.TrialDue(in.Now) {
+			continue
 		}
+		states = append(states, serverState{
+			server: s, free: s.Capacity.Minus(in.Ledger.Load(id)), hasLasting: in.Ledger.LastingOn(id) > 0,
+			trialOnly: s.Health.Suspect(), slow: s.Health.Slow(in.Now), due: in.Due[id],
+		})
+		r := &states[len(states)-1]
 		p.serversByPool[s.Pool] = append(p.serversByPool[s.Pool], r)
+		most := p.largest[s.Pool]
+		p.largest[s.Pool] = ledger.Resources{CPU: max(most.CPU, r.free.CPU), MemMB: max(most.MemMB, r.free.MemMB), GPU: max(most.GPU, r.free.GPU)}
 	}
 	for _, list := range p.serversByPool {
 		slices.SortFunc(list, func(a, b *serverState) int { return strings.Compare(a.server.ID, b.server.ID) })
@@ -138,11 +160,23 @@
 	// key orders candidates within a band: lasting tasks by the job's time of acceptance, jobs that can be on time by their
 	// slack (the time left until the step must start), and late jobs by their remaining work.
 	key int64
-	id  string
 }
 
-func (a rank) compare(b rank) int {
-	return cmp.Or(cmp.Compare(a.band, b.band), cmp.Compare(a.key, b.key), strings.Compare(a.id, b.id))
+// compareCandidates orders candidates by rank, and those of equal rank by the text of their task ID.
+func compareCandidates(a, b candidate) int {
+	if c := cmp.Or(cmp.Compare(a.rank.band, b.rank.band), cmp.Compare(a.rank.key, b.rank.key)); c != 0 {
+		return c
+	}
+	// Formatting an ID costs more than the rest of the comparison. Unless one job ID begins with the other, the job IDs
+	// alone decide.
+	if x, y := a.job.ID, b.job.ID; !strings.HasPrefix(x, y) && !strings.HasPrefix(y, x) {
+		return strings.Compare(x, y)
+	}
+	return strings.Compare(a.id(), b.id())
+}
+
+func (c candidate) id() string {
+	return ledger.TaskID{Job: c.job.ID, Occurrence: c.occurrence, Step: c.step}.String()
 }
 
 // Bands of rank, the most urgent first.
@@ -160,7 +194,7 @@
 	if index == nil {
 		return nil
 	}
-	for _, j := range p.Ledger.Open() {
+	for _, j := range p.Ledger.Waiting() {
 		if j.State.Final() {
 			continue
 		}
@@ -168,19 +202,20 @@
 		if q == nil || len(p.serversByPool[q.Pool]) == 0 {
 			continue
 		}
+		if j.Times == 0 {
+			list = p.appendSteps(list, j, 0, q.Pool, q.SlackFactor, q.ObjectiveMS)
+			continue
+		}
 		for _, k := range p.dueOccurrences(j) {
 			list = p.appendSteps(list, j, k, q.Pool, q.SlackFactor, q.ObjectiveMS)
 		}
 	}
-	slices.SortFunc(list, func(a, b candidate) int { return a.rank.compare(b.rank) })
+	slices.SortFunc(list, compareCandidates)
 	return list
 }
 
-// dueOccurrences returns the occurrences that are due and not done.
+// dueOccurrences returns the occurrences of a scheduled job that are due and not done.
 func (p *planner) dueOccurrences(j *ledger.Job) []int {
-	if j.Times == 0 {
-		return []int{0}
-	}
 	var due []int
 	for k := range j.Times {
 		if j.DueMS(k) > p.WallMS {
@@ -193,13 +228,20 @@
 	return due
 }
 
-// appendSteps appends a candidate for each runnable step of an occurrence.
+// appendSteps appends a candidate for each runnable step of an occurrence whose tasks may fit on a server.
 func (p *planner) appendSteps(list []candidate, j *ledger.Job, occurrence int, pool string, slackFactor float64, baseObjectiveMS int64) []candidate {
-	estimate := estimateWork(j, occurrence)
+	var estimate workEstimate
+	estimated := false
 	for s := range j.Steps {
 		if !isRunnable(j, occurrence, s) {
 			continue
 		}
+		if !p.exhaustive && !j.Steps[s].CapacityUse().FitsIn(p.largest[pool]) {
+			continue
+		}
+		if !estimated {
+			estimate, estimated = estimateWork(j, occurrence), true
+		}
 		list = append(list, candidate{job: j, occurrence: occurrence, step: s, pool: pool, rank: p.rankOf(j, occurrence, s, estimate, slackFactor, baseObjectiveMS)})
 	}
 	return list
@@ -217,12 +259,7 @@
 			return false
 		}
 	}
-	waiting := 0
-	for i := range o.Steps[step].Tasks {
-		if o.Steps[step].Tasks[i].Phase == ledger.Waiting {
-			waiting++
-		}
-	}
+	waiting := o.Steps[step].Waiting()
 	if j.Steps[step].Gang {
 		return waiting == j.Steps[step].Count
 	}
@@ -260,20 +297,19 @@
 }
 
 func (p *planner) rankOf(j *ledger.Job, occurrence, step int, estimate workEstimate, slackFactor float64, baseObjectiveMS int64) rank {
-	id := ledger.TaskID{Job: j.ID, Occurrence: occurrence, Step: step}.String()
 	if j.Steps[step].Lasting {
-		return rank{band: bandLasting, key: j.AcceptedMS, id: id}
+		return rank{band: bandLasting, key: j.AcceptedMS}
 	}
 	dueMS := max(j.AcceptedMS, j.DueMS(occurrence))
 	allowedMS := int64(slackFactor*float64(estimate.longestPathMS)) + baseObjectiveMS
 	slackMS := dueMS + allowedMS - p.WallMS - estimate.criticalPathMS[step]
 	switch {
 	case slackMS >= 0:
-		return rank{band: bandOnTime, key: slackMS, id: id}
+		return rank{band: bandOnTime, key: slackMS}
 	case slackMS+(creditWindowFactor-1)*allowedMS >= 0:
-		return rank{band: bandLate, key: estimate.milliCoreMS, id: id}
+		return rank{band: bandLate, key: estimate.milliCoreMS}
 	}
-	return rank{band: bandWorthless, key: estimate.milliCoreMS, id: id}
+	return rank{band: bandWorthless, key: estimate.milliCoreMS}
 }
 
 // place plans starts for as many waiting tasks of a candidate as fit.
@@ -283,6 +319,9 @@
 		return
 	}
 	step := &c.job.Steps[c.step]
+	if p.knownUnplaced(c) {
+		return
+	}
 	tasksOn := liveTasksByServer(c)
 	for i := range step.Count {
 		t := taskRecord(c, i)
@@ -294,6 +333,7 @@
 		}
 		r := p.chooseServer(c, tasksOn)
 		if r == nil {
+			p.recordUnplaced(c)
 			return
 		}
 		p.start(c, i, t.Run+1, r)
@@ -301,6 +341,22 @@
 	}
 }
 
+// knownUnplaced reports whether no server was found for a task that needs no more than one of the candidate.
+func (p *planner) knownUnplaced(c candidate) bool {
+	step := &c.job.Steps[c.step]
+	need := step.CapacityUse()
+	return !p.exhaustive && slices.ContainsFunc(p.unplaced[c.pool], func(u unplacedNeed) bool {
+		return (u.label == "" || u.label == step.Label) && u.need.FitsIn(need)
+	})
+}
+
+// recordUnplaced records that no server was found for a task of the candidate. A spread limit says nothing about others.
+func (p *planner) recordUnplaced(c candidate) {
+	if step := &c.job.Steps[c.step]; step.Spread == 0 && len(p.unplaced[c.pool]) < maxUnplaced {
+		p.unplaced[c.pool] = append(p.unplaced[c.pool], unplacedNeed{step.CapacityUse(), step.Label})
+	}
+}
+
 // taskRecord returns the record of a task, or an empty one if its occurrence hasn't begun.
 func taskRecord(c candidate, index int) ledger.Task {
 	if o := c.job.Occurrences[c.occurrence]; o != nil {
@@ -342,9 +398,10 @@
 // step's tasks on each server.
 func (p *planner) chooseServer(c candidate, tasksOn map[string]int) *serverState {
 	step := &c.job.Steps[c.step]
+	need := step.CapacityUse()
 	var best *serverState
 	for _, r := range p.serversByPool[c.pool] {
-		if !step.CapacityUse().FitsIn(r.free) || (step.Label != "" && !r.server.Has(step.Label)) {
+		if !need.FitsIn(r.free) || (step.Label != "" && !r.server.Has(step.Label)) {
 			continue
 		}
 		if step.Spread > 0 && tasksOn[r.server.ID] >= step.Spread {
