Leader: one log entry for parts that are ready together, not decoded on the leader

Cause: the leader decoded each command that it had just encoded, encoded and decoded its result, and committed each submission and cancellation in an entry of its own. forgetRecordedLocked walked over all begun jobs for each command. Change: a batcher commits submissions, cancellations, begun marks, ends and starts that are ready together in one entry, with at most two entries uncommitted. The engine applies a command that this instance proposed as it is when the same bytes come back, and hands its result to the session. Commands get lists of submissions and cancellations. Earlier versions would ignore these, so they are used only from a format on that the leader commits once all members report that they understand it; until then submissions keep an entry each.

--- /dev/null
+++ b/internal/dispatch/commit.go
@@ -0,0 +1,216 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"laburnumrouter/internal/process/replica"
+	"laburnumrouter/internal/request/ledger"
+)
+
+const (
+	// maxEntriesInFlight limits the uncommitted log entries of a batcher. A part that is ready while one entry is being
+	// committed goes at once; under load, parts wait for at most one commit and share entries: some 200 a second at 10 ms a
+	// commit.
+	maxEntriesInFlight = 2
+	// maxPartsPerEntry limits one entry; parts beyond it go into the next one.
+	maxPartsPerEntry = 512
+	// maxSpecBytesPerEntry limits the specs in one entry to the size of the four largest jobs.
+	maxSpecBytesPerEntry = 256 << 10
+)
+
+// part is a command that may share a log entry with others. It has only the fields Submit, Cancel, Begun, Ends and Starts.
+type part struct {
+	command *ledger.Command
+	// result and err are set before done is closed.
+	result *ledger.Result
+	err    error
+	done   chan struct{}
+}
+
+// batcher commits parts that are ready together in one log entry.
+type batcher struct {
+	session *session
+
+	mu       sync.Mutex
+	queued   []*part
+	inFlight int
+}
+
+// commit commits a part and returns its result.
+func (b *batcher) commit(c *ledger.Command) (*ledger.Result, error) {
+	if (c.Submit != nil || c.Cancel != "") && !b.session.listsAllowed() {
+		return b.session.propose(c) // members of an earlier version ignore lists of submissions
+	}
+	p := &part{command: c, done: make(chan struct{})}
+	b.mu.Lock()
+	b.queued = append(b.queued, p)
+	b.sendLocked()
+	b.mu.Unlock()
+	<-p.done // propose ends within proposeTimeout, and at once when the session ends
+	return p.result, p.err
+}
+
+// sendLocked proposes the queued parts unless maxEntriesInFlight are uncommitted.
+func (b *batcher) sendLocked() {
+	for len(b.queued) > 0 && b.inFlight < maxEntriesInFlight {
+		batch := b.takeLocked()
+		b.inFlight++
+		go func() {
+			b.propose(batch)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.inFlight--
+			b.sendLocked()
+		}()
+	}
+}
+
+// takeLocked removes the parts of the next entry from the queue.
+func (b *batcher) takeLocked() []*part {
+	n, specBytes := 0, 0
+	for n < len(b.queued) && n < maxPartsPerEntry && specBytes <= maxSpecBytesPerEntry {
+		if s := b.queued[n].command.Submit; s != nil {
+			specBytes += len(s.Spec)
+		}
+		n++
+	}
+	batch := b.queued[:n:n]
+	b.queued = b.queued[n:]
+	return batch
+}
+
+// propose commits a batch in one entry.
+func (b *batcher) propose(batch []*part) {
+	err := replica.ErrNotLeader // after the end of the session nothing is proposed
+	if b.session.ctx.Err() == nil {
+		var result *ledger.Result
+		if result, err = b.session.propose(mergeParts(batch)); err == nil {
+			err = splitResult(batch, result)
+		}
+	}
+	for _, p := range batch {
+		p.err = err
+		close(p.done)
+	}
+}
+
+// mergeParts returns a command with all parts of a batch. The parts were ready at the same time, so any order of them is
+// correct.
+func mergeParts(batch []*part) *ledger.Command {
+	if len(batch) == 1 {
+		return batch[0].command
+	}
+	all := &ledger.Command{}
+	for _, p := range batch {
+		if p.command.Submit != nil {
+			all.Submits = append(all.Submits, p.command.Submit)
+		}
+		if p.command.Cancel != "" {
+			all.Cancels = append(all.Cancels, p.command.Cancel)
+		}
+		all.Begun = append(all.Begun, p.command.Begun...)
+		all.Ends = append(all.Ends, p.command.Ends...)
+		all.Starts = append(all.Starts, p.command.Starts...)
+	}
+	return all
+}
+
+// splitResult sets the results of the parts of a batch from that of their entry. Only the planner's part, one at a time, has
+// starts, and no caller reads the ends of its own part.
+func splitResult(batch []*part, all *ledger.Result) error {
+	if len(batch) == 1 {
+		batch[0].result = all
+		return nil
+	}
+	submits, cancels := all.Submits, all.Cancels
+	for _, p := range batch {
+		p.result = &ledger.Result{}
+		if p.command.Submit != nil {
+			if len(submits) == 0 {
+				return replica.ErrOutcomeUnknown
+			}
+			p.result.Submit, submits = submits[0], submits[1:]
+		}
+		if p.command.Cancel != "" {
+			if len(cancels) == 0 {
+				return replica.ErrOutcomeUnknown
+			}
+			p.result.Cancel, cancels = cancels[0], cancels[1:]
+		}
+		if len(p.command.Starts) > 0 {
+			p.result.Started = all.Started
+		}
+	}
+	return nil
+}
+
+// listsAllowed reports whether entries may hold lists of submissions and cancellations.
+func (s *session) listsAllowed() bool {
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	return s.engine.ledger.Format >= ledger.FormatLists
+}
+
+// raiseFormat commits the newest format of commands once all members are known to understand it, and then ends. There is no
+// way back: an earlier version would ignore the lists and hold another state.
+func (s *session) raiseFormat() {
+	ticker := time.NewTicker(formatCheckInterval)
+	defer ticker.Stop()
+	for !s.listsAllowed() {
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		ctx, cancel := context.WithTimeout(s.ctx, formatCheckInterval)
+		understood := s.memberFormat(ctx) >= ledger.FormatLists
+		cancel()
+		if !understood {
+			continue
+		}
+		if _, err := s.propose(&ledger.Command{Format: ledger.FormatLists}); err != nil {
+			s.log.Warn("format of the log not raised yet", "error", err)
+			continue
+		}
+		s.log.Info("format of the log raised; earlier versions can't join any more", "format", ledger.FormatLists)
+	}
+}
+
+// formatCheckInterval is the time between checks of the formats that the members understand.
+const formatCheckInterval = time.Second
+
+// localProposal is a command of this instance on its way through the log.
+type localProposal struct {
+	command *ledger.Command
+	result  *ledger.Result // set when the command has been applied
+}
+
+// register makes Apply use a command itself when its encoding comes back from the log, and keep the result, so that neither
+// is encoded or decoded again. It returns nil if the command must be decoded as on other replicas.
+func (e *Engine) register(data []byte, c *ledger.Command) *localProposal {
+	// The encoder replaces invalid UTF-8 by this escape; then the command itself differs from what others decode.
+	if !c.OnlyJobs() || bytes.Contains(data, []byte(`\ufffd`)) {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.proposals[string(data)] != nil {
+		return nil
+	}
+	p := &localProposal{command: c}
+	e.proposals[string(data)] = p
+	return p
+}
+
+// unregister ends a registration and returns the result; nil if the command wasn't applied meanwhile.
+func (e *Engine) unregister(data []byte, p *localProposal) *ledger.Result {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.proposals[string(data)] == p {
+		delete(e.proposals, string(data))
+	}
+	return p.result
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -41,6 +41,9 @@
 	// MachineLease is how long a machine is reserved for the leader that last sent an order for it (lease_ms of the
 	// platform's limits).
 	MachineLease time.Duration
+	// MemberFormat returns the newest format of commands (ledger.FormatLists) that all members of the log are known to
+	// understand; nil if that is unknown.
+	MemberFormat func(context.Context) int
 }
 
 // Dispatcher serves calls while its instance leads.
@@ -54,6 +57,7 @@
 	stats         *stats
 	leaderLease   *leaderLease
 	machineLease  time.Duration
+	memberFormat  func(context.Context) int
 	session       atomic.Pointer[session]
 }
 
@@ -62,6 +66,7 @@
 	return &Dispatcher{
 		name: o.Name, address: o.Address, engine: o.Engine, replica: o.Replica, servers: o.Servers, machines: o.Machines,
 		log: o.Log, stats: newStats(o.Scope), leaderLease: newLeaderLease(o.ElectionTime), machineLease: o.MachineLease,
+		memberFormat: o.MemberFormat,
 	}
 }
 
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -63,7 +63,7 @@
 	q.pending, q.pendingDone = nil, make(chan struct{})
 	q.mu.Unlock()
 	for len(batch) > 0 {
-		_, err := q.session.propose(&ledger.Command{Begun: q.session.unrecorded(), Ends: batch})
+		_, err := q.session.batcher.commit(&ledger.Command{Begun: q.session.unrecorded(), Ends: batch})
 		if err == nil {
 			break
 		}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -21,29 +21,35 @@
 	// when it began to apply such commands itself.
 	lastOrdered   map[string]time.Duration
 	observedSince time.Duration
+	// proposals holds the commands of this instance that are on their way through the log, by their encoding.
+	proposals map[string]*localProposal
 	// afterApply is called with mu held after each command.
 	afterApply func(*ledger.Command, *ledger.Result)
 }
 
 // NewEngine returns an engine with an empty ledger.
 func NewEngine(log hclog.Logger) *Engine {
-	return &Engine{log: log, ledger: ledger.New(), lastOrdered: make(map[string]time.Duration), observedSince: boottime.Now()}
+	return &Engine{log: log, ledger: ledger.New(), lastOrdered: make(map[string]time.Duration), proposals: make(map[string]*localProposal), observedSince: boottime.Now()}
 }
 
-// Apply implements replica.StateMachine.
+// Apply implements replica.StateMachine. The result is nil for a command that this instance registered, which keeps its result,
+// and on an instance without a session.
 func (e *Engine) Apply(index uint64, data []byte) []byte {
-	var c ledger.Command
-	if err := json.Unmarshal(data, &c); err != nil {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.proposals[string(data)]; p != nil && p.result == nil {
+		p.result = e.applyLocked(p.command)
+		return nil
+	}
+	c := &ledger.Command{}
+	if err := json.Unmarshal(data, c); err != nil {
 		// Every replica has the same bytes and skips the same entry.
 		e.log.Error("log entry can't be read and is skipped", "index", index, "error", err)
 		return nil
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	result := e.ledger.Apply(&c)
-	e.recordOrdersLocked(&c)
-	if e.afterApply != nil {
-		e.afterApply(&c, result)
+	result := e.applyLocked(c)
+	if e.afterApply == nil {
+		return nil // only a session waits for results
 	}
 	encoded, err := json.Marshal(result)
 	if err != nil {
@@ -52,6 +58,15 @@
 	return encoded
 }
 
+func (e *Engine) applyLocked(c *ledger.Command) *ledger.Result {
+	result := e.ledger.Apply(c)
+	e.recordOrdersLocked(c)
+	if e.afterApply != nil {
+		e.afterApply(c, result)
+	}
+	return result
+}
+
 // recordOrdersLocked records the current time for each machine that a command moves or whose upkeep it changes.
 func (e *Engine) recordOrdersLocked(c *ledger.Command) {
 	now := boottime.Now()
--- a/internal/dispatch/jobcalls.go
+++ b/internal/dispatch/jobcalls.go
@@ -65,7 +65,7 @@
 	if err := job.Check(); err != nil {
 		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
 	}
-	result, err := s.propose(&ledger.Command{Submit: &job})
+	result, err := s.batcher.commit(&ledger.Command{Submit: &job})
 	if err != nil {
 		return nil, err
 	}
@@ -117,7 +117,7 @@
 	case final:
 		return &Reply{Outcome: OK, Reason: "it is over already"}, nil
 	}
-	result, err := s.propose(&ledger.Command{Cancel: id})
+	result, err := s.batcher.commit(&ledger.Command{Cancel: id})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/dispatch/pending.go
+++ b/internal/dispatch/pending.go
@@ -80,13 +80,26 @@
 	return false
 }
 
-// forgetRecordedLocked drops the jobs that the ledger knows as started or finished.
-func (s *session) forgetRecordedLocked() {
-	for id := range s.begun {
+// forgetRecordedLocked drops the jobs that a command may have started or finished if the ledger knows them as such.
+func (s *session) forgetRecordedLocked(c *ledger.Command, r *ledger.Result) {
+	if len(s.begun) == 0 {
+		return
+	}
+	forget := func(id string) {
 		if j := s.engine.ledger.Job(id); j == nil || j.Started || j.State.Final() {
 			delete(s.begun, id)
 		}
 	}
+	for _, id := range c.Begun {
+		forget(id)
+	}
+	for _, e := range r.Ended {
+		forget(e.Task.Job)
+	}
+	for _, id := range c.Cancels {
+		forget(id)
+	}
+	forget(c.Cancel)
 }
 
 // logPendingLocked logs what an answer about the pending jobs of a queue rests on, at most once every pendingLogInterval.
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -37,7 +37,7 @@
 	if len(starts) == 0 && !s.recordOverdue() {
 		return
 	}
-	result, err := s.propose(&ledger.Command{Begun: s.unrecorded(), Starts: starts})
+	result, err := s.batcher.commit(&ledger.Command{Begun: s.unrecorded(), Starts: starts})
 	defer s.releasePlanned(starts)
 	if err != nil {
 		s.log.Warn("starts not committed", "starts", len(starts), "error", err)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -116,11 +116,14 @@
 	nextRefreshAt time.Duration
 	pools         pools.Planner // guarded by engine.mu
 	ends          *endQueue
-	wake          chan struct{}
-	ctx           context.Context
-	cancel        context.CancelFunc
-	goroutines    sync.WaitGroup
-	closed        atomic.Bool
+	batcher       *batcher
+	// memberFormat returns the newest format of commands that all members of the log are known to understand.
+	memberFormat func(context.Context) int
+	wake         chan struct{}
+	ctx          context.Context
+	cancel       context.CancelFunc
+	goroutines   sync.WaitGroup
+	closed       atomic.Bool
 }
 
 // runKey identifies a run.
@@ -145,7 +148,7 @@
 		loggedOutlooks: make(map[string]forecast.Outlook),
 		wake:           make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
-	s.ends = newEndQueue(s)
+	s.ends, s.batcher = newEndQueue(s), &batcher{session: s}
 	s.engine.mu.Lock()
 	now := boottime.Now()
 	for _, known := range s.engine.ledger.KnownServers() {
@@ -162,6 +165,10 @@
 	s.spawn(s.planLoop)
 	s.spawn(s.upkeepLoop)
 	s.spawn(s.poolLoop)
+	if d.memberFormat != nil {
+		s.memberFormat = d.memberFormat
+		s.spawn(s.raiseFormat)
+	}
 	s.log.Info("leadership begins")
 	return s
 }
@@ -191,18 +198,27 @@
 // propose commits a command and returns its result.
 func (s *session) propose(c *ledger.Command) (*ledger.Result, error) {
 	c.NowMS = time.Now().UnixMilli()
-	data, err := json.Marshal(c)
+	data, err := c.Encode()
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	local := s.engine.register(data, c)
 	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
 	defer cancel()
 	began := time.Now()
 	encoded, _, err := s.replica.ProposeLocal(ctx, data)
+	var kept *ledger.Result
+	if local != nil {
+		kept = s.engine.unregister(data, local)
+	}
 	if err != nil {
 		return nil, err
 	}
 	s.stats.commit.Record(time.Since(began))
+	s.stats.entries.Inc(1)
+	if kept != nil {
+		return kept, nil
+	}
 	result := &ledger.Result{}
 	if err := json.Unmarshal(encoded, result); err != nil {
 		return nil, replica.ErrOutcomeUnknown
@@ -224,17 +240,19 @@
 		delete(s.orders, runKey{e.Task, e.Run})
 		delete(s.sentPaces, runKey{e.Task, e.Run})
 	}
-	s.forgetRecordedLocked()
-	if c.Submit != nil && r.Submit == ledger.Accepted {
-		s.recordArrivalLocked(s.engine.ledger.Job(c.Submit.ID), c.NowMS)
-	}
+	s.forgetRecordedLocked(c, r)
+	c.EachSubmit(r, func(submitted *ledger.Submission, verdict ledger.Verdict) {
+		if verdict == ledger.Accepted {
+			s.recordArrivalLocked(s.engine.ledger.Job(submitted.ID), c.NowMS)
+		}
+	})
 	for _, st := range r.Started {
 		if s.orders[runKey{st.Task, st.Run}] == nil {
 			// The commit took longer than proposeTimeout; no order was sent.
 			s.ensureHoldLoopLocked(st.Worker)
 		}
 	}
-	if c.Cancel != "" || len(r.Ended) > 0 {
+	if c.Cancel != "" || len(c.Cancels) > 0 || len(r.Ended) > 0 {
 		s.jobsFinishedLocked(c, r)
 	}
 	s.notify()
@@ -246,6 +264,9 @@
 	if c.Cancel != "" {
 		ids[c.Cancel] = true
 	}
+	for _, id := range c.Cancels {
+		ids[id] = true
+	}
 	for _, e := range r.Ended {
 		ids[e.Task.Job] = true
 	}
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -14,6 +14,7 @@
 	call         tally.Timer
 	refused      tally.Counter
 	machineCalls tally.Counter
+	entries      tally.Counter
 	scope        tally.Scope
 }
 
@@ -24,7 +25,7 @@
 	timer := func(name string) tally.Timer { return timerOf(scope.Histogram(name, latencyBuckets)) }
 	return &stats{
 		commit: timer("commit_latency"), order: timer("order_latency"), plan: timer("plan_latency"), call: timer("call_latency"),
-		refused: scope.Counter("orders_refused"), machineCalls: scope.Counter("machine_calls"), scope: scope,
+		refused: scope.Counter("orders_refused"), machineCalls: scope.Counter("machine_calls"), entries: scope.Counter("log_entries"), scope: scope,
 	}
 }
 
--- a/internal/dispatch/virtual_log_test.go
+++ b/internal/dispatch/virtual_log_test.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"laburnumrouter/internal/process/replica"
+	"laburnumrouter/internal/request/ledger"
 )
 
 // simInstance is a simulated control instance.
@@ -41,6 +42,7 @@
 	i.d = New(Options{
 		Name: fmt.Sprint("c", i.index), Address: fmt.Sprint("c", i.index), Engine: i.engine, Replica: i, Servers: &simCalls{i},
 		Log: i.w.logger, Scope: tally.NoopScope, ElectionTime: electionTimeout, MachineLease: 3 * time.Second,
+		MemberFormat: func(context.Context) int { return ledger.FormatLists },
 	})
 	d := i.d
 	ctx, cancel := context.WithCancel(i.w.ctx)
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -21,6 +21,7 @@
 	"laburnumrouter/internal/process/journal"
 	"laburnumrouter/internal/process/metrics"
 	"laburnumrouter/internal/process/replica"
+	"laburnumrouter/internal/request/ledger"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 	"laburnumrouter/proto/laburnum/v1/laburnumv1connect"
 )
@@ -128,6 +129,7 @@
 	seedPeers := PeerAddresses(s.Seeds, s.PeerListen)
 	engine := dispatch.NewEngine(log.Named("engine"))
 	var d *dispatch.Dispatcher
+	var c *control
 	node, err := replica.Open(replica.Options{
 		Voters: initialVoters(seedPeers, founder), Join: !founder, Name: name, Dir: s.DataDir, FS: deps.FS, Machine: engine,
 		Transport: transport{replication.NewLinks(peer.NewDialer, nil)}, Log: log.Named("log"),
@@ -142,8 +144,9 @@
 		Name: s.Name, Address: s.Listen, Engine: engine, Replica: node, Servers: deps.Servers, Machines: deps.Machines,
 		Log: log.Named("dispatch"), Scope: registry.Scope(), ElectionTime: tickInterval * electionTicks,
 		MachineLease: s.MachineLease.Std(),
+		MemberFormat: func(ctx context.Context) int { return c.client.MemberFormat(ctx, c.memberAddresses()) },
 	})
-	c := &control{settings: s, log: log, node: node, dispatcher: d, metrics: registry, deps: deps}
+	c = &control{settings: s, log: log, node: node, dispatcher: d, metrics: registry, deps: deps}
 	c.client = leader.NewClient(seedPeers, d, log.Named("leader"))
 	if deps.ReloadSeeds != nil {
 		c.client.ReadSeedsWith(func() ([]string, error) {
@@ -159,6 +162,15 @@
 	return c, nil
 }
 
+// memberAddresses returns the peer addresses of all members of the log.
+func (c *control) memberAddresses() []string {
+	var list []string
+	for _, m := range c.node.Status().Members {
+		list = append(list, m.Address)
+	}
+	return list
+}
+
 // currentSeeds returns the peer addresses of the seeds, read anew from the settings.
 func (c *control) currentSeeds() []string {
 	c.client.RefreshSeeds()
@@ -209,7 +221,7 @@
 // leaderStatus reports what this instance knows about the leader.
 func (c *control) leaderStatus() leader.LeaderStatus {
 	s := c.node.Status()
-	status := leader.LeaderStatus{Leads: c.dispatcher.Leads(), Limits: c.dispatcher.Limits()}
+	status := leader.LeaderStatus{Leads: c.dispatcher.Leads(), Limits: c.dispatcher.Limits(), Format: ledger.FormatLists}
 	for _, m := range s.Members {
 		status.Members = append(status.Members, m.Address)
 		if m.Name == s.Leader {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -68,6 +68,8 @@
 	Members []string `json:",omitempty"`
 	// Limits are the request limits of the newest configuration that the instance knows.
 	Limits accepted.Limits
+	// Format is the newest format of commands that the instance understands.
+	Format int `json:",omitempty"`
 }
 
 // Client forwards calls to the leader. It is safe for concurrent use.
--- a/internal/leader/search.go
+++ b/internal/leader/search.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"laburnumrouter/internal/request/ledger"
 )
 
 // refreshLeader searches for the leader even if one is known, and returns its address. Concurrent callers share one search.
@@ -186,3 +188,16 @@
 	status := &LeaderStatus{}
 	return status, Error.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(status))
 }
+
+// MemberFormat returns the newest format of commands that the instances at all addresses understand; 0 if one doesn't answer.
+func (c *Client) MemberFormat(ctx context.Context, addresses []string) int {
+	lowest := ledger.FormatLists
+	for _, address := range addresses {
+		status, err := c.probe(ctx, address)
+		if err != nil {
+			return 0
+		}
+		lowest = min(lowest, status.Format)
+	}
+	return lowest
+}
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -18,9 +18,16 @@
 	if c.Submit != nil {
 		r.Submit = l.applySubmit(c.Submit)
 	}
+	for _, s := range c.Submits {
+		r.Submits = append(r.Submits, l.applySubmit(s))
+	}
 	if c.Cancel != "" {
 		r.Cancel = l.applyCancel(c.Cancel)
 	}
+	for _, id := range c.Cancels {
+		r.Cancels = append(r.Cancels, l.applyCancel(id))
+	}
+	l.Format = max(l.Format, c.Format)
 	l.applyBegun(c.Begun)
 	for _, e := range c.Ends {
 		if l.applyEnd(e) {
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -8,9 +8,13 @@
 	NowMS  int64
 	Config *accepted.Config `json:",omitempty"`
 	Submit *Submission      `json:",omitempty"`
+	// Submits and Cancels hold several submissions and cancellations. Earlier versions ignore them, so they are used only
+	// from FormatLists on.
+	Submits []*Submission `json:",omitempty"`
 	// Cancel is the ID of a job to cancel. An unknown ID is recorded as cancelled, so that a submission that arrives after
 	// its cancellation doesn't run.
-	Cancel string `json:",omitempty"`
+	Cancel  string   `json:",omitempty"`
+	Cancels []string `json:",omitempty"`
 	// Begun lists jobs of which a backend server has accepted or reported a run.
 	Begun  []string `json:",omitempty"`
 	Ends   []End    `json:",omitempty"`
@@ -27,6 +31,30 @@
 	By uint64 `json:",omitempty"`
 	// Sizes holds, by pool, the number of machines before any was moved. Only the first value of a pool is recorded.
 	Sizes map[string]int `json:",omitempty"`
+	// Format raises the format of later commands. It is committed once all members understand it.
+	Format int `json:",omitempty"`
+}
+
+// Formats of commands. Each includes the earlier ones; 0 is the first.
+const (
+	// FormatLists: commands may have Submits and Cancels.
+	FormatLists = 1
+)
+
+// OnlyJobs reports whether a command has no other parts than Submit, Cancel, their lists, Begun, Ends and Starts.
+func (c *Command) OnlyJobs() bool {
+	return c.Config == nil && c.Servers == nil && c.Gone == nil && c.Wave == nil && c.Upkeep == nil && c.Moves == nil &&
+		c.By == 0 && c.Sizes == nil && c.Format == 0
+}
+
+// EachSubmit calls f for each submission with its verdict.
+func (c *Command) EachSubmit(r *Result, f func(*Submission, Verdict)) {
+	if c.Submit != nil {
+		f(c.Submit, r.Submit)
+	}
+	for i, s := range c.Submits {
+		f(s, r.Submits[i])
+	}
 }
 
 // EndCause is the way in which a run ended.
@@ -171,7 +199,10 @@
 	Config Verdict `json:",omitempty"`
 	Submit Verdict `json:",omitempty"`
 	Cancel Verdict `json:",omitempty"`
-	Wave   Verdict `json:",omitempty"`
+	// Submits and Cancels are the verdicts on the lists, in order.
+	Submits []Verdict `json:",omitempty"`
+	Cancels []Verdict `json:",omitempty"`
+	Wave    Verdict   `json:",omitempty"`
 	// Started lists the starts that were accepted, in order.
 	Started []Start `json:",omitempty"`
 	// Ended lists the ends that were accepted, each of which closed a live run.
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -51,6 +51,8 @@
 	Sizes map[string]int `json:",omitempty"`
 	// ClockMS is the highest NowMS of all applied commands.
 	ClockMS int64
+	// Format is the format of commands that all members understand.
+	Format int `json:",omitempty"`
 }
 
 // Ledger is the replicated state machine of jobs. It is not safe for concurrent use.
