Leader: follower reads, rejection of submissions when behind, fewer hold calls

Cause: the leader answered every state query and pending count, and walked over all open jobs for each count. It accepted submissions whatever its backlog, so that under overload all of them were late. Each start had a context and timer of its own, each end usually a hold call of its own, and plans followed each other without regard to their cost. Change: - A control instance that doesn't lead answers state queries and pending counts from its ledger if a round trip with the leader (read index) began less than 0.8 s ago on the suspend-aware clock, checked before and after the answer is computed. It passes on what it would refuse. Entries ask an instance of their own data centre, and use its answer only within 0.5 s on the same clock. - Submissions are rejected with Overload if two plans in a row, or at least 32 waiting submissions, are 0.5 s late. Retry-After follows the backlog and is spread. Ends go into the next log entry before starts, starts before submissions. - The ledger counts the jobs that haven't begun by queue. One context serves all starts of a plan. A plan is followed by a pause of four times its duration, 4 to 50 ms. Above 1,000 hold calls a second the interval between those to one server grows from 15 to 60 ms. TestSchedules asks followers too; with a count of 0 from them it fails.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -35,10 +35,28 @@
 	session *session
 
 	mu       sync.Mutex
-	queued   []*part
+	queued   [classes][]*part
 	inFlight int
 }
 
+// Classes of parts. If not all fit into the next entry, those of a lower class go first.
+const (
+	classEnds = iota // ends free capacity, and servers wait for their acknowledgement
+	classStarts
+	classCallers
+	classes
+)
+
+func (p *part) class() int {
+	switch {
+	case len(p.command.Ends) > 0:
+		return classEnds
+	case len(p.command.Starts) > 0 || len(p.command.Begun) > 0:
+		return classStarts
+	}
+	return classCallers
+}
+
 // commit commits a part and returns its result.
 func (b *batcher) commit(c *ledger.Command) (*ledger.Result, error) {
 	if (c.Submit != nil || c.Cancel != "") && !b.session.listsAllowed() {
@@ -46,7 +64,7 @@
 	}
 	p := &part{command: c, done: make(chan struct{})}
 	b.mu.Lock()
-	b.queued = append(b.queued, p)
+	b.queued[p.class()] = append(b.queued[p.class()], p)
 	b.sendLocked()
 	b.mu.Unlock()
 	<-p.done // propose ends within proposeTimeout, and at once when the session ends
@@ -55,8 +73,11 @@
 
 // sendLocked proposes the queued parts unless maxEntriesInFlight are uncommitted.
 func (b *batcher) sendLocked() {
-	for len(b.queued) > 0 && b.inFlight < maxEntriesInFlight {
+	for b.inFlight < maxEntriesInFlight {
 		batch := b.takeLocked()
+		if len(batch) == 0 {
+			return
+		}
 		b.inFlight++
 		go func() {
 			b.propose(batch)
@@ -70,15 +91,18 @@
 
 // takeLocked removes the parts of the next entry from the queue.
 func (b *batcher) takeLocked() []*part {
-	n, specBytes := 0, 0
-	for n < len(b.queued) && n < maxPartsPerEntry && specBytes <= maxSpecBytesPerEntry {
-		if s := b.queued[n].command.Submit; s != nil {
-			specBytes += len(s.Spec)
+	var batch []*part
+	specBytes := 0
+	for class := range b.queued {
+		for len(b.queued[class]) > 0 && len(batch) < maxPartsPerEntry && specBytes <= maxSpecBytesPerEntry {
+			p := b.queued[class][0]
+			b.queued[class] = b.queued[class][1:]
+			if s := p.command.Submit; s != nil {
+				specBytes += len(s.Spec)
+			}
+			batch = append(batch, p)
 		}
-		n++
 	}
-	batch := b.queued[:n:n]
-	b.queued = b.queued[n:]
 	return batch
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -58,6 +58,7 @@
 	leaderLease   *leaderLease
 	machineLease  time.Duration
 	memberFormat  func(context.Context) int
+	followerReads *followerReads
 	session       atomic.Pointer[session]
 }
 
@@ -66,7 +67,7 @@
 	return &Dispatcher{
 		name: o.Name, address: o.Address, engine: o.Engine, replica: o.Replica, servers: o.Servers, machines: o.Machines,
 		log: o.Log, stats: newStats(o.Scope), leaderLease: newLeaderLease(o.ElectionTime), machineLease: o.MachineLease,
-		memberFormat: o.MemberFormat,
+		memberFormat: o.MemberFormat, followerReads: newFollowerReads(o.Engine, o.Replica, o.Scope),
 	}
 }
 
@@ -76,6 +77,7 @@
 // Run starts and ends sessions as this instance gains and loses leadership, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	go d.leaderLease.run(ctx, d.replica)
+	go d.followerReads.run(ctx)
 	ticker := time.NewTicker(leadershipCheckInterval)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/internal/dispatch/followerread.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"laburnumrouter/internal/process/boottime"
+)
+
+const (
+	// maxReadAge is how old the state may be that a follower answers from. With the time that an entry waits for the answer
+	// it stays below 2 s; a revoked key must not be served 5 s after its revocation.
+	maxReadAge = 800 * time.Millisecond
+	// confirmAfter is the age from which a read makes the follower confirm its state anew. A round trip with the leader
+	// takes a few milliseconds, so that reads meanwhile find the state fresh.
+	confirmAfter = 300 * time.Millisecond
+)
+
+// followerReads answers callers' state queries and pending counts on an instance that doesn't lead. While nobody reads, it
+// sends nothing.
+type followerReads struct {
+	engine  *Engine
+	replica Log
+	// confirmedAt is when the newest round trip with the leader began after which everything committed before was applied
+	// here, by boottime in nanoseconds; 0 if there was none.
+	confirmedAt atomic.Int64
+	wanted      chan struct{}
+	served      tally.Counter
+	passedOn    tally.Counter
+}
+
+func newFollowerReads(engine *Engine, replica Log, scope tally.Scope) *followerReads {
+	return &followerReads{engine: engine, replica: replica, wanted: make(chan struct{}, 1), served: scope.Counter("follower_reads"), passedOn: scope.Counter("follower_reads_passed_on")}
+}
+
+// fresh reports whether a confirmation is young enough to answer from.
+func fresh(confirmedAt time.Duration) bool {
+	return confirmedAt > 0 && boottime.Now()-confirmedAt < maxReadAge
+}
+
+// read answers a call from this instance's state. It returns ErrNotLeader if the leader must answer it: the state isn't
+// fresh, or the answer would be a refusal, which a newer state may contradict.
+func (f *followerReads) read(c *Call) (*Reply, error) {
+	if c.Op != OpState && c.Op != OpPending {
+		return nil, ErrNotLeader
+	}
+	confirmedAt := time.Duration(f.confirmedAt.Load())
+	if boottime.Now()-confirmedAt > confirmAfter || confirmedAt == 0 {
+		select {
+		case f.wanted <- struct{}{}:
+		default:
+		}
+	}
+	var reply *Reply
+	if fresh(confirmedAt) {
+		reply = f.engine.read(c)
+	}
+	// The instance may have been suspended since the first check. The answer goes out only if the state that it was
+	// computed from is still fresh.
+	if reply == nil || reply.Outcome != OK || !fresh(confirmedAt) {
+		f.passedOn.Inc(1)
+		return nil, ErrNotLeader
+	}
+	f.served.Inc(1)
+	return reply, nil
+}
+
+// run confirms the state each time that a read asks for it, until ctx ends.
+func (f *followerReads) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.wanted:
+			f.confirm(ctx)
+		}
+	}
+}
+
+// confirm makes a round trip with the leader.
+func (f *followerReads) confirm(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxReadAge)
+	defer cancel()
+	asked := boottime.Now()
+	if f.replica.ReadIndex(ctx) == nil {
+		f.confirmedAt.Store(int64(asked))
+	}
+}
+
+// read answers a state query or pending count from the ledger alone.
+func (e *Engine) read(c *Call) *Reply {
+	q, _, id, refusal := e.authorize(c)
+	if refusal != nil {
+		return refusal
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c.Op == OpPending {
+		return &Reply{Outcome: OK, Pending: e.ledger.Unstarted(q.Name)}
+	}
+	j := e.findJobLocked(q, id)
+	if j == nil {
+		return &Reply{Outcome: NotFound, Reason: "no such job"}
+	}
+	return &Reply{Outcome: OK, State: j.State}
+}
+
+// Read answers a state query or a pending count on an instance that doesn't lead. It returns ErrNotLeader if the call must be
+// sent to the leader.
+func (d *Dispatcher) Read(c *Call) (*Reply, error) { return d.followerReads.read(c) }
+
+// pendingCountLocked returns the number of pending jobs of a queue: those that the ledger holds as neither begun nor finished,
+// without those that this leader knows to have begun.
+func (s *session) pendingCountLocked(queue string) int {
+	n := s.engine.ledger.Unstarted(queue)
+	for id := range s.begun {
+		if j := s.engine.ledger.Job(id); j != nil && j.Queue == queue && !j.Started && !j.State.Final() {
+			n--
+		}
+	}
+	return n
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -62,7 +62,7 @@
 		select {
 		case <-h.session.ctx.Done():
 			return
-		case <-time.After(minHoldInterval):
+		case <-time.After(h.session.holdPause()):
 		}
 	}
 }
@@ -82,6 +82,7 @@
 		s.engine.mu.Unlock()
 		return h.pause()
 	}
+	s.holdRate.add(boottime.Now())
 	to := Target{ID: h.serverID, Address: server.Address}
 	if server.Born != h.born {
 		h.born, h.committedEnd, h.ackedEnd, h.contacted = server.Born, 0, 0, false
--- a/internal/dispatch/jobcalls.go
+++ b/internal/dispatch/jobcalls.go
@@ -16,10 +16,10 @@
 
 // authorize returns the queue that a request addresses, the workspace that owns its key and the job ID, or the reply that
 // rejects it.
-func (s *session) authorize(c *Call) (q *accepted.Queue, workspace, id string, refusal *Reply) {
-	s.engine.mu.Lock()
-	index := s.engine.ledger.Index()
-	s.engine.mu.Unlock()
+func (e *Engine) authorize(c *Call) (q *accepted.Queue, workspace, id string, refusal *Reply) {
+	e.mu.Lock()
+	index := e.ledger.Index()
+	e.mu.Unlock()
 	if index == nil {
 		return nil, "", "", &Reply{Outcome: Unavailable, Reason: "no configuration is in force yet", RetryAfterMS: noConfigRetryMS}
 	}
@@ -38,7 +38,7 @@
 }
 
 func (s *session) submit(c *Call) (*Reply, error) {
-	q, workspace, id, refusal := s.authorize(c)
+	q, workspace, id, refusal := s.engine.authorize(c)
 	if refusal != nil {
 		return refusal, nil
 	}
@@ -65,7 +65,12 @@
 	if err := job.Check(); err != nil {
 		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
 	}
+	admitted, refusal := s.admitSubmission()
+	if refusal != nil {
+		return refusal, nil
+	}
 	result, err := s.batcher.commit(&ledger.Command{Submit: &job})
+	s.load.finish(admitted)
 	if err != nil {
 		return nil, err
 	}
@@ -76,8 +81,8 @@
 }
 
 // findJobLocked returns the job with an ID if it belongs to the queue, else nil.
-func (s *session) findJobLocked(q *accepted.Queue, id string) *ledger.Job {
-	j := s.engine.ledger.Job(id)
+func (e *Engine) findJobLocked(q *accepted.Queue, id string) *ledger.Job {
+	j := e.ledger.Job(id)
 	if j == nil || j.Queue != q.Name {
 		return nil
 	}
@@ -85,13 +90,13 @@
 }
 
 func (s *session) jobState(c *Call) (*Reply, error) {
-	q, _, id, refusal := s.authorize(c)
+	q, _, id, refusal := s.engine.authorize(c)
 	if refusal != nil {
 		return refusal, nil
 	}
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	j := s.findJobLocked(q, id)
+	j := s.engine.findJobLocked(q, id)
 	if j == nil {
 		return &Reply{Outcome: NotFound, Reason: "no such job"}, nil
 	}
@@ -99,7 +104,7 @@
 }
 
 func (s *session) cancelJob(c *Call) (*Reply, error) {
-	q, _, id, refusal := s.authorize(c)
+	q, _, id, refusal := s.engine.authorize(c)
 	if refusal != nil {
 		return refusal, nil
 	}
@@ -128,15 +133,14 @@
 }
 
 func (s *session) pending(c *Call) (*Reply, error) {
-	q, _, _, refusal := s.authorize(c)
+	q, _, _, refusal := s.engine.authorize(c)
 	if refusal != nil {
 		return refusal, nil
 	}
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	v := s.pendingJobsLocked()[q.Name]
-	s.logPendingLocked(c, q.Name, v)
-	return &Reply{Outcome: OK, Pending: v.count}, nil
+	s.logPendingLocked(c, q.Name)
+	return &Reply{Outcome: OK, Pending: s.pendingCountLocked(q.Name)}, nil
 }
 
 func (s *session) putConfig(c *Call) (*Reply, error) {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"laburnumrouter/internal/process/boottime"
@@ -44,9 +45,19 @@
 
 // sendStarts sends the orders of committed starts.
 func (s *session) sendStarts(starts []ledger.Start) {
-	for _, st := range starts {
-		s.spawn(func() { s.sendStart(st) })
+	if len(starts) == 0 {
+		return
 	}
+	s.spawn(func() {
+		// One context and timer serve all orders of a plan, which are sent at once.
+		ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+		defer cancel()
+		var group sync.WaitGroup
+		for _, st := range starts {
+			group.Go(func() { s.sendStart(ctx, st) })
+		}
+		group.Wait()
+	})
 }
 
 // buildStartOrder returns the order of a committed start; ok is false if it must not be sent.
@@ -68,15 +79,14 @@
 	return Target{ID: st.Worker, Address: server.Address}, o, true
 }
 
-func (s *session) sendStart(st ledger.Start) {
+// sendStart sends one order; ctx bounds the call.
+func (s *session) sendStart(ctx context.Context, st ledger.Start) {
 	key := runKey{st.Task, st.Run}
 	to, o, ok := s.buildStartOrder(st)
 	if !ok || !s.mayOrder() {
 		s.closeUnsentStart(st)
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-	defer cancel()
 	asked := boottime.Now()
 	answer, clock, err := s.servers.Start(ctx, to, o)
 	heard := boottime.Now()
--- a/internal/dispatch/pending.go
+++ b/internal/dispatch/pending.go
@@ -103,12 +103,13 @@
 }
 
 // logPendingLocked logs what an answer about the pending jobs of a queue rests on, at most once every pendingLogInterval.
-func (s *session) logPendingLocked(c *Call, queue string, p pendingJobs) {
+func (s *session) logPendingLocked(c *Call, queue string) {
 	now := boottime.Now()
 	if at, logged := s.pendingLoggedAt[queue]; logged && now-at < pendingLogInterval {
 		return
 	}
 	s.pendingLoggedAt[queue] = now
+	p := s.pendingJobsLocked()[queue]
 	s.log.Info("pending jobs reported", "request", c.RequestID, "queue", queue, "pending", p.count, "ordered", p.ordered,
 		"oldest_ms", p.oldestMS)
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -12,6 +12,7 @@
 func (s *session) planLoop() {
 	timer := time.NewTimer(maxPlanInterval)
 	defer timer.Stop()
+	s.planReadyAt = boottime.Now()
 	for {
 		select {
 		case <-s.ctx.Done():
@@ -23,14 +24,22 @@
 		if s.mayOrder() {
 			s.planOnce()
 		}
+		pause := s.planPause()
+		s.planReadyAt = boottime.Now() + pause
 		select {
 		case <-s.ctx.Done():
 			return
-		case <-time.After(minPlanInterval):
+		case <-time.After(pause):
 		}
 	}
 }
 
+// planPause returns the time until the next plan may begin: a fifth of the time is the most that planning takes, up to the
+// delay that starts can bear.
+func (s *session) planPause() time.Duration {
+	return min(max(minPlanInterval, planPauseFactor*s.planTook), maxPlanPause)
+}
+
 // planOnce makes a plan, commits its starts and sends the orders of those that were valid when they were committed.
 func (s *session) planOnce() {
 	starts := s.makePlan()
@@ -87,10 +96,12 @@
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	now := boottime.Now()
+	s.stats.planDelay.Record(s.load.planBegins(now, s.planReadyAt))
 	s.evacuateLocked(now)
 	began := time.Now()
 	starts := schedule.Plan(s.planInputLocked())
-	s.stats.plan.Record(time.Since(began))
+	s.planTook = time.Since(began)
+	s.stats.plan.Record(s.planTook)
 	for _, st := range starts {
 		s.orders[runKey{st.Task, st.Run}] = &order{state: orderPlanned, since: now}
 		s.planned[st.Worker]++
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -43,6 +43,10 @@
 	proposeTimeout = 3 * time.Second
 	// minPlanInterval is the minimum time between plans, so that runs that end together are planned for together.
 	minPlanInterval = 4 * time.Millisecond
+	// planPauseFactor is how many times the duration of a plan passes before the next one. maxPlanPause bounds that: with
+	// plans at least 100 ms apart the score of a heavy day did not fall (docs/hard-load.md, section 1).
+	planPauseFactor = 4
+	maxPlanPause    = 50 * time.Millisecond
 	// maxPlanInterval is the maximum time between plans: due times, lapsed leases and trial runs on suspect servers that
 	// become due trigger no event.
 	maxPlanInterval = 100 * time.Millisecond
@@ -117,9 +121,14 @@
 	pools         pools.Planner // guarded by engine.mu
 	ends          *endQueue
 	batcher       *batcher
+	holdRate      holdRate // guarded by engine.mu
+	load          load
+	// planReadyAt is when the next plan may begin; used by the planner's goroutine only.
+	planReadyAt time.Duration
 	// memberFormat returns the newest format of commands that all members of the log are known to understand.
 	memberFormat func(context.Context) int
 	wake         chan struct{}
+	planTook     time.Duration // duration of the last plan; used by the planner's goroutine only
 	ctx          context.Context
 	cancel       context.CancelFunc
 	goroutines   sync.WaitGroup
@@ -228,6 +237,7 @@
 
 // notify wakes the planner.
 func (s *session) notify() {
+	s.load.planDue(boottime.Now())
 	select {
 	case s.wake <- struct{}{}:
 	default:
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -15,6 +15,7 @@
 	refused      tally.Counter
 	machineCalls tally.Counter
 	entries      tally.Counter
+	planDelay    tally.Timer
 	scope        tally.Scope
 }
 
@@ -25,7 +26,7 @@
 	timer := func(name string) tally.Timer { return timerOf(scope.Histogram(name, latencyBuckets)) }
 	return &stats{
 		commit: timer("commit_latency"), order: timer("order_latency"), plan: timer("plan_latency"), call: timer("call_latency"),
-		refused: scope.Counter("orders_refused"), machineCalls: scope.Counter("machine_calls"), entries: scope.Counter("log_entries"), scope: scope,
+		refused: scope.Counter("orders_refused"), machineCalls: scope.Counter("machine_calls"), entries: scope.Counter("log_entries"), planDelay: timer("plan_delay"), scope: scope,
 	}
 }
 
--- a/internal/dispatch/virtual_log_test.go
+++ b/internal/dispatch/virtual_log_test.go
@@ -101,6 +101,9 @@
 	if ok {
 		i.w.noElectionBefore = max(i.w.noElectionBefore, asked+electionTimeout)
 		i.w.catchUpLocked(i)
+	} else if l := i.w.leader; l >= 0 && i.believedTerm == 0 && i.up && !i.partitioned && i.w.instances[l].leadsLocked() {
+		ok = true // a follower asks the leader
+		i.w.catchUpLocked(i)
 	}
 	i.w.mu.Unlock()
 	if ok {
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -112,21 +112,32 @@
 
 // watchPending queries the number of pending jobs until ctx ends and checks it against what the servers know.
 func (w *simulation) watchPending() {
-	for sleepFor(w.ctx, pendingInterval) == nil {
+	for round := 0; sleepFor(w.ctx, pendingInterval) == nil; round++ {
 		w.mu.Lock()
 		var d *Dispatcher
 		if w.leader >= 0 {
 			d = w.instances[w.leader].d
 		}
-		waiting := w.waitingJobsLocked()
+		var reader *Dispatcher
+		if i := w.instances[round%len(w.instances)]; i.up {
+			reader = i.d
+		}
 		w.mu.Unlock()
-		if d == nil {
-			continue
+		if d != nil {
+			w.checkPending(func(c *Call) (*Reply, error) { return d.Do(w.ctx, c) })
 		}
-		reply, err := d.Do(w.ctx, &Call{Op: OpPending, Host: "h", Path: "/q/", Key: "key"})
-		if err != nil || reply.Outcome != OK {
-			continue
+		if reader != nil {
+			w.checkPending(reader.Read)
 		}
+	}
+}
+
+// checkPending queries the number of pending jobs once, if ask answers it.
+func (w *simulation) checkPending(ask func(*Call) (*Reply, error)) {
+	w.mu.Lock()
+	waiting := w.waitingJobsLocked()
+	w.mu.Unlock()
+	if reply, err := ask(&Call{Op: OpPending, Host: "h", Path: "/q/", Key: "key"}); err == nil && reply.Outcome == OK {
 		w.mu.Lock()
 		waiting = min(waiting, w.waitingJobsLocked()) // jobs that begin meanwhile may be counted or not
 		if 2*reply.Pending < waiting {
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -221,7 +221,7 @@
 // leaderStatus reports what this instance knows about the leader.
 func (c *control) leaderStatus() leader.LeaderStatus {
 	s := c.node.Status()
-	status := leader.LeaderStatus{Leads: c.dispatcher.Leads(), Limits: c.dispatcher.Limits(), Format: ledger.FormatLists}
+	status := leader.LeaderStatus{Leads: c.dispatcher.Leads(), Limits: c.dispatcher.Limits(), Format: ledger.FormatLists, DataCentre: c.settings.DataCentre}
 	for _, m := range s.Members {
 		status.Members = append(status.Members, m.Address)
 		if m.Name == s.Leader {
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -113,6 +113,7 @@
 	}
 	go e.serveMetrics(work)
 	go e.client.MonitorLeader(work)
+	go e.client.MonitorNear(work, e.settings.DataCentre)
 	go e.watchSettings(work, peerAddresses)
 	select {
 	case <-ctx.Done():
--- a/internal/leader/handler.go
+++ b/internal/leader/handler.go
@@ -2,13 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 
 	"laburnumrouter/internal/dispatch"
 )
 
-// Handle registers the interface between processes on mux: CallPath executes calls if this instance leads, and LeaderPath
+// Handle registers the interface between processes on mux: CallPath executes calls if this instance leads, and
+// callers' reads also if it doesn't and its state is fresh; LeaderPath
 // returns its report about the leader.
 func Handle(mux *http.ServeMux, d *dispatch.Dispatcher, status func() LeaderStatus) {
 	mux.HandleFunc("GET "+LeaderPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -21,6 +23,9 @@
 			return
 		}
 		reply, err := d.Do(r.Context(), call)
+		if errors.Is(err, dispatch.ErrNotLeader) {
+			reply, err = d.Read(call)
+		}
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusMisdirectedRequest)
 			return
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -70,6 +70,9 @@
 	Limits accepted.Limits
 	// Format is the newest format of commands that the instance understands.
 	Format int `json:",omitempty"`
+	// DataCentre is where the instance runs. An instance of an earlier version, which reports none, answers no reads unless
+	// it leads.
+	DataCentre string `json:",omitempty"`
 }
 
 // Client forwards calls to the leader. It is safe for concurrent use.
@@ -95,6 +98,7 @@
 	seedsReadAt    time.Time
 	lastContact    time.Time
 	limits         accepted.Limits
+	near           near
 	cutOff         bool          // the last search found no leader and reached no majority of the members
 	searchDone     chan struct{} // closed when the current search ends; nil if none is running
 }
@@ -191,6 +195,9 @@
 			return reply, false, nil
 		}
 	}
+	if reply := c.readNear(ctx, call, body); reply != nil {
+		return reply, false, nil
+	}
 	target, err := c.findLeader(ctx)
 	if err != nil {
 		return nil, false, err
@@ -210,26 +217,32 @@
 	defer cancel()
 	replacementCheck := time.AfterFunc(leaderCheckDelay, func() { c.cancelWhenReplaced(ctx, target, cancel) })
 	defer replacementCheck.Stop()
+	reply, misdirected, err := c.post(ctx, target, body)
+	return reply, err != nil && !misdirected && !dialFailed(err), err
+}
+
+// post posts a call to an instance. misdirected is set if the instance answered that it doesn't lead.
+func (c *Client) post(ctx context.Context, target string, body []byte) (reply *dispatch.Reply, misdirected bool, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+CallPath, bytes.NewReader(body))
 	if err != nil {
-		return nil, false, Error.Wrap(err)
+		return nil, true, Error.Wrap(err) // nothing was sent
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, !dialFailed(err), Error.Wrap(err)
+		return nil, false, Error.Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBodyBytes))
-		return nil, false, Error.New("%s does not lead", target)
+		return nil, true, Error.New("%s does not lead", target)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, true, Error.New("%s answered with HTTP status %d", target, resp.StatusCode)
+		return nil, false, Error.New("%s answered with HTTP status %d", target, resp.StatusCode)
 	}
 	reply = &dispatch.Reply{}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(reply); err != nil {
-		return nil, true, Error.Wrap(err)
+		return nil, false, Error.Wrap(err)
 	}
 	return reply, false, nil
 }
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -25,6 +25,8 @@
 	reply atomic.Pointer[dispatch.Reply]
 	// drop aborts the connection of calls after they were received.
 	drop atomic.Bool
+	// reads makes it answer calls also if it doesn't lead, as a follower answers reads.
+	reads atomic.Bool
 	// hang blocks calls until the channel is closed.
 	hang atomic.Pointer[chan struct{}]
 }
@@ -45,7 +47,7 @@
 		switch {
 		case i.drop.Load():
 			panic(http.ErrAbortHandler)
-		case !i.status.Load().Leads:
+		case !i.status.Load().Leads && !i.reads.Load():
 			w.WriteHeader(http.StatusMisdirectedRequest)
 		case i.reply.Load() != nil:
 			_ = json.NewEncoder(w).Encode(i.reply.Load())
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -97,6 +97,7 @@
 	j := &Job{Submission: *s, State: Queued, AcceptedMS: l.ClockMS, Occurrences: make(map[int]*Occurrence), Work: s.estimatedWork()}
 	l.Jobs[s.ID] = j
 	l.open[s.ID], l.waiting[s.ID] = j, j
+	l.unstarted[s.Queue]++
 	return Accepted
 }
 
@@ -117,6 +118,9 @@
 
 // finish moves a job to a final state. Its steps and occurrences are kept while it has live runs.
 func (l *Ledger) finish(j *Job, s JobState) {
+	if !j.Started {
+		l.unstarted[j.Queue]--
+	}
 	j.State, j.FinishedMS = s, l.ClockMS
 	delete(l.waiting, j.ID)
 	l.finished = append(l.finished, j.ID)
@@ -255,6 +259,7 @@
 func (l *Ledger) markStarted(j *Job) {
 	if !j.Started && !j.State.Final() {
 		j.Started, j.FirstStartMS, j.State = true, l.ClockMS, Running
+		l.unstarted[j.Queue]--
 	}
 }
 
--- a/internal/request/ledger/encode_test.go
+++ b/internal/request/ledger/encode_test.go
@@ -60,3 +60,29 @@
 	must.EqOp(t, Cancelled, l.Job("c").State)
 	must.EqOp(t, FormatLists, l.Format)
 }
+
+// Guards against a data folder of the former version that can't be read: entries with single parts, and a snapshot without the
+// fields that were added since.
+func TestFormerEntriesAndSnapshotsAreRead(t *testing.T) {
+	l := newLedger(t)
+	for _, entry := range []string{
+		`{"NowMS":1000,"Submit":{"ID":"j","Queue":"checks","Team":"lab","Spec":"s","Steps":[{"Count":2,"Need":{"CPU":1}}]}}`,
+		`{"NowMS":1100,"Starts":[{"Task":"j.0.0.1","Run":1,"Worker":"w","Born":3}]}`,
+		`{"NowMS":1200,"Begun":["j"],"Ends":[{"Task":"j.0.0.1","Run":1,"Worker":"w","How":"done"}]}`,
+		`{"NowMS":1300,"Cancel":"other"}`,
+	} {
+		var c Command
+		must.NoError(t, json.Unmarshal([]byte(entry), &c))
+		l.Apply(&c)
+	}
+	must.EqOp(t, Running, l.Job("j").State)
+	must.EqOp(t, 0, l.Unstarted("checks"))
+	must.EqOp(t, Cancelled, l.Job("other").State)
+	snapshot := `{"Jobs":{"j":{"ID":"j","Queue":"checks","Spec":"s","Steps":[{"Count":2,"Need":{"CPU":1}}],"State":"queued","AcceptedMS":1,` +
+		`"Live":1,"Runs":1,"Occurrences":{"0":{"Steps":[{"Tasks":[{},{"Phase":1,"Run":1,"Worker":"w"}],"Done":0}],"Done":0}}}},"ClockMS":5}`
+	must.NoError(t, l.Restore([]byte(snapshot)))
+	must.EqOp(t, 0, l.Format)
+	must.EqOp(t, 1, l.Unstarted("checks"))
+	must.EqOp(t, 1, l.Job("j").Occurrences[0].Steps[0].Waiting())
+	must.EqOp(t, Resources{CPU: 1}, l.Load("w"))
+}
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -63,6 +63,8 @@
 	open map[string]*Job
 	// waiting holds the jobs that aren't in a final state and have waiting tasks.
 	waiting map[string]*Job
+	// unstarted is the number of jobs that are neither started nor in a final state, by queue.
+	unstarted map[string]int
 	// lasting is the number of live runs of lasting tasks, by backend server.
 	lasting map[string]int
 	// liveRuns holds the live runs by backend server.
@@ -107,7 +109,7 @@
 	}
 	l.open = make(map[string]*Job)
 	l.waiting = make(map[string]*Job)
-	l.lasting = make(map[string]int)
+	l.unstarted, l.lasting = make(map[string]int), make(map[string]int)
 	l.liveRuns = make(map[string]map[TaskID]*Task)
 	l.usage = make(map[string]Resources)
 	l.load = make(map[string]Resources)
@@ -123,6 +125,9 @@
 			}
 			j.countWaiting()
 		}
+		if !j.State.Final() && !j.Started {
+			l.unstarted[j.Queue]++
+		}
 		if !j.State.Final() && j.hasWaiting() {
 			l.waiting[id] = j
 		}
@@ -196,6 +201,9 @@
 // caller must not change the map.
 func (l *Ledger) Waiting() map[string]*Job { return l.waiting }
 
+// Unstarted returns the number of jobs of a queue that are neither started nor in a final state.
+func (l *Ledger) Unstarted(queue string) int { return l.unstarted[queue] }
+
 // LastingOn returns the number of live runs of lasting tasks on a backend server.
 func (l *Ledger) LastingOn(server string) int { return l.lasting[server] }
 
--- a/internal/request/ledger/ledger_test.go
+++ b/internal/request/ledger/ledger_test.go
@@ -240,6 +240,7 @@
 		t.Helper()
 		for range 2 {
 			must.EqOp(t, waiting, l.Waiting()["j"] != nil)
+			must.EqOp(t, l.Unstarted("checks"), reload(t, l).Unstarted("checks"))
 			o := l.Job("j").Occurrences[0]
 			must.Eq(t, []int{first, second}, []int{o.Steps[0].Waiting(), o.Steps[1].Waiting()})
 			l = reload(t, l)
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -195,9 +195,6 @@
 		return nil
 	}
 	for _, j := range p.Ledger.Waiting() {
-		if j.State.Final() {
-			continue
-		}
 		q := index.Queue(j.Queue)
 		if q == nil || len(p.serversByPool[q.Pool]) == 0 {
 			continue
@@ -230,13 +227,14 @@
 
 // appendSteps appends a candidate for each runnable step of an occurrence whose tasks may fit on a server.
 func (p *planner) appendSteps(list []candidate, j *ledger.Job, occurrence int, pool string, slackFactor float64, baseObjectiveMS int64) []candidate {
+	largest := p.largest[pool]
 	var estimate workEstimate
 	estimated := false
 	for s := range j.Steps {
-		if !isRunnable(j, occurrence, s) {
+		if !p.exhaustive && !j.Steps[s].CapacityUse().FitsIn(largest) {
 			continue
 		}
-		if !p.exhaustive && !j.Steps[s].CapacityUse().FitsIn(p.largest[pool]) {
+		if !isRunnable(j, occurrence, s) {
 			continue
 		}
 		if !estimated {
--- a/test/measure/session/session.go
+++ b/test/measure/session/session.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
 
 	"laburnumrouter/internal/dispatch"
@@ -34,7 +35,7 @@
 	runTime       = 300 * time.Millisecond
 	warmUp        = time.Second
 	measured      = 8 * time.Second
-	waitingJobs   = 2000 // in the run with a backlog
+	waitingJobs   = 2000 // in the run with a backlog; a third run has five times as many
 	announceEvery = 1500 * time.Millisecond
 )
 
@@ -57,9 +58,9 @@
 	{"fake ends", "session.(*fakeServers).finish"},
 }
 
-// Run records the CPU time per task and job, by part, on a fleet with room and on one with a backlog of waiting jobs.
+// Run records the CPU time per task and job, by part, on a fleet with room and with two backlogs of waiting jobs.
 func Run(ctx context.Context, r *recorder.Recorder) error {
-	for _, waiting := range []int{0, waitingJobs} {
+	for _, waiting := range []int{0, waitingJobs, 5 * waitingJobs} {
 		if err := measure(ctx, r, waiting); err != nil {
 			return err
 		}
@@ -150,16 +151,12 @@
 	}
 	b.announceAll(ctx, 1)
 	tooLarge := []ledger.Step{{Count: 1, Need: ledger.Resources{CPU: 65_000, MemMB: 100}, EstimateMS: 300}}
-	failed := make(chan error, waiting)
+	var group errgroup.Group
+	group.SetLimit(100)
 	for i := range waiting {
-		go func() { failed <- b.submit(ctx, fmt.Sprint("waiting", i), tooLarge) }()
+		group.Go(func() error { return b.submit(ctx, fmt.Sprint("waiting", i), tooLarge) })
 	}
-	for range waiting {
-		if err := <-failed; err != nil {
-			return err
-		}
-	}
-	return nil
+	return group.Wait()
 }
 
 func (b *bench) announceAll(ctx context.Context, seq int64) {
