Planner: classes of waiting jobs; entries are decoded outside the engine's lock

Cause: a plan walked over every waiting job, also where no server of the pool had enough free for any of its tasks. Engine.Apply decoded entries of other leaders under the lock that reads and reports need. Change: the ledger indexes waiting jobs by queue and smallest need, rounded down to six significant bits; the planner skips classes that fit on no server. Entries are decoded before the lock is taken.

--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,13 @@
 	return r.fakeLog.ProposeLocal(ctx, command)
 }
 
+// recorded returns the commands after the first n.
+func (r *recordingLog) recorded(n int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.commands[n:])
+}
+
 // Guards against lists in the log while a member of an earlier version, which ignores them, may read it, and against an entry
 // for each submission afterwards. Replicas that decode the entries must hold the leader's state.
 func TestListsWaitForAllMembers(t *testing.T) {
@@ -58,7 +66,7 @@
 		must.NoError(t, err)
 		const jobs = 50
 		submit := func(prefix string) (entries int, all string) {
-			before := len(log.commands)
+			before := len(log.recorded(0))
 			var group sync.WaitGroup
 			for i := range jobs {
 				group.Go(func() {
@@ -72,7 +80,8 @@
 				})
 			}
 			group.Wait()
-			return len(log.commands) - before, strings.Join(log.commands[before:], "")
+			commands := log.recorded(before)
+			return len(commands), strings.Join(commands, "")
 		}
 		time.Sleep(3 * time.Second)
 		entries, all := submit("single")
@@ -88,7 +97,7 @@
 		cancel()
 		<-done
 		follower := NewEngine(hclog.NewNullLogger())
-		for i, command := range log.commands {
+		for i, command := range log.recorded(0) {
 			follower.Apply(uint64(i+1), []byte(command))
 		}
 		want, err := engine.Snapshot()
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -35,10 +35,7 @@
 // Apply implements replica.StateMachine. The result is nil for a command that this instance registered, which keeps its result,
 // and on an instance without a session.
 func (e *Engine) Apply(index uint64, data []byte) []byte {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if p := e.proposals[string(data)]; p != nil && p.result == nil {
-		p.result = e.applyLocked(p.command)
+	if e.applyProposal(data) {
 		return nil
 	}
 	c := &ledger.Command{}
@@ -47,6 +44,8 @@
 		e.log.Error("log entry can't be read and is skipped", "index", index, "error", err)
 		return nil
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	result := e.applyLocked(c)
 	if e.afterApply == nil {
 		return nil // only a session waits for results
@@ -58,6 +57,18 @@
 	return encoded
 }
 
+// applyProposal applies a command that this instance registered, and reports whether the data is one.
+func (e *Engine) applyProposal(data []byte) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.proposals[string(data)]
+	if p == nil || p.result != nil {
+		return false
+	}
+	p.result = e.applyLocked(p.command)
+	return true
+}
+
 func (e *Engine) applyLocked(c *ledger.Command) *ledger.Result {
 	result := e.ledger.Apply(c)
 	e.recordOrdersLocked(c)
--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -425,3 +426,28 @@
 	must.StrHasPrefix(t, name+nameSeparator, other)
 	must.False(t, founder)
 }
+
+// Guards against reads that only the leader answers, and against a format of the log that is never raised although all members
+// understand it.
+func TestFollowersAnswerReads(t *testing.T) {
+	c := newCluster(t, http.NotFoundHandler())
+	must.EqOp(t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: &accepted.Config{
+		Version: 1, Raw: []byte(`{"version":1}`),
+		Queues: []accepted.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 2, Open: true}},
+		Pools:  []accepted.Pool{{Name: "p", Guards: true}},
+	}}).Outcome)
+	c.submit("j")
+	for i := range founders {
+		c.waitUntil(func() bool {
+			body := strings.NewReader(`{"Op":"pending","Host":"h","Path":"/q/"}`)
+			resp, err := http.Post("http://"+c.peerAddress(i)+leader.CallPath, "application/json", body)
+			if err != nil {
+				return false
+			}
+			defer func() { _ = resp.Body.Close() }()
+			var reply dispatch.Reply
+			return resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(&reply) == nil && reply.Pending == 1
+		})
+	}
+	c.waitUntil(func() bool { return c.log.has("format of the log raised") })
+}
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -96,7 +96,8 @@
 	}
 	j := &Job{Submission: *s, State: Queued, AcceptedMS: l.ClockMS, Occurrences: make(map[int]*Occurrence), Work: s.estimatedWork()}
 	l.Jobs[s.ID] = j
-	l.open[s.ID], l.waiting[s.ID] = j, j
+	l.open[s.ID] = j
+	l.addWaiting(j)
 	l.unstarted[s.Queue]++
 	return Accepted
 }
@@ -122,7 +123,7 @@
 		l.unstarted[j.Queue]--
 	}
 	j.State, j.FinishedMS = s, l.ClockMS
-	delete(l.waiting, j.ID)
+	l.dropWaiting(j)
 	l.finished = append(l.finished, j.ID)
 	l.releaseFinished(j)
 }
@@ -242,7 +243,7 @@
 	j.Live++
 	j.Runs++
 	if !j.hasWaiting() {
-		delete(l.waiting, j.ID)
+		l.dropWaiting(j)
 	}
 	l.addLive(j, s.Task, t)
 }
@@ -291,7 +292,7 @@
 		l.taskFailed(j, e.Task, t)
 	}
 	if !j.State.Final() && j.hasWaiting() {
-		l.waiting[j.ID] = j
+		l.addWaiting(j)
 	}
 	l.releaseFinished(j)
 	return true
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/bits"
 
 	"laburnumrouter/internal/version/accepted"
 )
@@ -61,8 +62,8 @@
 	index *accepted.Index
 	// open holds the jobs that aren't in a final state, and those in a final state that still have live runs.
 	open map[string]*Job
-	// waiting holds the jobs that aren't in a final state and have waiting tasks.
-	waiting map[string]*Job
+	// waiting holds the jobs that aren't in a final state and have waiting tasks, by class.
+	waiting map[WaitingClass]map[string]*Job
 	// unstarted is the number of jobs that are neither started nor in a final state, by queue.
 	unstarted map[string]int
 	// lasting is the number of live runs of lasting tasks, by backend server.
@@ -108,7 +109,7 @@
 		l.index = accepted.NewIndex(l.Config)
 	}
 	l.open = make(map[string]*Job)
-	l.waiting = make(map[string]*Job)
+	l.waiting = make(map[WaitingClass]map[string]*Job)
 	l.unstarted, l.lasting = make(map[string]int), make(map[string]int)
 	l.liveRuns = make(map[string]map[TaskID]*Task)
 	l.usage = make(map[string]Resources)
@@ -129,7 +130,7 @@
 			l.unstarted[j.Queue]++
 		}
 		if !j.State.Final() && j.hasWaiting() {
-			l.waiting[id] = j
+			l.addWaiting(j)
 		}
 		l.eachLive(j, l.addLive)
 	}
@@ -197,9 +198,54 @@
 // must not change the map.
 func (l *Ledger) Open() map[string]*Job { return l.open }
 
-// Waiting returns the jobs that aren't in a final state and have waiting tasks, and all scheduled jobs that aren't in one. The
-// caller must not change the map.
-func (l *Ledger) Waiting() map[string]*Job { return l.waiting }
+// WaitingClass is a set of jobs of one queue whose tasks need similar amounts.
+type WaitingClass struct {
+	Queue string
+	// AtLeast is what each task of each job of the class needs at least: the smallest needs of a job's steps, rounded down to
+	// classBits significant bits.
+	AtLeast Resources
+}
+
+// classBits bounds the number of classes to 32 for each doubling of a need, and the rounding to 3%.
+const classBits = 6
+
+func (j *Job) waitingClass() WaitingClass {
+	if len(j.Steps) == 0 {
+		return WaitingClass{Queue: j.Queue} // Submission.Check refuses such a job, but the log might hold one
+	}
+	least := j.Steps[0].CapacityUse()
+	for i := range j.Steps {
+		need := j.Steps[i].CapacityUse()
+		least = Resources{min(least.CPU, need.CPU), min(least.MemMB, need.MemMB), min(least.GPU, need.GPU)}
+	}
+	return WaitingClass{Queue: j.Queue, AtLeast: Resources{roundDown(least.CPU), roundDown(least.MemMB), roundDown(least.GPU)}}
+}
+
+func roundDown(n int64) int64 {
+	shift := max(0, bits.Len64(uint64(n))-classBits)
+	return n >> shift << shift
+}
+
+func (l *Ledger) addWaiting(j *Job) {
+	class := j.waitingClass()
+	if l.waiting[class] == nil {
+		l.waiting[class] = make(map[string]*Job)
+	}
+	l.waiting[class][j.ID] = j
+}
+
+// dropWaiting drops a job whose steps are still there.
+func (l *Ledger) dropWaiting(j *Job) {
+	class := j.waitingClass()
+	delete(l.waiting[class], j.ID)
+	if len(l.waiting[class]) == 0 {
+		delete(l.waiting, class)
+	}
+}
+
+// Waiting returns the jobs that aren't in a final state and have waiting tasks, and all scheduled jobs that aren't in one, by
+// class. The caller must not change the maps.
+func (l *Ledger) Waiting() map[WaitingClass]map[string]*Job { return l.waiting }
 
 // Unstarted returns the number of jobs of a queue that are neither started nor in a final state.
 func (l *Ledger) Unstarted(queue string) int { return l.unstarted[queue] }
--- a/internal/request/ledger/ledger_test.go
+++ b/internal/request/ledger/ledger_test.go
@@ -239,7 +239,7 @@
 	check := func(waiting bool, first, second int) {
 		t.Helper()
 		for range 2 {
-			must.EqOp(t, waiting, l.Waiting()["j"] != nil)
+			must.EqOp(t, waiting, len(l.Waiting()) == 1)
 			must.EqOp(t, l.Unstarted("checks"), reload(t, l).Unstarted("checks"))
 			o := l.Job("j").Occurrences[0]
 			must.Eq(t, []int{first, second}, []int{o.Steps[0].Waiting(), o.Steps[1].Waiting()})
@@ -262,4 +262,9 @@
 	check(true, 0, 1)
 	must.True(t, end(l, task("j", 1, 1), 1, EndDone))
 	must.EqOp(t, 0, len(l.Waiting()))
+	l.Apply(&Command{Submit: &Submission{ID: "empty", Queue: "checks", Workspace: "lab"}}) // must not panic
+	for n := range int64(100_000) {
+		must.LessEq(t, n, roundDown(n))
+		must.Greater(t, n-n/32-1, roundDown(n))
+	}
 }
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -194,17 +194,19 @@
 	if index == nil {
 		return nil
 	}
-	for _, j := range p.Ledger.Waiting() {
-		q := index.Queue(j.Queue)
-		if q == nil || len(p.serversByPool[q.Pool]) == 0 {
+	for class, jobs := range p.Ledger.Waiting() {
+		q := index.Queue(class.Queue)
+		if q == nil || len(p.serversByPool[q.Pool]) == 0 || !p.exhaustive && !class.AtLeast.FitsIn(p.largest[q.Pool]) {
 			continue
 		}
-		if j.Times == 0 {
-			list = p.appendSteps(list, j, 0, q.Pool, q.SlackFactor, q.ObjectiveMS)
-			continue
-		}
-		for _, k := range p.dueOccurrences(j) {
-			list = p.appendSteps(list, j, k, q.Pool, q.SlackFactor, q.ObjectiveMS)
+		for _, j := range jobs {
+			if j.Times == 0 {
+				list = p.appendSteps(list, j, 0, q.Pool, q.SlackFactor, q.ObjectiveMS)
+				continue
+			}
+			for _, k := range p.dueOccurrences(j) {
+				list = p.appendSteps(list, j, k, q.Pool, q.SlackFactor, q.ObjectiveMS)
+			}
 		}
 	}
 	slices.SortFunc(list, compareCandidates)
