--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -43,6 +43,9 @@
 	MachineLease time.Duration
 	// DataCentres are the names of the data centres. If the list is empty, those of known servers are known.
 	DataCentres []string
+	// MemberFormat returns the newest format of commands (ledger.FormatLists) that all members of the log are known to
+	// understand; nil if that is unknown.
+	MemberFormat func(context.Context) int
 }
 
 // Dispatcher serves calls while its instance leads.
@@ -57,6 +60,8 @@
 	leaderLease   *leaderLease
 	machineLease  time.Duration
 	dataCentres   []string
+	memberFormat  func(context.Context) int
+	followerReads *followerReads
 	session       atomic.Pointer[session]
 }
 
@@ -65,7 +70,8 @@
 	return &Dispatcher{
 		name: o.Name, address: o.Address, engine: o.Engine, replica: o.Replica, servers: o.Servers, machines: o.Machines,
 		log: o.Log, stats: newStats(o.Scope), leaderLease: newLeaderLease(o.ElectionTime), machineLease: o.MachineLease,
-		dataCentres: o.DataCentres,
+		dataCentres:  o.DataCentres,
+		memberFormat: o.MemberFormat, followerReads: newFollowerReads(o.Engine, o.Replica, o.Scope),
 	}
 }
 
@@ -75,6 +81,7 @@
 // Run starts and ends sessions as this instance gains and loses leadership, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	go d.leaderLease.run(ctx, d.replica)
+	go d.followerReads.run(ctx)
 	ticker := time.NewTicker(leadershipCheckInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -43,6 +43,10 @@
 	proposeTimeout = 3 * time.Second
 	// minPlanInterval is the minimum time between plans, so that runs that end together are planned for together.
 	minPlanInterval = 4 * time.Millisecond
+	// planPauseFactor is how many times the duration of a plan passes before the next one. maxPlanPause bounds that: with
+	// plans at least 100 ms apart the score of a heavy day did not fall (docs/hard-load.md, section 1).
+	planPauseFactor = 4
+	maxPlanPause    = 50 * time.Millisecond
 	// maxPlanInterval is the maximum time between plans: due times, lapsed leases and trial runs on suspect servers that
 	// become due trigger no event.
 	maxPlanInterval = 100 * time.Millisecond
@@ -122,11 +126,19 @@
 	nextRefreshAt time.Duration
 	pools         pools.Planner // guarded by engine.mu
 	ends          *endQueue
-	wake          chan struct{}
-	ctx           context.Context
-	cancel        context.CancelFunc
-	goroutines    sync.WaitGroup
-	closed        atomic.Bool
+	batcher       *batcher
+	holdRate      holdRate // guarded by engine.mu
+	load          load
+	// planReadyAt is when the next plan may begin; used by the planner's goroutine only.
+	planReadyAt time.Duration
+	// memberFormat returns the newest format of commands that all members of the log are known to understand.
+	memberFormat func(context.Context) int
+	wake         chan struct{}
+	planTook     time.Duration // duration of the last plan; used by the planner's goroutine only
+	ctx          context.Context
+	cancel       context.CancelFunc
+	goroutines   sync.WaitGroup
+	closed       atomic.Bool
 }
 
 // runKey identifies a run.
@@ -151,7 +163,7 @@
 		loggedOutlooks: make(map[string]forecast.Outlook), machineDataCentre: make(map[string]string),
 		wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
-	s.ends = newEndQueue(s)
+	s.ends, s.batcher = newEndQueue(s), &batcher{session: s}
 	s.engine.mu.Lock()
 	now := boottime.Now()
 	for _, known := range s.engine.ledger.KnownServers() {
@@ -168,6 +180,10 @@
 	s.spawn(s.planLoop)
 	s.spawn(s.upkeepLoop)
 	s.spawn(s.poolLoop)
+	if d.memberFormat != nil {
+		s.memberFormat = d.memberFormat
+		s.spawn(s.raiseFormat)
+	}
 	s.log.Info("leadership begins")
 	return s
 }
@@ -213,18 +229,27 @@
 // propose commits a command and returns its result.
 func (s *session) propose(c *ledger.Command) (*ledger.Result, error) {
 	c.NowMS = time.Now().UnixMilli()
-	data, err := json.Marshal(c)
+	data, err := c.Encode()
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	local := s.engine.register(data, c)
 	ctx, cancel := context.WithTimeout(s.ctx, proposeTimeout)
 	defer cancel()
 	began := time.Now()
 	encoded, _, err := s.replica.ProposeLocal(ctx, data)
+	var kept *ledger.Result
+	if local != nil {
+		kept = s.engine.unregister(data, local)
+	}
 	if err != nil {
 		return nil, err
 	}
 	s.stats.commit.Record(time.Since(began))
+	s.stats.entries.Inc(1)
+	if kept != nil {
+		return kept, nil
+	}
 	result := &ledger.Result{}
 	if err := json.Unmarshal(encoded, result); err != nil {
 		return nil, replica.ErrOutcomeUnknown
@@ -234,6 +259,7 @@
 
 // notify wakes the planner.
 func (s *session) notify() {
+	s.load.planDue(boottime.Now())
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -246,17 +272,19 @@
 		delete(s.orders, runKey{e.Task, e.Run})
 		delete(s.sentPaces, runKey{e.Task, e.Run})
 	}
-	s.forgetRecordedLocked()
-	if c.Submit != nil && r.Submit == ledger.Accepted {
-		s.recordArrivalLocked(s.engine.ledger.Job(c.Submit.ID), c.NowMS)
-	}
+	s.forgetRecordedLocked(c, r)
+	c.EachSubmit(r, func(submitted *ledger.Submission, verdict ledger.Verdict) {
+		if verdict == ledger.Accepted {
+			s.recordArrivalLocked(s.engine.ledger.Job(submitted.ID), c.NowMS)
+		}
+	})
 	for _, st := range r.Started {
 		if s.orders[runKey{st.Task, st.Run}] == nil {
 			// The commit took longer than proposeTimeout; no order was sent.
 			s.ensureHoldLoopLocked(st.Worker)
 		}
 	}
-	if c.Cancel != "" || len(r.Ended) > 0 {
+	if c.Cancel != "" || len(c.Cancels) > 0 || len(r.Ended) > 0 {
 		s.jobsFinishedLocked(c, r)
 	}
 	s.notify()
@@ -268,6 +296,9 @@
 	if c.Cancel != "" {
 		ids[c.Cancel] = true
 	}
+	for _, id := range c.Cancels {
+		ids[id] = true
+	}
 	for _, e := range r.Ended {
 		ids[e.Task.Job] = true
 	}
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -18,6 +18,8 @@
 	// planned before the evacuation of the server's data centre and not ordered.
 	evacuatedDataCentres   tally.Gauge
 	startsDroppedEvacuated tally.Counter
+	entries                tally.Counter
+	planDelay              tally.Timer
 	scope                  tally.Scope
 }
 
@@ -28,7 +30,7 @@
 	timer := func(name string) tally.Timer { return timerOf(scope.Histogram(name, latencyBuckets)) }
 	return &stats{
 		commit: timer("commit_latency"), order: timer("order_latency"), plan: timer("plan_latency"), call: timer("call_latency"),
-		refused: scope.Counter("orders_refused"), machineCalls: scope.Counter("machine_calls"), scope: scope,
+		refused: scope.Counter("orders_refused"), machineCalls: scope.Counter("machine_calls"), entries: scope.Counter("log_entries"), planDelay: timer("plan_delay"), scope: scope,
 		evacuatedDataCentres: scope.Gauge("evacuated_data_centres"), startsDroppedEvacuated: scope.Counter("starts_dropped_evacuated"),
 	}
 }
--- a/internal/dispatch/virtual_log_test.go
+++ b/internal/dispatch/virtual_log_test.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"laburnumrouter/internal/process/replica"
+	"laburnumrouter/internal/request/ledger"
 )
 
 // simInstance is a simulated control instance.
@@ -41,7 +42,8 @@
 	i.d = New(Options{
 		Name: fmt.Sprint("c", i.index), Address: fmt.Sprint("c", i.index), Engine: i.engine, Replica: i, Servers: &simCalls{i}, Machines: i.w.machines,
 		Log: i.w.logger, Scope: tally.NoopScope, ElectionTime: electionTimeout, MachineLease: 3 * time.Second,
-		DataCentres: []string{"dc0", "dc1", "dc2"},
+		DataCentres:  []string{"dc0", "dc1", "dc2"},
+		MemberFormat: func(context.Context) int { return ledger.FormatLists },
 	})
 	d := i.d
 	ctx, cancel := context.WithCancel(i.w.ctx)
@@ -100,6 +102,9 @@
 	if ok {
 		i.w.noElectionBefore = max(i.w.noElectionBefore, asked+electionTimeout)
 		i.w.catchUpLocked(i)
+	} else if l := i.w.leader; l >= 0 && i.believedTerm == 0 && i.up && !i.partitioned && i.w.instances[l].leadsLocked() {
+		ok = true // a follower asks the leader
+		i.w.catchUpLocked(i)
 	}
 	i.w.mu.Unlock()
 	if ok {
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -28,6 +28,8 @@
 	newestOrder atomic.Int64
 	// drop aborts the connection of calls after they were received.
 	drop atomic.Bool
+	// reads makes it answer calls also if it doesn't lead, as a follower answers reads.
+	reads atomic.Bool
 	// hang blocks calls until the channel is closed.
 	hang atomic.Pointer[chan struct{}]
 }
@@ -50,7 +52,7 @@
 		switch {
 		case i.drop.Load():
 			panic(http.ErrAbortHandler)
-		case !i.status.Load().Leads:
+		case !i.status.Load().Leads && !i.reads.Load():
 			w.WriteHeader(http.StatusMisdirectedRequest)
 		case i.newestOrder.Load() != 0 && c.Evacuation.After != i.newestOrder.Load():
 			_ = json.NewEncoder(w).Encode(&dispatch.Reply{Outcome: dispatch.Unavailable, NewestOrder: i.newestOrder.Load()})
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -18,12 +18,19 @@
 	if c.Submit != nil {
 		r.Submit = l.applySubmit(c.Submit)
 	}
+	for _, s := range c.Submits {
+		r.Submits = append(r.Submits, l.applySubmit(s))
+	}
 	if c.Cancel != "" {
 		r.Cancel = l.applyCancel(c.Cancel)
 	}
+	for _, id := range c.Cancels {
+		r.Cancels = append(r.Cancels, l.applyCancel(id))
+	}
 	if c.Evacuation != nil {
 		r.Evacuation, r.EvacuationNumber = l.applyEvacuation(c.Evacuation)
 	}
+	l.Format = max(l.Format, c.Format)
 	l.applyBegun(c.Begun)
 	for _, e := range c.Ends {
 		if l.applyEnd(e) {
@@ -97,6 +104,8 @@
 	j := &Job{Submission: *s, State: Queued, AcceptedMS: l.ClockMS, Occurrences: make(map[int]*Occurrence), Work: s.estimatedWork()}
 	l.Jobs[s.ID] = j
 	l.open[s.ID] = j
+	l.addWaiting(j)
+	l.unstarted[s.Queue]++
 	return Accepted
 }
 
@@ -117,7 +126,11 @@
 
 // finish moves a job to a final state. Its steps and occurrences are kept while it has live runs.
 func (l *Ledger) finish(j *Job, s JobState) {
+	if !j.Started {
+		l.unstarted[j.Queue]--
+	}
 	j.State, j.FinishedMS = s, l.ClockMS
+	l.dropWaiting(j)
 	l.finished = append(l.finished, j.ID)
 	l.releaseFinished(j)
 }
@@ -224,6 +237,7 @@
 	o := &Occurrence{Steps: make([]StepRecord, len(j.Steps))}
 	for i := range j.Steps {
 		o.Steps[i].Tasks = make([]Task, j.Steps[i].Count)
+		o.Steps[i].waiting = j.Steps[i].Count
 	}
 	return o
 }
@@ -234,9 +248,13 @@
 		j.Occurrences[s.Task.Occurrence] = newOccurrence(j)
 	}
 	t := j.task(s.Task)
-	t.Phase, t.Run, t.Worker, t.Born, t.OrderedMS = Live, s.Run, s.Worker, s.Born, l.ClockMS
+	j.Occurrences[s.Task.Occurrence].Steps[s.Task.Step].setPhase(t, Live)
+	t.Run, t.Worker, t.Born, t.OrderedMS = s.Run, s.Worker, s.Born, l.ClockMS
 	j.Live++
 	j.Runs++
+	if !j.hasWaiting() {
+		l.dropWaiting(j)
+	}
 	l.addLive(j, s.Task, t)
 }
 
@@ -252,6 +270,7 @@
 func (l *Ledger) markStarted(j *Job) {
 	if !j.Started && !j.State.Final() {
 		j.Started, j.FirstStartMS, j.State = true, l.ClockMS, Running
+		l.unstarted[j.Queue]--
 	}
 }
 
@@ -264,7 +283,8 @@
 	}
 	l.dropLive(j, e.Task, t)
 	j.Live--
-	t.Phase, t.EndedMS = Waiting, l.ClockMS
+	j.Occurrences[e.Task.Occurrence].Steps[e.Task.Step].setPhase(t, Waiting)
+	t.EndedMS = l.ClockMS
 	if e.Checkpoint != "" {
 		t.Checkpoint = e.Checkpoint
 	}
@@ -281,6 +301,9 @@
 	case e.How == EndFailed:
 		l.taskFailed(j, e.Task, t)
 	}
+	if !j.State.Final() && j.hasWaiting() {
+		l.addWaiting(j)
+	}
 	l.releaseFinished(j)
 	return true
 }
@@ -292,11 +315,11 @@
 	record := &o.Steps[id.Step]
 	if j.Steps[id.Step].Gang {
 		for i := range record.Tasks {
-			l.closeGangTask(j, TaskID{Job: j.ID, Occurrence: id.Occurrence, Step: id.Step, Index: i}, &record.Tasks[i])
+			l.closeGangTask(j, TaskID{Job: j.ID, Occurrence: id.Occurrence, Step: id.Step, Index: i}, record, &record.Tasks[i])
 		}
 		record.Done = len(record.Tasks)
 	} else {
-		j.task(id).Phase = Done
+		record.setPhase(j.task(id), Done)
 		record.Done++
 	}
 	if record.Done < len(record.Tasks) {
@@ -312,12 +335,12 @@
 	}
 }
 
-func (l *Ledger) closeGangTask(j *Job, id TaskID, t *Task) {
+func (l *Ledger) closeGangTask(j *Job, id TaskID, record *StepRecord, t *Task) {
 	if t.Phase == Live {
 		l.dropLive(j, id, t)
 		j.Live--
 	}
-	t.Phase = Done
+	record.setPhase(t, Done)
 }
 
 // taskFailed counts a failed run. The failures of a gang are counted together, in the record of its first task. A task
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "laburnumrouter/internal/version/accepted"
+import (
+	"reflect"
+
+	"laburnumrouter/internal/version/accepted"
+)
 
 // Command is one entry of the replicated log. Its parts are applied in the order of the fields.
 type Command struct {
@@ -8,9 +12,13 @@
 	NowMS  int64
 	Config *accepted.Config `json:",omitempty"`
 	Submit *Submission      `json:",omitempty"`
+	// Submits and Cancels hold several submissions and cancellations. Earlier versions ignore them, so they are used only
+	// from FormatLists on.
+	Submits []*Submission `json:",omitempty"`
 	// Cancel is the ID of a job to cancel. An unknown ID is recorded as cancelled, so that a submission that arrives after
 	// its cancellation doesn't run.
-	Cancel string `json:",omitempty"`
+	Cancel  string   `json:",omitempty"`
+	Cancels []string `json:",omitempty"`
 	// Evacuation takes a data centre out of service or restores it. It precedes Starts, so that it applies to those of the same
 	// command.
 	Evacuation *EvacuationOrder `json:",omitempty"`
@@ -33,6 +41,33 @@
 	By uint64 `json:",omitempty"`
 	// Sizes holds, by pool, the number of machines before any was moved. Only the first value of a pool is recorded.
 	Sizes map[string]int `json:",omitempty"`
+	// Format raises the format of later commands. It is committed once all members understand it.
+	Format int `json:",omitempty"`
+}
+
+// Formats of commands. Each includes the earlier ones; 0 is the first.
+const (
+	// FormatLists: commands may have Submits and Cancels.
+	FormatLists = 1
+)
+
+// OnlyJobs reports whether a command has no other parts than Submit, Cancel, their lists, Begun, Ends and Starts. Parts that
+// are added to Command later count as others.
+func (c *Command) OnlyJobs() bool {
+	rest := *c
+	rest.NowMS = 0
+	rest.Submit, rest.Submits, rest.Cancel, rest.Cancels, rest.Begun, rest.Ends, rest.Starts = nil, nil, "", nil, nil, nil, nil
+	return reflect.ValueOf(rest).IsZero()
+}
+
+// EachSubmit calls f for each submission with its verdict.
+func (c *Command) EachSubmit(r *Result, f func(*Submission, Verdict)) {
+	if c.Submit != nil {
+		f(c.Submit, r.Submit)
+	}
+	for i, s := range c.Submits {
+		f(s, r.Submits[i])
+	}
 }
 
 // EndCause is the way in which a run ended.
@@ -191,7 +226,10 @@
 	Config Verdict `json:",omitempty"`
 	Submit Verdict `json:",omitempty"`
 	Cancel Verdict `json:",omitempty"`
-	Wave   Verdict `json:",omitempty"`
+	// Submits and Cancels are the verdicts on the lists, in order.
+	Submits []Verdict `json:",omitempty"`
+	Cancels []Verdict `json:",omitempty"`
+	Wave    Verdict   `json:",omitempty"`
 	// Evacuation is the verdict on the order for a data centre. EvacuationNumber is the number of the newest order for it.
 	Evacuation       Verdict `json:",omitempty"`
 	EvacuationNumber int64   `json:",omitempty"`
--- a/internal/request/ledger/evacuation_test.go
+++ b/internal/request/ledger/evacuation_test.go
@@ -85,3 +85,10 @@
 	must.EqOp(t, Accepted, verdict)
 	must.True(t, l.Evacuated()["a"])
 }
+
+// An order for a data centre isn't merged with others into a command that holds parts of jobs only, where it would be lost.
+func TestOrderForDataCentreIsNoPartOfJobs(t *testing.T) {
+	must.True(t, (&Command{NowMS: 1, Cancel: "j", Begun: []string{"j"}, Ends: []End{{}}, Starts: []Start{{}}}).OnlyJobs())
+	must.False(t, (&Command{Cancel: "j", Evacuation: &EvacuationOrder{DataCentre: "dc1"}}).OnlyJobs())
+	must.False(t, (&Command{Left: []Incarnation{{ID: "s"}}}).OnlyJobs())
+}
