Reservations for stopped lasting tasks count for the step's spread

Cause: FreeCapacity reserved capacity and not the places that a step's spread allows on a server. Two tasks of a step could be stopped for one place; one of them then waited. Waves use the same function.

Change: reservations count for the spread, and tasks that have been stopped and wait have theirs before others are stopped.

--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -107,6 +107,7 @@
 	for _, id := range stopping {
 		free.ReserveElsewhere(id) // it needs that capacity as soon as it has ended
 	}
+	s.reserveForWaitingLocked(candidates, free)
 	for _, id := range candidates {
 		j, t := s.engine.ledger.Task(id)
 		if s.mayStopWithinLocked(id, max(1, j.Steps[id.Step].MayMiss)) && free.ReserveElsewhere(id) {
@@ -115,6 +116,23 @@
 	}
 }
 
+// reserveForWaitingLocked reserves capacity for the tasks of the candidates' steps that have been stopped and wait for their
+// next start.
+func (s *session) reserveForWaitingLocked(candidates []ledger.TaskID, free *schedule.FreeCapacity) {
+	done := make(map[ledger.TaskID]bool)
+	for _, id := range candidates {
+		if id.Index = 0; done[id] {
+			continue
+		}
+		done[id] = true
+		for id.Index = range s.engine.ledger.Job(id.Job).Steps[id.Step].Count {
+			if _, t := s.engine.ledger.Task(id); t.Phase == ledger.Waiting {
+				free.ReserveElsewhere(id)
+			}
+		}
+	}
+}
+
 // lastingInEvacuatedLocked returns the lasting tasks that run in evacuated data centres, in a fixed order: those that are
 // being stopped, and those that may be stopped. On a server that doesn't answer none may be: a stop could be carried out
 // much later, when other tasks of the step are away.
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -55,10 +55,16 @@
 
 // FreeCapacity reserves capacity on other servers for running tasks that are to be stopped. Each reservation reduces what
 // later calls find free.
-type FreeCapacity struct{ planner *planner }
+type FreeCapacity struct {
+	planner *planner
+	// reserved is the number of reservations by step, named by its task 0, and server. They count for the step's Spread.
+	reserved map[ledger.TaskID]map[string]int
+}
 
 // NewFreeCapacity returns the free capacity of the servers in the input.
-func NewFreeCapacity(in *Input) *FreeCapacity { return &FreeCapacity{newPlanner(in)} }
+func NewFreeCapacity(in *Input) *FreeCapacity {
+	return &FreeCapacity{planner: newPlanner(in), reserved: make(map[ledger.TaskID]map[string]int)}
+}
 
 // ReserveElsewhere reports whether another server has the capacity for a task and, if so, reserves it there.
 func (f *FreeCapacity) ReserveElsewhere(id ledger.TaskID) bool {
@@ -69,6 +75,11 @@
 	}
 	c := candidate{job: j, occurrence: id.Occurrence, step: id.Step, pool: q.Pool}
 	tasksOn := liveTasksByServer(c)
+	step := id
+	step.Index = 0
+	for server, n := range f.reserved[step] {
+		tasksOn[server] += n
+	}
 	// The task's own server must not be chosen. A spread limit excludes it here. Without one it may still be chosen; then the
 	// check below reports that no other server has the capacity, without trying the next best one.
 	tasksOn[t.Worker] = max(tasksOn[t.Worker], j.Steps[id.Step].Spread)
@@ -77,6 +88,10 @@
 		return false
 	}
 	target.free = target.free.Minus(j.Steps[id.Step].CapacityUse())
+	if f.reserved[step] == nil {
+		f.reserved[step] = make(map[string]int)
+	}
+	f.reserved[step][target.server.ID]++
 	return true
 }
 
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -200,6 +200,20 @@
 	must.Eq(t, map[string]int{"b": 1}, startsByServer(rerun))
 }
 
+// Guards against more tasks of a step that are stopped than can start again: reservations count for the step's spread.
+func TestReservationsStayWithinSpread(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", "p", nil)
+	f.server("b", "p", nil)
+	f.submit("j", ledger.Step{Count: 3, Lasting: true, Spread: 2})
+	for i, server := range []string{"a", "a", "b"} {
+		f.ledger.Apply(&ledger.Command{Starts: []ledger.Start{{Task: ledger.TaskID{Job: "j", Index: i}, Run: 1, Worker: server}}})
+	}
+	free := NewFreeCapacity(&Input{Now: f.now, Ledger: f.ledger, Fleet: f.fleet})
+	must.True(t, free.ReserveElsewhere(ledger.TaskID{Job: "j", Index: 0}))
+	must.False(t, free.ReserveElsewhere(ledger.TaskID{Job: "j", Index: 1}))
+}
+
 func TestPlanStaysWithinWorkspaceLimit(t *testing.T) {
 	f := newFixture(t)
 	f.server("a", "p", nil)
