Servers that are slow after their start get few starts

Change: a cold server, by its announcement or by cold_start_s of its service, gets starts at the rate that cold_per_s gives, with a burst, and otherwise one for each run that has lasted 1 s, growing with the elapsed part of its cold time. Among equals warm servers are preferred. Settings cold_overshoot and cold_slack. Nothing changes for servers that report 0 or nothing in deployments without cold_start_s.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/request/fleet"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/schedule"
 	"laburnumrouter/internal/version/accepted"
 )
 
@@ -43,6 +44,8 @@
 	MachineLease time.Duration
 	// DataCentres are the names of the data centres. If the list is empty, those of known servers are known.
 	DataCentres []string
+	// Cold bounds the starts on backend servers that are slow after their start.
+	Cold schedule.ColdSettings
 }
 
 // Dispatcher serves calls while its instance leads.
@@ -57,6 +60,7 @@
 	leaderLease   *leaderLease
 	machineLease  time.Duration
 	dataCentres   []string
+	cold          schedule.ColdSettings
 	session       atomic.Pointer[session]
 }
 
@@ -65,7 +69,7 @@
 	return &Dispatcher{
 		name: o.Name, address: o.Address, engine: o.Engine, replica: o.Replica, servers: o.Servers, machines: o.Machines,
 		log: o.Log, stats: newStats(o.Scope), leaderLease: newLeaderLease(o.ElectionTime), machineLease: o.MachineLease,
-		dataCentres: o.DataCentres,
+		dataCentres: o.DataCentres, cold: o.Cold,
 	}
 }
 
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -12,6 +12,7 @@
 
 	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/schedule"
 )
 
 // evacuationRig is a rig whose servers are in data centres.
@@ -25,6 +26,11 @@
 func newEvacuationRig(t *testing.T, m Machines, dataCentres ...string) *evacuationRig {
 	t.Helper()
 	f := newFakeServers()
+	for _, name := range dataCentres {
+		if name == "cold" {
+			f.coldLeftMS = 10_000
+		}
+	}
 	f.dataCentres, f.capacity = make(map[string]string), make(map[string]int64)
 	for i, name := range dataCentres {
 		id := string(rune('a' + i))
@@ -34,6 +40,7 @@
 	r := &evacuationRig{rig: &rig{t: t, engine: engine, log: &fakeLog{engine: engine}, servers: f}, scope: tally.NewTestScope("", nil)}
 	r.d = New(Options{
 		Name: "c1", Engine: engine, Replica: r.log, Servers: f, Machines: m, Log: hclog.NewNullLogger(), Scope: r.scope, ElectionTime: 1 << 40,
+		Cold: schedule.ColdSettings{Overshoot: 1.5, Slack: 5},
 	})
 	r.start()
 	return r
@@ -278,3 +285,22 @@
 		must.EqOp(t, OK, newEvacuationRig(t, nil).do(&Call{Op: OpEvacuate, RequestID: "1", Evacuation: &ledger.EvacuationOrder{DataCentre: "any"}}).Outcome)
 	})
 }
+
+// Guards against a cold server that gets its burst of starts anew with each plan.
+func TestColdServerGetsStartsAtItsRate(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r := newEvacuationRig(t, nil, "cold")
+		config := rigConfig()
+		config.Version, config.Pools[0].ColdPerS = 2, 2
+		must.EqOp(t, OK, r.do(&Call{Op: OpPutConfig, Config: config}).Outcome)
+		for i := range 30 {
+			r.submit(fmt.Sprint("j", i), ledger.Step{Count: 1, Need: ledger.Resources{CPU: 100}})
+		}
+		time.Sleep(100 * time.Millisecond)
+		for second := range 4 {
+			must.Between(t, 4+3*second, r.running("a"), 6+3*second) // 5 and 3 a second, by the time of the first start
+			must.StrContains(t, r.explain("j29").Steps[0].Waits, "1 of them get few starts")
+			time.Sleep(time.Second)
+		}
+	})
+}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -122,6 +122,7 @@
 	// dataCentres and capacity are what the servers announce; the default capacity is 8000 millicores.
 	dataCentres map[string]string
 	capacity    map[string]int64
+	coldLeftMS  int64 // announced by all servers
 }
 
 func newFakeServers(ids ...string) *fakeServers {
@@ -385,7 +386,7 @@
 func (r *rig) serverOf(id string, seq int64) *ledger.Server {
 	return &ledger.Server{
 		ID: id, Pool: "p", Address: id, Capacity: ledger.Resources{CPU: cmp.Or(r.servers.capacity[id], 8000), MemMB: 8000}, Born: 1, Seq: seq,
-		ClockMS: r.servers.clock(), DataCentre: r.servers.dataCentres[id],
+		ClockMS: r.servers.clock(), DataCentre: r.servers.dataCentres[id], ColdLeftMS: r.servers.coldLeftMS,
 	}
 }
 
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -90,12 +90,17 @@
 	now := boottime.Now()
 	s.evacuateLocked(now)
 	began := time.Now()
-	starts := schedule.Plan(s.planInputLocked())
+	in := s.planInputLocked()
+	starts := schedule.Plan(in)
 	s.stats.plan.Record(time.Since(began))
 	for _, st := range starts {
 		s.orders[runKey{st.Task, st.Run}] = &order{state: orderPlanned, since: now}
 		s.planned[st.Worker]++
-		if server := s.fleet.Get(st.Worker); server.Health.Suspect() {
+		server := s.fleet.Get(st.Worker)
+		if limit, limited := in.ColdLimit(server); limited {
+			server.TakeColdStart(now, limit)
+		}
+		if server.Health.Suspect() {
 			server.Health.BeginTrial(now)
 			s.log.Info("trial run on a suspect server", "server", st.Worker, "task", st.Task, "run", st.Run)
 		}
@@ -107,7 +112,7 @@
 func (s *session) planInputLocked() *schedule.Input {
 	return &schedule.Input{
 		Now: boottime.Now(), WallMS: time.Now().UnixMilli(), Ledger: s.engine.ledger, Fleet: s.fleet, Reserved: s.reserved, Due: s.dueServers,
-		Evacuated: s.engine.ledger.Evacuated(),
+		Evacuated: s.engine.ledger.Evacuated(), Cold: s.cold,
 	}
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -17,6 +17,7 @@
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/request/pacing"
 	"laburnumrouter/internal/request/pools"
+	"laburnumrouter/internal/request/schedule"
 )
 
 // Log is the part of the replicated log that a session uses.
@@ -69,6 +70,7 @@
 	machineLease time.Duration
 	// dataCentres are the names of the data centres in the settings.
 	dataCentres []string
+	cold        schedule.ColdSettings
 
 	// Guarded by engine.mu.
 	fleet     *fleet.Table
@@ -139,7 +141,7 @@
 	s := &session{
 		engine: d.engine, log: d.log.With("term", term), replica: d.replica, servers: d.servers, machines: d.machines,
 		leaderLease: d.leaderLease, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
-		startedAt: boottime.Now(), machineLease: d.machineLease, dataCentres: d.dataCentres,
+		startedAt: boottime.Now(), machineLease: d.machineLease, dataCentres: d.dataCentres, cold: d.cold,
 		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(begunJobs), pendingLoggedAt: make(map[string]time.Duration),
 		reserved: make(map[string]bool), sentPaces: make(map[runKey]sentPace), pacers: make(map[string]*pacing.Pacer),
 		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[upkeepKey]time.Duration),
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -21,6 +21,7 @@
 	"laburnumrouter/internal/process/journal"
 	"laburnumrouter/internal/process/metrics"
 	"laburnumrouter/internal/process/replica"
+	"laburnumrouter/internal/request/schedule"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 	"laburnumrouter/proto/laburnum/v1/laburnumv1connect"
 )
@@ -141,7 +142,7 @@
 	d = dispatch.New(dispatch.Options{
 		Name: s.Name, Address: s.Listen, Engine: engine, Replica: node, Servers: deps.Servers, Machines: deps.Machines,
 		Log: log.Named("dispatch"), Scope: registry.Scope(), ElectionTime: tickInterval * electionTicks,
-		MachineLease: s.MachineLease.Std(), DataCentres: s.DataCentres,
+		MachineLease: s.MachineLease.Std(), DataCentres: s.DataCentres, Cold: schedule.ColdSettings{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
 	})
 	c := &control{settings: s, log: log, node: node, dispatcher: d, metrics: registry, deps: deps}
 	c.client = leader.NewClient(seedPeers, d, log.Named("leader"))
--- a/internal/jobcontrol/settings.go
+++ b/internal/jobcontrol/settings.go
@@ -32,6 +32,10 @@
 	// DataCentres are the names of all data centres of the deployment, for the check of orders that evacuate one; empty if only
 	// those of known backend servers are to be checked.
 	DataCentres []string `toml:"data_centres"`
+	// ColdOvershoot and ColdSlack bound the starts on a backend server that is slow after its start: ColdOvershoot times what
+	// the configuration says that it carries per second, with a burst of ColdSlack. Defaults 1.5 and 5.
+	ColdOvershoot float64 `toml:"cold_overshoot"`
+	ColdSlack     float64 `toml:"cold_slack"`
 	// MachinesAddress is the address of the platform's machine interface, as IP:port; empty if there is none.
 	MachinesAddress string `toml:"machines"`
 	// MachineLease is how long a machine stays reserved for the leader that last sent it an order. Default 3s.
@@ -45,7 +49,7 @@
 
 // DefaultSettings returns settings with all defaults set.
 func DefaultSettings() *Settings {
-	return &Settings{Node: settings.DefaultNode(), Losses: 1, MachineLease: settings.Duration(defaultMachineLease)}
+	return &Settings{Node: settings.DefaultNode(), Losses: 1, MachineLease: settings.Duration(defaultMachineLease), ColdOvershoot: 1.5, ColdSlack: 5}
 }
 
 // Check implements settings.Checker.
@@ -75,6 +79,12 @@
 	if s.Losses < 0 {
 		f.Add("losses", "must not be negative")
 	}
+	if s.ColdOvershoot <= 0 {
+		f.Add("cold_overshoot", "must be positive")
+	}
+	if s.ColdSlack < 0 {
+		f.Add("cold_slack", "must not be negative")
+	}
 	if s.MachineLease <= 0 {
 		f.Add("machine_lease", "must be positive")
 	}
--- a/internal/request/fleet/fleet.go
+++ b/internal/request/fleet/fleet.go
@@ -41,6 +41,9 @@
 	// newest. Starts that go unanswered together are one failure.
 	unansweredStarts  int
 	startUnansweredAt time.Duration
+	// coldStarts is how many starts a cold server could get at coldStartsAt; 0 is before the first.
+	coldStarts   float64
+	coldStartsAt time.Duration
 	// Health tells whether runs on the server fail or are slow.
 	Health Health
 }
@@ -116,7 +119,8 @@
 // Adopt adds a server that has not announced itself to this leader: one from the log, or a new incarnation that
 // answered a hold call. It replaces any entry of the same ID.
 func (t *Table) Adopt(a ledger.Server, now time.Duration) {
-	a.Seq = 0 // so that any announcement is newer
+	a.Seq = 0         // so that any announcement is newer
+	a.ColdLeftMS = -1 // what was announced has changed since
 	s := &Server{Server: a, AnnouncedAt: now}
 	if a.Draining {
 		s.DrainingSince = now
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -102,6 +102,9 @@
 	// RemainingMS is the minimum time for which a draining server stays up, counted from its announcement; 0 if it announced
 	// none.
 	RemainingMS int64 `json:",omitempty"`
+	// ColdLeftMS is how much longer the server is slow after its start, counted from its announcement; negative if it doesn't
+	// report this.
+	ColdLeftMS int64 `json:",omitempty"`
 	// Born identifies the incarnation: its start time in milliseconds since 1970.
 	Born int64
 	// Seq increases with each announcement of an incarnation.
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -39,6 +39,8 @@
 	Due map[string]bool
 	// Evacuated is the set of data centres in which no task may start.
 	Evacuated map[string]bool
+	// Cold bounds the starts on servers that are slow after their start.
+	Cold ColdSettings
 }
 
 // Plan returns the starts to order now, the most urgent first.
@@ -88,6 +90,9 @@
 		return false
 	}
 	target.free = target.free.Minus(j.Steps[id.Step].CapacityUse())
+	if target.cold {
+		target.planned++
+	}
 	if f.reserved[step] == nil {
 		f.reserved[step] = make(map[string]int)
 	}
@@ -112,6 +117,12 @@
 	slow       bool
 	due        bool // its machine has an upkeep before it
 	planned    int  // starts in this plan
+	cold       bool // it is slow after its start
+	// coldStarts is how many starts a cold server may get in this plan. If coldGrows is set, it may also use its capacity but for
+	// coldWithheld.
+	coldStarts   int
+	coldGrows    bool
+	coldWithheld ledger.Resources
 }
 
 func newPlanner(in *Input) *planner {
@@ -131,6 +142,7 @@
 			}
 			r.trialOnly = true
 		}
+		in.limitCold(r)
 		p.serversByPool[s.Pool] = append(p.serversByPool[s.Pool], r)
 	}
 	for _, list := range p.serversByPool {
@@ -367,7 +379,7 @@
 		if step.Spread > 0 && tasksOn[r.server.ID] >= step.Spread {
 			continue
 		}
-		if r.trialOnly && r.planned > 0 {
+		if r.trialOnly && r.planned > 0 || !r.carries(step, 0, r.free) {
 			continue
 		}
 		if best == nil || preferable(step, r, best) {
@@ -379,7 +391,7 @@
 
 // preferable reports whether a is preferred to b. The criteria in order are: a server that isn't suspect, one that isn't
 // slow, the rack of the data, for lasting tasks one whose machine is not due for upkeep and then one that already runs
-// some, and the least free CPU, so that other servers stay empty for large tasks and for upkeep.
+// some, one that isn't cold, and the least free CPU, so that other servers stay empty for large tasks and for upkeep.
 func preferable(step *ledger.Step, a, b *serverState) bool {
 	if a.trialOnly != b.trialOnly {
 		return b.trialOnly
@@ -396,6 +408,9 @@
 	if step.Lasting && a.hasLasting != b.hasLasting {
 		return a.hasLasting
 	}
+	if a.cold != b.cold {
+		return b.cold
+	}
 	return a.free.CPU < b.free.CPU
 }
 
@@ -461,7 +476,7 @@
 		for _, r := range p.serversByPool[c.pool] {
 			fits := step.CapacityUse().FitsIn(r.free.Minus(allocated[r])) && (step.Label == "" || r.server.Has(step.Label))
 			withinSpread := step.Spread == 0 || tasksOn[r.server.ID] < step.Spread
-			if !fits || !withinSpread || r.trialOnly || !allow(r) {
+			if !fits || !withinSpread || r.trialOnly || !allow(r) || !r.carries(step, tasksOn[r.server.ID], r.free.Minus(allocated[r])) {
 				continue
 			}
 			if best == nil || preferable(step, r, best) {
--- a/internal/request/schedule/why.go
+++ b/internal/request/schedule/why.go
@@ -52,11 +52,14 @@
 // most free CPU.
 func (p *planner) explainNoCapacity(c candidate) string {
 	s := &c.job.Steps[c.step]
-	eligible := 0
+	eligible, cold := 0, 0
 	var mostFree ledger.Resources
 	for _, r := range p.serversByPool[c.pool] {
 		if s.Label == "" || r.server.Has(s.Label) {
 			eligible++
+			if r.cold {
+				cold++
+			}
 			if r.free.CPU > mostFree.CPU {
 				mostFree = r.free
 			}
@@ -65,6 +68,10 @@
 	if eligible == 0 {
 		return fmt.Sprintf("no usable backend server of pool %s has the label %q", c.pool, s.Label)
 	}
-	return fmt.Sprintf("no room in pool %s: %d usable backend servers, most free cpu %d, mem_mb %d; a task needs %d, %d",
-		c.pool, eligible, mostFree.CPU, mostFree.MemMB, s.CapacityUse().CPU, s.CapacityUse().MemMB) + explainEvacuated(p.Input)
+	reason := fmt.Sprintf("no room in pool %s: %d usable backend servers, most free cpu %d, mem_mb %d; a task needs %d, %d",
+		c.pool, eligible, mostFree.CPU, mostFree.MemMB, s.CapacityUse().CPU, s.CapacityUse().MemMB)
+	if cold > 0 {
+		reason += fmt.Sprintf("; %d of them get few starts because they have just started", cold)
+	}
+	return reason + explainEvacuated(p.Input)
 }
--- a/internal/version/accepted/config.go
+++ b/internal/version/accepted/config.go
@@ -60,6 +60,10 @@
 	Guards bool
 	// Standby marks the pool whose machines are powered off.
 	Standby bool
+	// ColdStartMS is how long a backend server is slow after its start, unless it reports this itself; 0 if it isn't.
+	ColdStartMS int64 `json:",omitempty"`
+	// ColdPerS is how many starts per second a server carries while it is slow; 0 if that isn't known.
+	ColdPerS float64 `json:",omitempty"`
 }
 
 // Workspace is a customer with its keys, its weight and its resource limits.
