--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/request/fleet"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/schedule"
 	"laburnumrouter/internal/version/accepted"
 )
 
@@ -46,6 +47,8 @@
 	// MemberFormat returns the newest format of commands (ledger.FormatLists) that all members of the log are known to
 	// understand; nil if that is unknown.
 	MemberFormat func(context.Context) int
+	// Cold bounds the starts on backend servers that are slow after their start.
+	Cold schedule.ColdSettings
 }
 
 // Dispatcher serves calls while its instance leads.
@@ -62,6 +65,7 @@
 	dataCentres   []string
 	memberFormat  func(context.Context) int
 	followerReads *followerReads
+	cold          schedule.ColdSettings
 	session       atomic.Pointer[session]
 }
 
@@ -70,7 +74,7 @@
 	return &Dispatcher{
 		name: o.Name, address: o.Address, engine: o.Engine, replica: o.Replica, servers: o.Servers, machines: o.Machines,
 		log: o.Log, stats: newStats(o.Scope), leaderLease: newLeaderLease(o.ElectionTime), machineLease: o.MachineLease,
-		dataCentres:  o.DataCentres,
+		dataCentres: o.DataCentres, cold: o.Cold,
 		memberFormat: o.MemberFormat, followerReads: newFollowerReads(o.Engine, o.Replica, o.Scope),
 	}
 }
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -100,13 +100,18 @@
 	s.stats.planDelay.Record(s.load.planBegins(now, s.planReadyAt))
 	s.evacuateLocked(now)
 	began := time.Now()
-	starts := schedule.Plan(s.planInputLocked())
+	in := s.planInputLocked()
+	starts := schedule.Plan(in)
 	s.planTook = time.Since(began)
 	s.stats.plan.Record(s.planTook)
 	for _, st := range starts {
 		s.orders[runKey{st.Task, st.Run}] = &order{state: orderPlanned, since: now}
 		s.planned[st.Worker]++
-		if server := s.fleet.Get(st.Worker); server.Health.Suspect() {
+		server := s.fleet.Get(st.Worker)
+		if limit, limited := in.ColdLimit(server); limited {
+			server.TakeColdStart(now, limit)
+		}
+		if server.Health.Suspect() {
 			server.Health.BeginTrial(now)
 			s.log.Info("trial run on a suspect server", "server", st.Worker, "task", st.Task, "run", st.Run)
 		}
@@ -118,7 +123,7 @@
 func (s *session) planInputLocked() *schedule.Input {
 	return &schedule.Input{
 		Now: boottime.Now(), WallMS: time.Now().UnixMilli(), Ledger: s.engine.ledger, Fleet: s.fleet, Reserved: s.reserved, Due: s.dueServers,
-		Evacuated: s.engine.ledger.Evacuated(),
+		Evacuated: s.engine.ledger.Evacuated(), Cold: s.cold,
 	}
 }
 
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -23,6 +23,7 @@
 	"laburnumrouter/internal/process/metrics"
 	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/schedule"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
 
@@ -154,7 +155,7 @@
 	d = dispatch.New(dispatch.Options{
 		Name: s.Name, Address: s.Listen, Engine: engine, Replica: node, Servers: servers, Machines: deps.Machines,
 		Log: log.Named("dispatch"), Scope: registry.Scope(), ElectionTime: tickInterval * electionTicks,
-		MachineLease: s.MachineLease.Std(), DataCentres: s.DataCentres,
+		MachineLease: s.MachineLease.Std(), DataCentres: s.DataCentres, Cold: schedule.ColdSettings{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
 		MemberFormat: func(ctx context.Context) int { return c.client.MemberFormat(ctx, c.memberAddresses()) },
 	})
 	c = &control{
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -39,6 +39,8 @@
 	Due map[string]bool
 	// Evacuated is the set of data centres in which no task may start.
 	Evacuated map[string]bool
+	// Cold bounds the starts on servers that are slow after their start.
+	Cold ColdSettings
 }
 
 // Plan returns the starts to order now, the most urgent first.
@@ -89,6 +91,9 @@
 		return false
 	}
 	target.free = target.free.Minus(j.Steps[id.Step].CapacityUse())
+	if target.cold {
+		target.planned++
+	}
 	if f.reserved[step] == nil {
 		f.reserved[step] = make(map[string]int)
 	}
@@ -130,6 +135,12 @@
 	slow       bool
 	due        bool // its machine has an upkeep before it
 	planned    int  // starts in this plan
+	cold       bool // it is slow after its start
+	// coldStarts is how many starts a cold server may get in this plan. If coldGrows is set, it may also use its capacity but for
+	// coldWithheld.
+	coldStarts   int
+	coldGrows    bool
+	coldWithheld ledger.Resources
 }
 
 func newPlanner(in *Input) *planner {
@@ -151,6 +162,7 @@
 			trialOnly: s.Health.Suspect(), slow: s.Health.Slow(in.Now), due: in.Due[id],
 		})
 		r := &states[len(states)-1]
+		in.limitCold(r)
 		p.serversByPool[s.Pool] = append(p.serversByPool[s.Pool], r)
 		most := p.largest[s.Pool]
 		p.largest[s.Pool] = ledger.Resources{CPU: max(most.CPU, r.free.CPU), MemMB: max(most.MemMB, r.free.MemMB), GPU: max(most.GPU, r.free.GPU)}
@@ -424,7 +436,7 @@
 		if step.Spread > 0 && tasksOn[r.server.ID] >= step.Spread {
 			continue
 		}
-		if r.trialOnly && r.planned > 0 {
+		if r.trialOnly && r.planned > 0 || !r.carries(step, 0, r.free) {
 			continue
 		}
 		if best == nil || preferable(step, r, best) {
@@ -436,7 +448,7 @@
 
 // preferable reports whether a is preferred to b. The criteria in order are: a server that isn't suspect, one that isn't
 // slow, the rack of the data, for lasting tasks one whose machine is not due for upkeep and then one that already runs
-// some, and the least free CPU, so that other servers stay empty for large tasks and for upkeep.
+// some, one that isn't cold, and the least free CPU, so that other servers stay empty for large tasks and for upkeep.
 func preferable(step *ledger.Step, a, b *serverState) bool {
 	if a.trialOnly != b.trialOnly {
 		return b.trialOnly
@@ -453,6 +465,9 @@
 	if step.Lasting && a.hasLasting != b.hasLasting {
 		return a.hasLasting
 	}
+	if a.cold != b.cold {
+		return b.cold
+	}
 	return a.free.CPU < b.free.CPU
 }
 
@@ -518,7 +533,7 @@
 		for _, r := range p.serversByPool[c.pool] {
 			fits := step.CapacityUse().FitsIn(r.free.Minus(allocated[r])) && (step.Label == "" || r.server.Has(step.Label))
 			withinSpread := step.Spread == 0 || tasksOn[r.server.ID] < step.Spread
-			if !fits || !withinSpread || r.trialOnly || !allow(r) {
+			if !fits || !withinSpread || r.trialOnly || !allow(r) || !r.carries(step, tasksOn[r.server.ID], r.free.Minus(allocated[r])) {
 				continue
 			}
 			if best == nil || preferable(step, r, best) {
