Replication: members that the quorum doesn't need get appends once per tick

The core measures response times with a time that its caller passes in; the own disk competes as well. A member of the quorum that leaves an append unanswered for two ticks makes the leader send everything at once to all for an election timeout, and the next selection leaves it out. A learner that is to be promoted is sent everything at once. Elections, heartbeats, reads and probes are unaffected.

--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -7,6 +7,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -118,6 +119,7 @@
 	last        uint64 // last index of the log that the write makes durable; 0 if it has no entries and no snapshot
 	truncations uint64 // log.truncations when the write was made
 	begunAt     uint64 // tick
+	begunTime   time.Duration
 }
 
 // Empty reports whether the write only carries messages that wait for earlier writes.
@@ -150,11 +152,14 @@
 	votes            map[string]bool
 	progress         map[string]*progress
 	heartbeatRound   uint64
-	sendsDue         bool   // Ready has to look for entries and commit indexes to send
-	commitDue        bool   // the next Ready sends the commit index also on a busy log
-	lastRound        uint64 // last index of the log when rounds was last increased
-	rounds           int    // number of Readys in this tick for which the log had grown
-	roundsLastTick   int    // that of the last whole tick
+	sendsDue         bool          // Ready has to look for entries and commit indexes to send
+	tickDue          bool          // a tick has passed since the last Ready: it also sends to paced members, and the commit index alone
+	lastRound        uint64        // last index of the log when rounds was last increased
+	rounds           int           // number of Readys in this tick for which the log had grown
+	roundsLastTick   int           // that of the last whole tick
+	allPromptUntil   uint64        // tick until which no member is paced
+	writeTime        time.Duration // average time of this replica's writes
+	time             time.Duration // see SetTime
 	transferee       string
 	transferStart    uint64
 	abdicating       bool // the leader steps down if the transfer fails
@@ -215,7 +220,7 @@
 	r := Ready{Snapshot: c.pendingSnapshot, Reads: c.readyReads}
 	w := &Write{
 		Snapshot: c.pendingSnapshot, Entries: c.log.unwrittenEntries(), Messages: c.afterWrite,
-		truncations: c.log.truncations, begunAt: c.now,
+		truncations: c.log.truncations, begunAt: c.now, begunTime: c.time,
 	}
 	if c.hardStateChanged() || len(w.Entries) > 0 || w.Snapshot != nil {
 		w.HardState = c.hardState()
@@ -257,6 +262,9 @@
 	for len(c.writes) > 0 {
 		done := c.writes[0]
 		c.writes = c.writes[1:]
+		if len(done.Entries) > 0 {
+			c.writeTime = smooth(c.writeTime, c.time-done.begunTime)
+		}
 		if done.HardState != nil {
 			c.durable = done.HardState
 		}
--- a/internal/process/replica/core/election.go
+++ b/internal/process/replica/core/election.go
@@ -133,7 +133,7 @@
 	c.role, c.leader = Leader, c.cfg.Name
 	c.votes, c.transferee, c.transferCampaign, c.abdicating = nil, "", false, false
 	c.heartbeatElapsed = 0
-	c.rounds, c.roundsLastTick, c.lastRound = 0, 0, c.log.last()
+	c.rounds, c.roundsLastTick, c.lastRound, c.allPromptUntil = 0, 0, c.log.last(), 0
 	c.reads = nil
 	c.progress = make(map[string]*progress)
 	c.syncProgress()
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
@@ -33,6 +34,14 @@
 	folderID        uint64   // data folder identifier in the member's last message; 0 if none came
 	sendingSnapshot *laburnumv1.SnapshotMeta
 	snapshotOffset  uint64 // offset of the next snapshot chunk to send
+
+	paced        bool          // appends are sent once per tick (see selectPaced)
+	inQuorum     bool          // the fastest quorum needs this member (see selectPaced)
+	promptUntil  uint64        // tick until which appends are sent at once even if paced is set
+	waitingSince uint64        // tick since which the oldest of inflight is unanswered
+	responseTime time.Duration // average time from an append to its answer; 0 if not measured
+	timedIndex   uint64        // the answer that covers this index is measured; 0 if none
+	timedSince   time.Duration // when the message up to timedIndex was sent
 }
 
 // active reports whether the member answered within the last window ticks.
@@ -82,7 +91,8 @@
 		}
 	}
 	c.roundsLastTick, c.rounds = c.rounds, 0
-	c.sendsDue, c.commitDue = true, true
+	c.sendsDue, c.tickDue = true, true
+	c.selectPaced()
 	c.heartbeatElapsed++
 	if c.heartbeatElapsed >= c.cfg.HeartbeatTicks {
 		c.broadcastHeartbeat()
@@ -121,7 +131,7 @@
 }
 
 // sendDueAppends sends what has come due since the last Ready: new entries to every member that is neither probed,
-// receiving a snapshot nor at its limit of unanswered messages, and the commit index to those that get none. All entries
+// receiving a snapshot nor at its limit of unanswered messages nor paced, and the commit index to those that get none. All entries
 // that were proposed since then are sent together.
 func (c *Core) sendDueAppends() {
 	if c.role != Leader || !c.sendsDue {
@@ -133,12 +143,12 @@
 	}
 	for _, name := range c.peers() {
 		p := c.progress[name]
-		for !p.probing && p.sendingSnapshot == nil && p.next <= c.log.last() && c.mayAppend(p) {
+		for !p.probing && p.sendingSnapshot == nil && p.next <= c.log.last() && c.mayAppend(p) && c.due(name, p) {
 			c.sendAppend(name)
 		}
 		c.sendCommitIndex(name)
 	}
-	c.sendsDue, c.commitDue = false, false
+	c.sendsDue, c.tickDue = false, false
 }
 
 // mayAppend reports whether the member's number of unanswered messages allows another one.
@@ -177,7 +187,7 @@
 	c.sendEntries(to, p.next-1, entries)
 	if !p.probing && len(entries) > 0 {
 		p.next += uint64(len(entries))
-		p.inflight = append(p.inflight, p.next-1)
+		c.recordSent(p)
 	}
 }
 
@@ -240,9 +250,7 @@
 		p.match = m.Index
 		c.maybeCommit()
 	}
-	for len(p.inflight) > 0 && p.inflight[0] <= p.match {
-		p.inflight = p.inflight[1:]
-	}
+	c.recordAnswered(p)
 	if p.sendingSnapshot != nil && p.match >= p.sendingSnapshot.Index {
 		p.sendingSnapshot = nil
 	}
@@ -267,7 +275,7 @@
 	if hint < c.log.baseIndex+1 && m.HintIndex < c.log.baseIndex {
 		hint = m.HintIndex
 	}
-	p.probing, p.inflight = true, nil
+	p.probing, p.inflight, p.timedIndex = true, nil, 0
 	p.next = max(p.match, min(hint, m.Index-1)) + 1
 	c.sendAppend(m.From)
 }
@@ -309,8 +317,7 @@
 // On a busy log it leaves this to the next append or tick, whichever is first.
 func (c *Core) sendCommitIndex(to string) {
 	p := c.progress[to]
-	busy := c.roundsLastTick >= busyRounds && !c.commitDue
-	if p.sendingSnapshot == nil && !p.probing && len(p.inflight) == 0 && p.sentCommit < c.log.commit && !busy {
+	if p.sendingSnapshot == nil && !p.probing && len(p.inflight) == 0 && p.sentCommit < c.log.commit && (!c.busy() || c.tickDue) {
 		c.sendEntries(to, p.next-1, nil)
 	}
 }
--- a/internal/process/replica/core/members.go
+++ b/internal/process/replica/core/members.go
@@ -121,6 +121,7 @@
 	}
 	p := c.progress[name]
 	if c.role == Leader && (p.folderID == 0 || p.match < c.log.commit || !p.active(c.now, c.cfg.ElectionTicks)) {
+		p.promptUntil = c.now + uint64(c.cfg.ElectionTicks) // a paced learner would rarely hold everything
 		return 0, 0, ErrNotCaughtUp
 	}
 	next := c.cloneMembers()
--- a/internal/process/replica/node.go
+++ b/internal/process/replica/node.go
@@ -111,6 +111,7 @@
 	stopped chan struct{} // closed when Run no longer takes calls
 
 	// The fields below are used by the goroutine of Run only.
+	started            time.Time
 	applied            uint64
 	snapshotIndex      uint64
 	bytesSinceSnapshot int
@@ -136,6 +137,7 @@
 		storage:         newStorage(j, opts.SerialCommits, opts.Log),
 		calls:           make(chan func(), callQueueSize),
 		stopped:         make(chan struct{}),
+		started:         time.Now(),
 		proposalWaiters: make(map[uint64]*proposalWaiter),
 		// Read ids start at a random number, so that a late answer to a read from before a restart matches none.
 		nextRead:     randomID(),
@@ -243,14 +245,17 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			n.setTime()
 			n.core.Tick()
 			if n.core.StorageLags() {
 				n.handOver("the disk of this instance lags behind the others'")
 			}
 		case call := <-n.calls:
+			n.setTime()
 			call()
 			n.drainCalls()
 		case result := <-n.storage.finished:
+			n.setTime()
 			if result.err != nil {
 				return n.finishWithoutStorage(ctx, ticker, result.err)
 			}
@@ -262,6 +267,9 @@
 	}
 }
 
+// setTime tells the core the time before it handles an event.
+func (n *Node) setTime() { n.core.SetTime(time.Since(n.started)) }
+
 // handOver lets this leader hand over to the best of the other replicas, if any is active.
 func (n *Node) handOver(reason string) {
 	successor := n.core.Successor()
