Replication: a member that doesn't answer is sent no further full messages

Cause: a lost follower with more than a full message of backlog was sent up to 32 full messages at once, of up to 32 MiB, and its backlog was summed up for each Ready.

Change: once an append is unanswered for two ticks, no other follows it until an answer or a rejection comes. Heartbeats notice losses as before.

go test -race of internal/process/replica, core and internal/jobcontrol pass.

--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -157,7 +157,8 @@
 	case n < maxInflight:
 		return true
 	case n < maxFullInflight:
-		return c.log.exceeds(p.next-1, c.cfg.MaxAppendBytes)
+		// A member that doesn't answer isn't catching up: more messages would only fill queues.
+		return !c.silent(p) && c.log.exceeds(p.next-1, c.cfg.MaxAppendBytes)
 	}
 	return false
 }
