Tests: one file for the leader's commits and one for its client; a null in a list is refused

Cause: the tests of batches and of overload each set up a dispatcher in virtual time. A null in a list of submissions, which no replica writes, would have stopped the process. Change: shared set-up; the ledger refuses a null.

--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"slices"
@@ -16,54 +17,151 @@
 	"github.com/uber-go/tally/v4"
 
 	"laburnumrouter/internal/process/boottime"
+	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/request/ledger"
 )
 
-// recordingLog records the commands of a fakeLog that takes 10 ms a commit.
-type recordingLog struct {
+// submissionCost is the time that a leader with a slowLog takes for a submission: it carries 250 a second.
+const submissionCost = 4 * time.Millisecond
+
+// slowLog is a log whose replica leads and works on one command at a time, for submissionCost for each submission in it.
+type slowLog struct {
 	*fakeLog
-	mu       sync.Mutex
-	commands []string
+	turn     chan struct{}
+	commands []string // those committed; guarded by turn
 }
 
-func (r *recordingLog) ProposeLocal(ctx context.Context, command []byte) ([]byte, uint64, error) {
-	time.Sleep(10 * time.Millisecond)
-	r.mu.Lock()
-	r.commands = append(r.commands, string(command))
-	r.mu.Unlock()
-	return r.fakeLog.ProposeLocal(ctx, command)
+func newSlowLog() *slowLog {
+	s := &slowLog{fakeLog: &fakeLog{engine: NewEngine(hclog.NewNullLogger())}, turn: make(chan struct{}, 1)}
+	s.lead(1)
+	return s
 }
 
 // recorded returns the commands after the first n.
-func (r *recordingLog) recorded(n int) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return slices.Clone(r.commands[n:])
+func (s *slowLog) recorded(n int) []string {
+	s.turn <- struct{}{}
+	defer func() { <-s.turn }()
+	return slices.Clone(s.commands[n:])
+}
+
+func (s *slowLog) ProposeLocal(ctx context.Context, command []byte) ([]byte, uint64, error) {
+	select {
+	case s.turn <- struct{}{}:
+	case <-ctx.Done():
+		return nil, 0, replica.ErrOutcomeUnknown
+	}
+	defer func() { <-s.turn }()
+	time.Sleep(time.Duration(bytes.Count(command, []byte(`"Spec"`))) * submissionCost)
+	s.commands = append(s.commands, string(command))
+	return s.fakeLog.ProposeLocal(ctx, command)
+}
+
+// leadInBubble runs a dispatcher without servers in virtual time until stop is called.
+func leadInBubble(t *testing.T, log *slowLog, format func(context.Context) int) (d *Dispatcher, stop func()) {
+	began := time.Now()
+	restore := boottime.SetTestClock(func() time.Duration { return time.Hour + time.Since(began) })
+	d = New(Options{
+		Engine: log.engine, Replica: log, Servers: newFakeServers(), Log: hclog.NewNullLogger(), Scope: tally.NoopScope,
+		ElectionTime: time.Hour, MemberFormat: format,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- d.Run(ctx) }()
+	time.Sleep(time.Second)
+	_, err := d.Do(ctx, &Call{Op: OpPutConfig, Config: rigConfig()})
+	must.NoError(t, err)
+	return d, func() {
+		cancel()
+		<-done
+		restore()
+	}
+}
+
+// Guards against a leader that accepts more than it can carry: each submission would then wait behind the others until its
+// caller has given up, and none would be of use.
+func TestGoodputDoesNotFallUnderOverload(t *testing.T) {
+	for _, lists := range []bool{false, true} {
+		t.Run(fmt.Sprint("lists ", lists), func(t *testing.T) {
+			carried, _ := goodput(t, 230, lists)
+			must.Greater(t, 0.99*230, carried)
+			atDouble, rejected := goodput(t, 460, lists)
+			must.GreaterEq(t, carried, atDouble, must.Sprint("rejected: ", rejected))
+			must.Greater(t, 150, rejected)
+		})
+	}
+}
+
+// goodput submits jobs at a rate for 20 s, and returns how many a second were accepted within the time that an entry waits, and
+// how many were rejected at once.
+func goodput(t *testing.T, perSecond int, lists bool) (good, rejected float64) {
+	const seconds, patience = 20, 900 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		log := newSlowLog()
+		d, stop := leadInBubble(t, log, nil)
+		if lists {
+			log.engine.ledger.Format = ledger.FormatLists
+		}
+		var accepted, refused atomic.Int64
+		for i := range seconds * perSecond {
+			time.Sleep(time.Second / time.Duration(perSecond))
+			go func() {
+				asked := time.Now()
+				reply, err := d.Do(context.Background(), &Call{Op: OpSubmit, Host: "h", Path: fmt.Sprint("/q/", i), Job: &ledger.Submission{Spec: "s", Steps: []ledger.Step{small}}})
+				switch took := time.Since(asked); {
+				case err == nil && reply.Outcome == OK && took < patience:
+					accepted.Add(1)
+				case err == nil && reply.Outcome == Overload && took == 0 && reply.RetryAfterMS >= 2000:
+					refused.Add(1)
+				}
+			}()
+		}
+		good, rejected = float64(accepted.Load())/seconds, float64(refused.Load())/seconds
+		time.Sleep(5 * time.Second)
+		stop()
+	})
+	return good, rejected
+}
+
+// Guards against rejections by a leader that isn't behind: few submissions that a slow commit delays, or a plan that waits only
+// for the pause between plans.
+func TestSlowCommitIsNoOverload(t *testing.T) {
+	l, second := &load{}, time.Second
+	backlogAt := func(now time.Duration) time.Duration {
+		w, backlog := l.admit(now)
+		if w != nil {
+			l.finish(w)
+		}
+		return backlog
+	}
+	for range minWaitingSubmissions - 1 {
+		l.admit(time.Hour)
+	}
+	must.EqOp(t, 0, backlogAt(time.Hour+5*second))
+	l.admit(time.Hour + 5*second)
+	must.EqOp(t, 5*second, backlogAt(time.Hour+5*second))
+	l = &load{}
+	l.planDue(time.Hour)
+	must.EqOp(t, 0, l.planBegins(time.Hour+second, time.Hour+second))
+	for n := range 2 { // one late plan is a pause of the process, two are a backlog
+		l.planDue(time.Hour)
+		must.EqOp(t, maxBacklog, l.planBegins(time.Hour+maxBacklog, time.Hour))
+		must.EqOp(t, time.Duration(n)*maxBacklog, backlogAt(time.Hour+maxBacklog))
+	}
+	l.planBegins(time.Hour, time.Hour)
+	l.planDue(time.Hour)
+	must.EqOp(t, 0, backlogAt(time.Hour+2*maxBacklog-1))
+	must.EqOp(t, maxBacklog, backlogAt(time.Hour+2*maxBacklog)) // no plan begins at all
+	must.EqOp(t, 2*second, overloadRetry(maxBacklog, 0))
+	must.EqOp(t, 9*second, overloadRetry(time.Minute, 1))
 }
 
 // Guards against lists in the log while a member of an earlier version, which ignores them, may read it, and against an entry
 // for each submission afterwards. Replicas that decode the entries must hold the leader's state.
 func TestListsWaitForAllMembers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		began := time.Now()
-		defer boottime.SetTestClock(func() time.Duration { return time.Hour + time.Since(began) })()
-		engine := NewEngine(hclog.NewNullLogger())
-		log := &recordingLog{fakeLog: &fakeLog{engine: engine}}
+		ctx, log := context.Background(), newSlowLog()
 		var format atomic.Int64
-		d := New(Options{
-			Engine: engine, Replica: log, Servers: newFakeServers(), Log: hclog.NewNullLogger(), Scope: tally.NoopScope, ElectionTime: time.Hour,
-			MemberFormat: func(context.Context) int { return int(format.Load()) },
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			_ = d.Run(ctx)
-		}()
-		log.lead(1)
-		time.Sleep(time.Second)
-		_, err := d.Do(ctx, &Call{Op: OpPutConfig, Config: rigConfig()})
-		must.NoError(t, err)
+		d, stop := leadInBubble(t, log, func(context.Context) int { return int(format.Load()) })
 		const jobs = 50
 		submit := func(prefix string) (entries int, all string) {
 			before := len(log.recorded(0))
@@ -94,17 +192,16 @@
 		must.Less(t, jobs, entries)
 		must.StrContains(t, all, `"Submits"`)
 		must.StrContains(t, all, `"Cancels"`)
-		cancel()
-		<-done
+		stop()
 		follower := NewEngine(hclog.NewNullLogger())
 		for i, command := range log.recorded(0) {
 			follower.Apply(uint64(i+1), []byte(command))
 		}
-		want, err := engine.Snapshot()
+		want, err := log.engine.Snapshot()
 		must.NoError(t, err)
 		got, err := follower.Snapshot()
 		must.NoError(t, err)
 		must.EqOp(t, string(want), string(got))
-		must.EqOp(t, 0, len(engine.proposals))
+		must.EqOp(t, 0, len(log.engine.proposals))
 	})
 }
--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -269,6 +269,16 @@
 	}})
 }
 
+// configure puts a configuration with one open queue in force.
+func (c *cluster) configure() {
+	c.t.Helper()
+	must.EqOp(c.t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: &accepted.Config{
+		Version: 1, Raw: []byte(`{"version":1}`),
+		Queues: []accepted.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 2, Open: true}},
+		Pools:  []accepted.Pool{{Name: "p", Guards: true}},
+	}}).Outcome)
+}
+
 func (c *cluster) submit(id string) {
 	c.t.Helper()
 	steps := []ledger.Step{{Count: 2, Need: ledger.Resources{CPU: 100}}, {Count: 1, Need: ledger.Resources{CPU: 100}, After: []int{0}}}
@@ -297,11 +307,7 @@
 // comes back without its data folder.
 func TestJobsSurviveStopsAndLossOfDataFolder(t *testing.T) {
 	c := newCluster(t, http.NotFoundHandler())
-	must.EqOp(t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: &accepted.Config{
-		Version: 1, Raw: []byte(`{"version":1}`),
-		Queues: []accepted.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 2, Open: true}},
-		Pools:  []accepted.Pool{{Name: "p", Guards: true}},
-	}}).Outcome)
+	c.configure()
 	c.announce()
 	c.submit("first")
 	c.waitUntil(func() bool { return c.completed("first") })
@@ -353,11 +359,7 @@
 // One disk after the other is full for a while: no acknowledged job is lost, and each instance rejoins.
 func TestInstancesRejoinAfterFullDisk(t *testing.T) {
 	c := newCluster(t, http.NotFoundHandler())
-	must.EqOp(t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: &accepted.Config{
-		Version: 1, Raw: []byte(`{"version":1}`),
-		Queues: []accepted.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 2, Open: true}},
-		Pools:  []accepted.Pool{{Name: "p", Guards: true}},
-	}}).Outcome)
+	c.configure()
 	for i := range founders {
 		c.disks[i].full.Store(true)
 		c.submit(fmt.Sprint("j", i))
@@ -431,11 +433,7 @@
 // understand it.
 func TestFollowersAnswerReads(t *testing.T) {
 	c := newCluster(t, http.NotFoundHandler())
-	must.EqOp(t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: &accepted.Config{
-		Version: 1, Raw: []byte(`{"version":1}`),
-		Queues: []accepted.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 2, Open: true}},
-		Pools:  []accepted.Pool{{Name: "p", Guards: true}},
-	}}).Outcome)
+	c.configure()
 	c.submit("j")
 	for i := range founders {
 		c.waitUntil(func() bool {
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -84,6 +84,9 @@
 // applySubmit accepts a job. Submission is idempotent: submitting a known ID again changes nothing and is accepted,
 // whatever the state of the recorded job.
 func (l *Ledger) applySubmit(s *Submission) Verdict {
+	if s == nil {
+		return NotConfigured // a null in a list; no replica writes one
+	}
 	if l.Jobs[s.ID] != nil {
 		return Accepted
 	}
--- a/internal/request/ledger/encode_test.go
+++ b/internal/request/ledger/encode_test.go
@@ -50,10 +50,10 @@
 		return &Submission{ID: id, Queue: queue, Workspace: "lab", Steps: []Step{{Count: 1}}}
 	}
 	r := l.Apply(&Command{
-		NowMS: 2000, Format: FormatLists, Submits: []*Submission{job("a", "checks"), job("b", "none"), job("a", "checks"), job("c", "other")},
+		NowMS: 2000, Format: FormatLists, Submits: []*Submission{job("a", "checks"), job("b", "none"), job("a", "checks"), job("c", "other"), nil},
 		Cancels: []string{"c", "d"},
 	})
-	must.Eq(t, []Verdict{Accepted, NotConfigured, Accepted, Accepted}, r.Submits)
+	must.Eq(t, []Verdict{Accepted, NotConfigured, Accepted, Accepted, NotConfigured}, r.Submits)
 	must.Eq(t, []Verdict{Accepted, Unknown}, r.Cancels)
 	l = reload(t, l)
 	must.EqOp(t, Queued, l.Job("a").State)
