Measure: latency of submissions and first starts beside the CPU time of the session

Cause: sharing log entries and pausing after plans trade latency for CPU time, which the measurement did not show.

--- a/test/measure/session/fakes.go
+++ b/test/measure/session/fakes.go
@@ -88,10 +88,12 @@
 	mu     sync.Mutex
 	starts int64
 	ends   int64
+	// firstStart holds when the first task of each job was started.
+	firstStart map[string]time.Time
 }
 
 func newFakeServers(ids []string) *fakeServers {
-	f := &fakeServers{byID: make(map[string]*fakeServer), startedAt: boottime.Now()}
+	f := &fakeServers{byID: make(map[string]*fakeServer), startedAt: boottime.Now(), firstStart: make(map[string]time.Time)}
 	for _, id := range ids {
 		f.byID[id] = &fakeServer{running: make(map[dispatch.RunningTask]bool), ended: make(chan struct{}, 1)}
 	}
@@ -115,6 +117,9 @@
 	s.mu.Unlock()
 	f.mu.Lock()
 	f.starts++
+	if _, started := f.firstStart[o.Task.Job]; !started {
+		f.firstStart[o.Task.Job] = time.Now()
+	}
 	f.mu.Unlock()
 	time.AfterFunc(runTime, func() { f.finish(s, run) })
 	return dispatch.StartAccepted, f.clock(), nil
--- a/test/measure/session/session.go
+++ b/test/measure/session/session.go
@@ -11,8 +11,10 @@
 	"os/exec"
 	"path/filepath"
 	"runtime/pprof"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -75,6 +77,15 @@
 	ids        []string
 	jobs       atomic.Int64
 	rejected   atomic.Int64
+
+	mu        sync.Mutex
+	submitted map[string]submission // those accepted, by job
+}
+
+// submission is when a job was submitted and how long the answer took.
+type submission struct {
+	at   time.Time
+	took time.Duration
 }
 
 func measure(ctx context.Context, r *recorder.Recorder, waiting int) error {
@@ -112,7 +123,7 @@
 }
 
 func newBench() *bench {
-	b := &bench{}
+	b := &bench{submitted: make(map[string]submission)}
 	for i := range serverCount {
 		b.ids = append(b.ids, fmt.Sprintf("s%03d", i))
 	}
@@ -206,11 +217,15 @@
 			{Count: second, Need: need, EstimateMS: runTime.Milliseconds(), After: []int{0}},
 		}
 		go func() {
-			if b.submit(ctx, fmt.Sprint("job", i), steps) != nil {
+			id, at := fmt.Sprint("job", i), time.Now()
+			if b.submit(ctx, id, steps) != nil {
 				b.rejected.Add(1)
 				return
 			}
 			b.jobs.Add(1)
+			b.mu.Lock()
+			b.submitted[id] = submission{at, time.Since(at)}
+			b.mu.Unlock()
 		}()
 	}
 }
@@ -245,6 +260,11 @@
 	add("submissions rejected", "1/s", float64(after.rejected-before.rejected)/measured.Seconds())
 	add("starts", "1/s", starts/measured.Seconds())
 	add("ends", "1/s", float64(after.ends-before.ends)/measured.Seconds())
+	answers, firstStarts := b.latencies()
+	add("submission to answer, median", "ms", percentile(answers, 50))
+	add("submission to answer, p99", "ms", percentile(answers, 99))
+	add("submission to first start, median", "ms", percentile(firstStarts, 50))
+	add("submission to first start, p99", "ms", percentile(firstStarts, 99))
 	add("log entries", "1/s", float64(after.entries-before.entries)/measured.Seconds())
 	add("log bytes per task", "B", float64(after.bytes-before.bytes)/starts)
 	for _, p := range parts {
@@ -252,6 +272,30 @@
 	}
 }
 
+// latencies returns the times from the submission of each started job to its answer and to its first start, sorted.
+func (b *bench) latencies() (answers, firstStarts []time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.servers.mu.Lock()
+	defer b.servers.mu.Unlock()
+	for id, s := range b.submitted {
+		if started, ok := b.servers.firstStart[id]; ok {
+			answers, firstStarts = append(answers, s.took), append(firstStarts, started.Sub(s.at))
+		}
+	}
+	slices.Sort(answers)
+	slices.Sort(firstStarts)
+	return answers, firstStarts
+}
+
+// percentile returns a percentile of sorted times in milliseconds.
+func percentile(sorted []time.Duration, p int) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return float64(sorted[(len(sorted)-1)*p/100].Microseconds()) / 1000
+}
+
 // cpuByPart returns the CPU time of each function of parts, including what it calls, from a CPU profile.
 func cpuByPart(profile []byte) (map[string]time.Duration, error) {
 	path := filepath.Join(os.TempDir(), fmt.Sprintf("laburnum-session-%d.pprof", os.Getpid()))
