Ends are acknowledged to a server once

Cause: each hold call repeated the number of the newest committed end. A server that restarts under its ID counts its ends anew; if it was called before its announcement was known, it forgot ends that it hadn't reported, and their tasks ran again (TWICE). Change: the number is sent until a call is answered, and 0 afterwards. An acknowledgement that is under way while the server restarts can still reach the new incarnation; the window is one call.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -253,3 +254,26 @@
 	r.until(func() bool { return len(f.runs("a")) == 2 })
 	must.EqOp(t, 2, len(f.starts))
 }
+
+// A server that restarts under its ID counts its ends anew. An acknowledgement that is repeated with each hold call would make
+// it forget ends that it hasn't reported, and their tasks would run again.
+func TestEndIsAcknowledgedOnce(t *testing.T) {
+	f := newFakeServers("a")
+	r := newRig(t, f)
+	r.submit("other", small)
+	r.submit("j", small)
+	r.until(func() bool { return len(f.runs("a")) == 2 })
+	f.finish("a", key("j", 0, 1), ledger.EndDone)
+	acknowledged := 0
+	r.until(func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		acknowledged = slices.IndexFunc(f.holds, func(o HoldOrder) bool { return o.AckedEnd == 1 })
+		return acknowledged >= 0 && len(f.holds) > acknowledged+1 // and the next call is under way
+	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, o := range f.holds[acknowledged+1:] {
+		must.Zero(t, o.AckedEnd)
+	}
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -89,7 +89,12 @@
 	if server.Born != h.born {
 		h.born, h.committedEnd, h.ackedEnd, h.contacted = server.Born, 0, 0, false
 	}
-	o := HoldOrder{Fence: s.holder.Fence, AckedEnd: h.committedEnd}
+	o := HoldOrder{Fence: s.holder.Fence}
+	if h.committedEnd > h.ackedEnd {
+		// Sent until a call is answered, and not again: a server that has restarted under its ID counts its ends anew and would
+		// forget ends that it hasn't reported.
+		o.AckedEnd = h.committedEnd
+	}
 	if !h.reportWanted {
 		o.WaitMS = h.holdWaitLocked().Milliseconds()
 	}
@@ -114,7 +119,7 @@
 	if err != nil {
 		return h.wasInterrupted() || h.handleFailure(err)
 	}
-	h.ackedEnd = o.AckedEnd
+	h.ackedEnd = max(h.ackedEnd, o.AckedEnd)
 	h.processReport(report, asked, heard)
 	return true
 }
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -78,7 +78,8 @@
 	Fence uint64
 	// DeadlineMS is when the lease ends on the server's clock; 0 leaves it unchanged.
 	DeadlineMS int64
-	// AckedEnd is the number of the newest committed end. The server may forget ends up to it.
+	// AckedEnd is the number of the newest committed end, or 0 if it was acknowledged before. The server may forget ends up to
+	// it.
 	AckedEnd int64
 	// WaitMS is how long the server may delay its answer until a run ends (long polling).
 	WaitMS int64
