Malformed messages and unexpected errors don't bring a process down

Cause: a start with an index out of range in a log entry ended every replica, and would have again at every restart. A submission whose numbers of tasks overflow passed the check and led there. A call of another process without the part that its operation needs ended in a nil pointer, for an announcement with the engine's lock held. A panic in a goroutine of the session ended the process.

Change: the ledger checks all numbers of a task before it uses them. If an entry panics all the same, the rest of it is skipped: it is committed, so replicas that stopped would stop again at each restart. A panic of the session's part in Apply is contained apart from that. Goroutines of the session contain panics, and loops go on after 1 s; sections that depend on messages unlock in a deferred call. Calls are checked for their parts, needs of tasks for overflow. At most 64 unknown runs are stopped after one report. A report whose newest end has a smaller number than an earlier one no longer loses ends.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -44,6 +44,21 @@
 	Wave *ledger.WaveOrder `json:",omitempty"`
 }
 
+// hasParts reports whether the call has the parts that its operation uses.
+func (c *Call) hasParts() bool {
+	switch c.Op {
+	case OpSubmit:
+		return c.Job != nil
+	case OpPutConfig:
+		return c.Config != nil
+	case OpAnnounce, OpLeave:
+		return c.Server != nil && c.Server.ID != ""
+	case OpStartWave, OpWaveState:
+		return c.Wave != nil
+	}
+	return true
+}
+
 // Outcome is the result of a Call.
 type Outcome string
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -188,6 +188,9 @@
 }
 
 func (s *session) handle(ctx context.Context, c *Call) (*Reply, error) {
+	if !c.hasParts() {
+		return &Reply{Outcome: Invalid, Reason: "the call lacks a part that its operation needs"}, nil
+	}
 	switch c.Op {
 	case OpSubmit:
 		return s.submit(c)
@@ -220,10 +223,26 @@
 // announce records what a backend server reports about itself. Changes that other replicas rely on are committed before
 // the reply.
 func (s *session) announce(c *Call) (*Reply, error) {
+	announced, mustCommit, left := s.recordAnnouncement(c)
+	if left {
+		return &Reply{Outcome: OK, Reason: "this incarnation has left"}, nil
+	}
+	if mustCommit {
+		if _, err := s.propose(&ledger.Command{Servers: []ledger.Server{announced}}); err != nil {
+			return nil, err
+		}
+		s.notify()
+	}
+	return &Reply{Outcome: OK}, nil
+}
+
+// recordAnnouncement updates the session by an announcement. It returns what the server announced last, whether that must be
+// committed, and whether the incarnation has left, so that the announcement has no effect.
+func (s *session) recordAnnouncement(c *Call) (announced ledger.Server, mustCommit, left bool) {
 	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
 	if s.engine.ledger.HasLeft(c.Server.ID, c.Server.Born) {
-		s.engine.mu.Unlock()
-		return &Reply{Outcome: OK, Reason: "this incarnation has left"}, nil
+		return ledger.Server{}, false, true
 	}
 	now := boottime.Now()
 	before := s.fleet.Get(c.Server.ID)
@@ -239,20 +258,13 @@
 		}
 	}
 	// An announcement that isn't newer may repeat one whose commit failed.
-	announced, mustCommit := s.uncommittedLocked(server)
+	announced, mustCommit = s.uncommittedLocked(server)
 	if change == fleet.Appeared || change == fleet.Leaving {
 		s.scheduleRefreshLocked(0)
 		s.log.Info("backend server announced", "server", announced.ID, "pool", announced.Pool, "address", announced.Address,
 			"data_centre", announced.DataCentre, "born", announced.Born, "draining", announced.Draining)
 	}
-	s.engine.mu.Unlock()
-	if mustCommit {
-		if _, err := s.propose(&ledger.Command{Servers: []ledger.Server{announced}}); err != nil {
-			return nil, err
-		}
-		s.notify()
-	}
-	return &Reply{Outcome: OK}, nil
+	return announced, mustCommit, false
 }
 
 // uncommittedLocked returns what a server announced last, and whether the log's state lacks a part that other replicas
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -40,11 +41,12 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	result := e.ledger.Apply(&c)
-	e.recordOrdersLocked(&c)
-	if e.afterApply != nil {
-		e.afterApply(&c, result)
+	result := e.applyLocked(index, &c)
+	if result == nil {
+		return nil
 	}
+	e.recordOrdersLocked(&c)
+	e.notifyLocked(index, &c, result)
 	encoded, err := json.Marshal(result)
 	if err != nil {
 		e.log.Error("result of a log entry can't be encoded", "index", index, "error", err)
@@ -52,6 +54,33 @@
 	return encoded
 }
 
+// applyLocked applies a command to the ledger. A panic skips the rest of the command, and the result is nil, so that its
+// proposer takes the outcome for unknown. The entry is committed: if replicas stopped instead, each would stop again at every
+// restart. Every replica breaks off at the same point, as the ledger is deterministic and iterates over lists only; what is
+// derived from its contents is rebuilt, as on a replica that restores a snapshot.
+func (e *Engine) applyLocked(index uint64, c *ledger.Command) (result *ledger.Result) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			e.log.Error("log entry can't be applied; the rest of it is skipped", "index", index, "cause", cause, "stack", string(debug.Stack()))
+			e.ledger.Reindex()
+			result = nil
+		}
+	}()
+	return e.ledger.Apply(c)
+}
+
+// notifyLocked calls afterApply. A panic there is a fault of this instance's session and doesn't concern the ledger.
+func (e *Engine) notifyLocked(index uint64, c *ledger.Command, result *ledger.Result) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			e.log.Error("session can't process a log entry", "index", index, "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
+	if e.afterApply != nil {
+		e.afterApply(c, result)
+	}
+}
+
 // recordOrdersLocked records the current time for each machine that a command moves or whose upkeep it changes.
 func (e *Engine) recordOrdersLocked(c *ledger.Command) {
 	now := boottime.Now()
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -23,6 +23,9 @@
 	// minHoldInterval is the minimum time between hold calls to one server, so that runs that end close together arrive
 	// in one report.
 	minHoldInterval = 15 * time.Millisecond
+	// maxStraysPerReport bounds how many runs that the ledger does not hold as live are stopped after one report. The next
+	// reports list the others again. A server runs a few dozen tasks.
+	maxStraysPerReport = 64
 	// maxServerLease is the longest lease that a server accepts (hold_max_ms). It shortens later deadlines to this.
 	maxServerLease = 10 * time.Second
 )
@@ -55,7 +58,7 @@
 		h.born, h.committedEnd, h.ackedEnd, h.contacted = server.Born, server.CommittedEnd, server.CommittedEnd, server.HoldAnswered
 	}
 	s.holdLoops[serverID] = h
-	s.spawn(h.run)
+	s.spawnLoop("hold", h.run)
 }
 
 // run repeats hold calls until none is needed.
@@ -71,20 +74,62 @@
 
 // holdOnce makes one hold call and reports whether another is needed.
 func (h *holdLoop) holdOnce() bool {
+	s := h.session
+	c := h.prepare()
+	defer c.cancel()
+	if c.next == holdEnds {
+		return false
+	}
+	if c.next == holdPauses || !s.mayOrder() {
+		return h.pause()
+	}
+	asked := boottime.Now()
+	report, err := s.servers.Hold(c.ctx, c.to, c.order)
+	heard := boottime.Now()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		return h.wasInterrupted() || h.handleFailure(err)
+	}
+	h.ackedEnd = c.order.AckedEnd
+	h.processReport(report, asked, heard)
+	return true
+}
+
+// holdStep is what a hold loop does next.
+type holdStep int
+
+// Next steps of a hold loop.
+const (
+	holdCalls holdStep = iota
+	holdPauses
+	holdEnds
+)
+
+// holdCall is a prepared hold call.
+type holdCall struct {
+	next   holdStep
+	to     Target
+	order  HoldOrder
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// prepare decides on the next step and prepares the call.
+func (h *holdLoop) prepare() holdCall {
 	s := h.session
 	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
 	if !h.neededLocked() {
 		delete(s.holdLoops, h.serverID)
-		s.engine.mu.Unlock()
-		return false
+		return holdCall{next: holdEnds, cancel: func() {}}
 	}
 	server := s.fleet.Get(h.serverID)
 	if server == nil || server.Left {
 		h.closeLapsedRunsLocked(server)
-		s.engine.mu.Unlock()
-		return h.pause()
+		return holdCall{next: holdPauses, cancel: func() {}}
 	}
-	to := Target{ID: h.serverID, Address: server.Address}
 	if server.Born != h.born {
 		h.born, h.committedEnd, h.ackedEnd, h.contacted = server.Born, 0, 0, false
 	}
@@ -98,24 +143,8 @@
 		o.DeadlineMS, _ = s.grantLeaseLocked(h.serverID)
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout+time.Duration(o.WaitMS)*time.Millisecond)
-	defer cancel()
 	h.cancel, h.interrupted = cancel, false
-	s.engine.mu.Unlock()
-	if !s.mayOrder() {
-		return h.pause()
-	}
-	asked := boottime.Now()
-	report, err := s.servers.Hold(ctx, to, o)
-	heard := boottime.Now()
-	if s.ctx.Err() != nil {
-		return false
-	}
-	if err != nil {
-		return h.wasInterrupted() || h.handleFailure(err)
-	}
-	h.ackedEnd = o.AckedEnd
-	h.processReport(report, asked, heard)
-	return true
+	return holdCall{to: Target{ID: h.serverID, Address: server.Address}, order: o, ctx: ctx, cancel: cancel}
 }
 
 // interruptHoldLocked aborts the current hold call to a server, so that the next one asks at once what became of an
@@ -257,12 +286,31 @@
 // processReport reconciles the ledger with a server's report.
 func (h *holdLoop) processReport(report *HoldReport, asked, heard time.Duration) {
 	s := h.session
+	server, ends, newest := h.reconcile(report, asked, heard)
+	if server == nil || newest <= h.committedEnd && len(ends) == 0 {
+		return
+	}
+	select {
+	case <-s.ends.add(ends...):
+	case <-s.ctx.Done():
+		return
+	}
+	h.committedEnd = max(h.committedEnd, newest)
 	s.engine.mu.Lock()
+	server.CommittedEnd = h.committedEnd
+	s.engine.mu.Unlock()
+}
+
+// reconcile updates the session by a report and returns the server, the ends to commit and the number of the newest end. The
+// server is nil if the report is of no use.
+func (h *holdLoop) reconcile(report *HoldReport, asked, heard time.Duration) (*fleet.Server, []ledger.End, int64) {
+	s := h.session
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
 	h.reportWanted = false
 	server := s.fleet.Get(h.serverID)
 	if server == nil || report.Born < server.Born {
-		s.engine.mu.Unlock()
-		return
+		return nil, nil, 0
 	}
 	if report.Born > server.Born {
 		next := server.Server
@@ -283,19 +331,7 @@
 	h.handleUnlistedRunsLocked(listed, asked)
 	s.updatePacesLocked(h.serverID, report, heard)
 	h.contacted, server.HoldAnswered = true, true
-	s.engine.mu.Unlock()
-	if newest <= h.committedEnd {
-		return
-	}
-	select {
-	case <-s.ends.add(ends...):
-	case <-s.ctx.Done():
-		return
-	}
-	h.committedEnd = newest
-	s.engine.mu.Lock()
-	server.CommittedEnd = newest
-	s.engine.mu.Unlock()
+	return server, ends, newest
 }
 
 // serverRestartedLocked handles a new incarnation under the ID of a known server. The runs of the earlier incarnation are
@@ -363,12 +399,15 @@
 // should not run.
 func (h *holdLoop) processRunningLocked(r *HoldReport, listed map[runKey]bool, asked time.Duration) {
 	s := h.session
+	strays := 0
 	for _, row := range r.Running {
 		key := runKey{row.Task, row.Run}
 		listed[key] = true
 		j, t := s.engine.ledger.Task(row.Task)
 		if t == nil || t.Phase != ledger.Live || t.Run != row.Run || t.Worker != h.serverID {
-			s.stopStrayLocked(h.serverID, row.Task, row.Run)
+			if strays++; strays <= maxStraysPerReport {
+				s.stopStrayLocked(h.serverID, row.Task, row.Run)
+			}
 			continue
 		}
 		o := s.orders[key]
@@ -408,6 +447,7 @@
 	if server == nil {
 		return
 	}
+	s.strayStops.Add(1)
 	s.log.Warn("stray run is stopped", "task", id, "run", run, "server", serverID)
 	to := Target{ID: serverID, Address: server.Address}
 	s.spawn(func() {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -46,10 +46,17 @@
 	reportedAt time.Duration
 }
 
+// errUnexpected is the cause that is logged for an order whose call panicked: it may have been sent.
+var errUnexpected = Error.New("unexpected error while the order was sent")
+
 // sendStarts sends the orders of committed starts.
 func (s *session) sendStarts(starts []ledger.Start) {
 	for _, st := range starts {
-		s.spawn(func() { s.sendStart(st) })
+		s.spawn(func() {
+			if s.contain("start", func() { s.sendStart(st) }) {
+				s.handleUnansweredStart(st, errUnexpected)
+			}
+		})
 	}
 }
 
@@ -208,7 +215,11 @@
 	s.log.Info("run is stopped", "task", id, "run", t.Run, "server", t.Worker, "reason", reason)
 	s.ensureHoldLoopLocked(t.Worker)
 	serverID, run := t.Worker, t.Run
-	s.spawn(func() { s.sendStop(serverID, id, run) })
+	s.spawn(func() {
+		if s.contain("stop", func() { s.sendStop(serverID, id, run) }) {
+			s.allowStop(id, run)
+		}
+	})
 }
 
 func (s *session) sendStop(serverID string, id ledger.TaskID, run int) {
@@ -222,10 +233,15 @@
 		case <-time.After(stopRetryDelay):
 		}
 	}
+	s.allowStop(id, run)
+}
+
+// allowStop lets a run be stopped anew after its stops were given up, for example after the next report that lists the run.
+func (s *session) allowStop(id ledger.TaskID, run int) {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	if o := s.orders[runKey{id, run}]; o != nil {
-		o.stopping = false // allows another stop, for example after the next report that lists the run
+		o.stopping = false
 	}
 }
 
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -120,7 +121,9 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	goroutines    sync.WaitGroup
-	closed        atomic.Bool
+	// strayStops counts the stops of runs that the ledger does not hold as live.
+	strayStops atomic.Int64
+	closed     atomic.Bool
 }
 
 // runKey identifies a run.
@@ -158,22 +161,52 @@
 	}
 	s.engine.mu.Unlock()
 	s.engine.setAfterApply(s.commandApplied)
-	s.spawn(s.ends.run)
-	s.spawn(s.planLoop)
-	s.spawn(s.upkeepLoop)
-	s.spawn(s.poolLoop)
+	s.spawnLoop("ends", s.ends.run)
+	s.spawnLoop("plan", s.planLoop)
+	s.spawnLoop("upkeep", s.upkeepLoop)
+	s.spawnLoop("pools", s.poolLoop)
 	s.log.Info("leadership begins")
 	return s
 }
 
+// spawn runs f in a goroutine of the session. A panic ends f only.
 func (s *session) spawn(f func()) {
 	s.goroutines.Add(1)
 	go func() {
 		defer s.goroutines.Done()
-		f()
+		s.contain("call", f)
 	}()
 }
 
+// loopRestartDelay is the delay before a loop of the session that panicked goes on. It bounds the rate of log lines.
+const loopRestartDelay = time.Second
+
+// spawnLoop runs f in a goroutine of the session until it returns. After a panic it runs f again.
+func (s *session) spawnLoop(name string, f func()) {
+	s.spawn(func() {
+		for s.contain(name, f) {
+			select {
+			case <-s.ctx.Done():
+				return
+			case <-time.After(loopRestartDelay):
+			}
+		}
+	})
+}
+
+// contain runs f and reports whether it panicked. Sections under engine.mu that depend on messages or on the plan unlock in a
+// deferred call, so that the lock is free afterwards.
+func (s *session) contain(name string, f func()) (panicked bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			panicked = true
+			s.log.Error("unexpected error in the session", "part", name, "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
+	f()
+	return false
+}
+
 // close ends the session. No order is sent afterwards.
 func (s *session) close(reason string) {
 	if s.closed.Swap(true) {
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -78,13 +78,14 @@
 	return Accepted
 }
 
-// applySubmit accepts a job. Submission is idempotent: submitting a known ID again changes nothing and is accepted,
+// applySubmit accepts a job. One whose steps are inconsistent is not accepted; Check, which the leader has called, rejects more.
+// Submission is idempotent: submitting a known ID again changes nothing and is accepted,
 // whatever the state of the recorded job.
 func (l *Ledger) applySubmit(s *Submission) Verdict {
 	if l.Jobs[s.ID] != nil {
 		return Accepted
 	}
-	if l.index == nil {
+	if l.index == nil || s.checkSteps() != nil {
 		return NotConfigured
 	}
 	q := l.index.Queue(s.Queue)
@@ -171,7 +172,7 @@
 func (l *Ledger) firstGroupSize(starts []Start) int {
 	first := starts[0].Task
 	j := l.Jobs[first.Job]
-	if j == nil || first.Step >= len(j.Steps) || !j.Steps[first.Step].Gang {
+	if j == nil || first.Step < 0 || first.Step >= len(j.Steps) || !j.Steps[first.Step].Gang {
 		return 1
 	}
 	n := 1
@@ -188,7 +189,7 @@
 	var need Resources
 	for _, s := range group {
 		j := l.Jobs[s.Task.Job]
-		if j == nil || j.State.Final() || s.Task.Step >= len(j.Steps) || s.Task.Occurrence >= j.occurrences() {
+		if j == nil || j.State.Final() || !j.hasTask(s.Task) {
 			return false
 		}
 		step := &j.Steps[s.Task.Step]
--- a/internal/request/ledger/job.go
+++ b/internal/request/ledger/job.go
@@ -109,6 +109,8 @@
 	maxTasks       = 20_000
 	maxOccurrences = 100_000
 	maxSpecBytes   = 64 << 10
+	// maxNeed limits a task's need of one resource, so that sums over all tasks of all jobs don't overflow.
+	maxNeed = 1 << 40
 )
 
 // Check validates a submission and returns an error for the first fault found.
@@ -122,11 +124,22 @@
 	if s.Times < 0 || s.Times > maxOccurrences || (s.Times > 1 && s.EveryMS <= 0) {
 		return Error.New("the schedule must have 0 to %d occurrences, and a positive interval if there is more than one", maxOccurrences)
 	}
+	for i := range s.Steps {
+		need := s.Steps[i].Need
+		if need.CPU < 0 || need.MemMB < 0 || need.GPU < 0 || max(need.CPU, need.MemMB, need.GPU) > maxNeed {
+			return Error.New("step %d must need 0 to %d of each resource", i, int64(maxNeed))
+		}
+	}
+	return s.checkSteps()
+}
+
+// checkSteps validates what the ledger relies on: numbers of tasks and dependencies.
+func (s *Submission) checkSteps() error {
 	tasks := 0
 	for i := range s.Steps {
 		step := &s.Steps[i]
-		if step.Count < 1 || step.Need.CPU < 0 || step.Need.MemMB < 0 || step.Need.GPU < 0 {
-			return Error.New("step %d must have at least one task and no negative resource need", i)
+		if step.Count < 1 || step.Count > maxTasks {
+			return Error.New("step %d must have 1 to %d tasks", i, maxTasks)
 		}
 		tasks += step.Count
 		for _, dependency := range step.After {
@@ -315,12 +328,18 @@
 // task returns the record of a task, or nil if its occurrence hasn't begun or it doesn't exist.
 func (j *Job) task(id TaskID) *Task {
 	o := j.Occurrences[id.Occurrence]
-	if o == nil || id.Step >= len(o.Steps) || id.Index >= len(o.Steps[id.Step].Tasks) {
+	if o == nil || id.Step < 0 || id.Step >= len(o.Steps) || id.Index < 0 || id.Index >= len(o.Steps[id.Step].Tasks) {
 		return nil
 	}
 	return &o.Steps[id.Step].Tasks[id.Index]
 }
 
+// hasTask reports whether the job has a task.
+func (j *Job) hasTask(id TaskID) bool {
+	return id.Occurrence >= 0 && id.Occurrence < j.occurrences() && id.Step >= 0 && id.Step < len(j.Steps) &&
+		id.Index >= 0 && id.Index < j.Steps[id.Step].Count
+}
+
 // ready reports whether all steps that a step depends on are done.
 func (j *Job) ready(o *Occurrence, step int) bool {
 	for _, dependency := range j.Steps[step].After {
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -86,17 +86,28 @@
 	return data, Error.Wrap(err)
 }
 
-// Restore replaces the state by one that Snapshot encoded.
-func (l *Ledger) Restore(data []byte) error {
+// Restore replaces the state by one that Snapshot encoded. If it can't be read, the state stays as it is.
+func (l *Ledger) Restore(data []byte) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = Error.New("the snapshot is inconsistent: %v", cause)
+		}
+	}()
 	fresh := New()
 	if err := json.Unmarshal(data, &fresh.contents); err != nil {
 		return Error.Wrap(err)
 	}
+	if fresh.Jobs == nil || fresh.Servers == nil || fresh.Waves == nil || fresh.Sizes == nil || fresh.Orders == nil {
+		return Error.New("the snapshot lacks a part of the state")
+	}
 	fresh.reindex()
 	*l = *fresh
 	return nil
 }
 
+// Reindex rebuilds what is derived from the contents, after a command whose application was broken off.
+func (l *Ledger) Reindex() { l.reindex() }
+
 // reindex rebuilds the fields that are derived from the contents.
 func (l *Ledger) reindex() {
 	l.index = nil
