Reports for a stop are requested on all tasks of the step together

Cause: right before a stop, reports older than 0.5 s were requested one by one.

Change: if one report is too old, all are requested.

--- a/internal/dispatch/avail_test.go
+++ b/internal/dispatch/avail_test.go
@@ -146,3 +146,17 @@
 		must.False(t, mayStop())
 	})
 }
+
+// Guards against a wave that doesn't end because the reports on the other tasks of a step are never recent together.
+func TestWaveWithLastingTasksEndsInTime(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r, machines := newWaveRig(t, 8, func(f *fakeServers) Servers { return f })
+		r.submit("j", ledger.Step{Count: 6, Spread: 1, MayMiss: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+		r.until(func() bool { return r.servers.totalRuns() == 6 })
+		const duration = 30 * time.Second
+		began := boottime.Now()
+		wave := r.startWave(machines, duration, 2)
+		r.until(func() bool { return r.do(&Call{Op: OpWaveState, Wave: wave}).WaveCompleted })
+		must.LessEq(t, duration, boottime.Now()-began)
+	})
+}
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -299,13 +299,13 @@
 }
 
 // reportsFreshLocked reports whether stopping a lasting task stays within the MayMiss limit of its step by reports of at most
-// freshReportAge. Otherwise it requests reports on the step's other tasks.
+// freshReportAge. Otherwise it requests reports on all other tasks of the step: if each were requested only when its own report
+// is too old, they would never be fresh together.
 func (s *session) reportsFreshLocked(id ledger.TaskID) bool {
-	away := s.othersAwayLocked(id, freshReportAge)
-	if s.mayMissLocked(id, len(away)) {
+	if s.mayMissLocked(id, len(s.othersAwayLocked(id, freshReportAge))) {
 		return true
 	}
-	for _, other := range away {
+	for _, other := range s.othersAwayLocked(id, 0) {
 		if s.fullyRunningLocked(other, maxReportAge) {
 			_, t := s.engine.ledger.Task(other)
 			s.requestReportLocked(t.Worker)
