--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -35,7 +36,7 @@
 // Apply implements replica.StateMachine. The result is nil for a command that this instance registered, which keeps its result,
 // and on an instance without a session.
 func (e *Engine) Apply(index uint64, data []byte) []byte {
-	if e.applyProposal(data) {
+	if e.applyProposal(index, data) {
 		return nil
 	}
 	c := &ledger.Command{}
@@ -46,7 +47,12 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	result := e.applyLocked(c)
+	result := e.applyLocked(index, c)
+	if result == nil {
+		return nil
+	}
+	e.recordOrdersLocked(c)
+	e.notifyLocked(index, c, result)
 	if e.afterApply == nil {
 		return nil // only a session waits for results
 	}
@@ -58,24 +64,45 @@
 }
 
 // applyProposal applies a command that this instance registered, and reports whether the data is one.
-func (e *Engine) applyProposal(data []byte) bool {
+func (e *Engine) applyProposal(index uint64, data []byte) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.proposals[string(data)]
 	if p == nil || p.result != nil {
 		return false
 	}
-	p.result = e.applyLocked(p.command)
+	if p.result = e.applyLocked(index, p.command); p.result != nil {
+		e.recordOrdersLocked(p.command)
+		e.notifyLocked(index, p.command, p.result)
+	}
 	return true
 }
 
-func (e *Engine) applyLocked(c *ledger.Command) *ledger.Result {
-	result := e.ledger.Apply(c)
-	e.recordOrdersLocked(c)
+// applyLocked applies a command to the ledger. A panic skips the rest of the command, and the result is nil, so that its
+// proposer takes the outcome for unknown. The entry is committed: if replicas stopped instead, each would stop again at every
+// restart. Every replica breaks off at the same point, as the ledger is deterministic and iterates over lists only; what is
+// derived from its contents is rebuilt, as on a replica that restores a snapshot.
+func (e *Engine) applyLocked(index uint64, c *ledger.Command) (result *ledger.Result) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			e.log.Error("log entry can't be applied; the rest of it is skipped", "index", index, "cause", cause, "stack", string(debug.Stack()))
+			e.ledger.Reindex()
+			result = nil
+		}
+	}()
+	return e.ledger.Apply(c)
+}
+
+// notifyLocked calls afterApply. A panic there is a fault of this instance's session and doesn't concern the ledger.
+func (e *Engine) notifyLocked(index uint64, c *ledger.Command, result *ledger.Result) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			e.log.Error("session can't process a log entry", "index", index, "cause", cause, "stack", string(debug.Stack()))
+		}
+	}()
 	if e.afterApply != nil {
 		e.afterApply(c, result)
 	}
-	return result
 }
 
 // recordOrdersLocked records the current time for each machine that a command moves or whose upkeep it changes.
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -307,13 +307,13 @@
 }
 
 // reportsFreshLocked reports whether stopping a lasting task stays within a limit of unavailable tasks of its step by reports
-// of at most freshReportAge. Otherwise it requests reports on the step's other tasks.
+// of at most freshReportAge. Otherwise it requests reports on all other tasks of the step: if each were requested only when its
+// own report is too old, they would never be fresh together.
 func (s *session) reportsFreshLocked(id ledger.TaskID, limit int) bool {
-	away := s.othersAwayLocked(id, freshReportAge)
-	if s.mayMissLocked(id, len(away), limit) {
+	if s.mayMissLocked(id, len(s.othersAwayLocked(id, freshReportAge)), limit) {
 		return true
 	}
-	for _, other := range away {
+	for _, other := range s.othersAwayLocked(id, 0) {
 		if s.fullyRunningLocked(other, maxReportAge) {
 			_, t := s.engine.ledger.Task(other)
 			s.requestReportLocked(t.Worker)
