--- a/internal/process/replica/core/log.go
+++ b/internal/process/replica/core/log.go
@@ -81,8 +81,11 @@
 	return entries
 }
 
-// exceeds reports whether the entries after index have a total of more than maxBytes.
+// exceeds reports whether the entries after index have a total of more than maxBytes or are no longer all in the log.
 func (l *log) exceeds(index uint64, maxBytes int) bool {
+	if index < l.baseIndex {
+		return true
+	}
 	size := 0
 	for _, e := range l.entriesAfter(index) {
 		if size += len(e.Data) + entryOverhead; size > maxBytes {
--- a/internal/process/replica/core/pacing_test.go
+++ b/internal/process/replica/core/pacing_test.go
@@ -133,3 +133,24 @@
 	n.deliverAll()
 	n.requireInvariants(t)
 }
+
+// Guards against a crash of the leader that compacts entries which a paced member or one at its limit lacks: such a member
+// gets the snapshot.
+func TestPacedFollowerBehindCompactedLogGetsSnapshot(t *testing.T) {
+	n, a := newElectedNetwork(t, "a", "b", "c", "d", "e")
+	a.core.cfg.MaxAppendBytes = 1 << 20
+	n.load(t, a, 3, nil)
+	for i := range 20 {
+		_, _, err := n.propose(a, i, 1)
+		must.NoError(t, err)
+		n.deliverAll()
+	}
+	must.Less(t, a.applied-10, n.peers["d"].applied, must.Sprint("d is paced"))
+	n.compact(a, 1)
+	_, _, err := n.propose(a, 1, 1)
+	must.NoError(t, err)
+	n.deliverAll()
+	n.run(4 * testHeartbeatTicks)
+	must.Eq(t, a.applied, n.peers["d"].applied)
+	n.requireInvariants(t)
+}
