--- a/internal/orderforward/bench_test.go
+++ b/internal/orderforward/bench_test.go
@@ -157,16 +157,16 @@
 	_, port, err := net.SplitHostPort(addresses[0])
 	must.NoError(b, err)
 
-	measure := func(name string, servers dispatch.Servers) {
-		for _, kind := range []string{"start", "hold"} {
+	measure := func(name string, servers dispatch.Servers, kinds ...string) {
+		for _, kind := range kinds {
 			b.Run(kind+"/"+name, func(b *testing.B) { benchmarkCalls(b, servers, kind, port) })
 		}
 	}
-	measure("none", instantServers{})
+	measure("none", instantServers{}, "start", "hold")
 	parked := &parkedServers{}
 	go parked.run()
-	measure("parked", parked)
-	measure("direct", platform.NewServerClient())
+	measure("parked", parked, "start")
+	measure("direct", platform.NewServerClient(), "start", "hold")
 	for _, n := range []int{2, 7} { // the number that the gate chooses, and all
 		status := Status{Leads: true, Term: uint64(n)}
 		for _, a := range addresses[1 : 1+n] {
@@ -187,7 +187,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		benchFence = uint64(n)
-		measure(fmt.Sprintf("forwarders=%d", n), client)
+		measure(fmt.Sprintf("forwarders=%d", n), client, "start", "hold")
 		cancel()
 		<-ended
 	}
