Order forwarding: an unknown answer to a start is no refusal

Cause: a forwarder of a later version may report an answer that this version doesn't know. The session takes every answer but one for a refusal.

Change: such a start is unanswered.

Measured: go test -race -count 4 ./internal/orderforward passes (34.5 s).

--- a/internal/orderforward/client.go
+++ b/internal/orderforward/client.go
@@ -345,7 +345,12 @@
 		case how == answered && err != nil:
 			return 0, 0, err
 		case how == answered:
-			return dispatch.StartAnswer(result.Answer), result.ClockMs, nil
+			answer := dispatch.StartAnswer(result.Answer)
+			if answer < dispatch.StartAccepted || answer > dispatch.StartTicket {
+				// Of another version. It isn't known whether it means that nothing was started.
+				return 0, 0, Error.New("unknown answer %d to a start", answer)
+			}
+			return answer, result.ClockMs, nil
 		case how == unanswered || !c.mayCallDirectly(ctx):
 			return 0, 0, err
 		}
--- a/internal/orderforward/stream_test.go
+++ b/internal/orderforward/stream_test.go
@@ -28,6 +28,9 @@
 	"laburnumrouter/proto/laburnum/v1/laburnumv1connect"
 )
 
+// unknownAnswerRun is a run whose start gets an answer that this version doesn't know.
+const unknownAnswerRun = 9999
+
 // path implements dispatch.Servers: one way to the backend servers. It counts calls.
 type path struct {
 	mu     sync.Mutex
@@ -58,8 +61,11 @@
 	p.mu.Lock()
 	p.starts[o.Run]++
 	p.mu.Unlock()
-	if o.Spec != "spec of "+o.Task.Job {
+	switch {
+	case o.Spec != "spec of "+o.Task.Job:
 		return dispatch.StartInvalid, 0, nil
+	case o.Run == unknownAnswerRun:
+		return dispatch.StartTicket + 1, 0, nil
 	}
 	return dispatch.StartNoRoom, 42, p.call(ctx, "start", o.Fence)
 }
@@ -238,6 +244,8 @@
 	answer, err := w.start(1, 1)
 	must.NoError(t, err)
 	must.Eq(t, dispatch.StartNoRoom, answer)
+	_, err = w.start(unknownAnswerRun, 1)
+	must.Error(t, err) // all known answers but one mean that nothing was started
 	report, err := w.hold(0)
 	must.NoError(t, err)
 	must.Eq(t, &dispatch.HoldReport{ClockMS: 7, Born: 8}, report)
