Pools keep room for lasting tasks that leave their servers

Cause: a pool is now as small as its lasting tasks allow. Change: a pool keeps up to four machines more while it has servers with lasting tasks whose machines are due or evacuated. FuzzCall calls the planner's function itself: planOnce belongs to the planner's goroutine, which the race detector reported.

--- a/internal/dispatch/malformed_test.go
+++ b/internal/dispatch/malformed_test.go
@@ -12,6 +12,7 @@
 
 	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/schedule"
 )
 
 // malformedCommands are log entries with step and index numbers out of range, negative and huge numbers, and parts of the wrong
@@ -203,7 +204,9 @@
 		r := newRig(t, newFakeServers("a"))
 		_, _ = r.d.Do(t.Context(), &c)
 		s := r.d.session.Load()
-		s.planOnce()
+		s.engine.mu.Lock()
+		_ = schedule.Plan(s.planInputLocked()) // the planner's own goroutine would contain a panic
+		s.engine.mu.Unlock()
 		must.EqOp(t, OK, r.do(&Call{Op: OpStatus}).Outcome)
 	})
 }
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -48,6 +48,9 @@
 	// idlePoolMachines is the minimum number of machines of a pool without expected demand, so that a large task can
 	// start at once.
 	idlePoolMachines = 2
+	// maxDisplacedServers is the number of machines that a pool keeps for lasting tasks that leave their servers for an upkeep or
+	// an evacuation. A pool that is as small as its lasting tasks allow has no room for them. They leave a few at a time.
+	maxDisplacedServers = 4
 	// poolLogInterval is the time between log lines about the sizes of the pools.
 	poolLogInterval = time.Second
 	// maxParallelCalls bounds concurrent calls to the platform, which accepts duty_per_s (64) calls a second.
@@ -369,6 +372,7 @@
 	}
 	outlooks := s.forecast.Update(wall)
 	s.logOutlookLocked(outlooks)
+	displaced := s.displacedLocked()
 	for i := range demand {
 		d := &demand[i]
 		d.NeedCPU = s.cpuEquivalentLocked(total[i])
@@ -379,7 +383,7 @@
 		if o.RateCPU > 0 {
 			d.ExpectedCPU = o.RateCPU + lastingCPU
 		}
-		least := max(idlePoolMachines, minServers[i])
+		least := max(idlePoolMachines, minServers[i]+min(maxDisplacedServers, displaced[d.Name]))
 		d.PreferredMachines, d.MinMachines = least, least
 		size := s.engine.ledger.InitialSize(d.Name)
 		switch {
@@ -394,6 +398,18 @@
 	return demand
 }
 
+// displacedLocked returns, by pool, the servers with lasting tasks that have to go elsewhere: those whose machines have an upkeep
+// before them or are in an evacuated data centre.
+func (s *session) displacedLocked() map[string]int {
+	n := make(map[string]int)
+	for id, server := range s.fleet.All() {
+		if s.engine.ledger.LastingOn(id) > 0 && (s.dueServers[id] || s.engine.ledger.Evacuated()[server.DataCentre]) {
+			n[server.Pool]++
+		}
+	}
+	return n
+}
+
 // logOutlookLocked logs the outlook of each pool for which it has changed.
 func (s *session) logOutlookLocked(outlooks map[string]forecast.Outlook) {
 	for pool, o := range outlooks {
