--- /dev/null
+++ b/internal/request/schedule/gang.go
@@ -0,0 +1,80 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+
+	"laburnumrouter/internal/request/ledger"
+)
+
+func (p *planner) placeGang(c candidate) {
+	step := &c.job.Steps[c.step]
+	if !p.withinLimit(c.job.Workspace, step.Need.Times(step.Count)) {
+		return
+	}
+	run := 1
+	for i := range step.Count {
+		run = max(run, taskRecord(c, i).Run+1)
+	}
+	chosen := p.chooseGangServers(c, func(*serverState) bool { return true })
+	if step.RackLocal {
+		if sameRack := p.chooseGangOnRack(c); sameRack != nil {
+			chosen = sameRack
+		}
+	}
+	for i, r := range chosen {
+		p.start(c, i, run, r)
+	}
+}
+
+func (p *planner) chooseGangOnRack(c candidate) []*serverState {
+	var racks []string
+	for _, r := range p.serversByPool[c.pool] {
+		if rack := r.server.Rack(); rack != "" && !slices.Contains(racks, rack) {
+			racks = append(racks, rack)
+		}
+	}
+	if dataRack := c.job.Steps[c.step].Rack; dataRack != "" {
+		slices.SortStableFunc(racks, func(a, b string) int { return cmp.Compare(rackRank(a, dataRack), rackRank(b, dataRack)) })
+	}
+	for _, rack := range racks {
+		if chosen := p.chooseGangServers(c, func(r *serverState) bool { return r.server.Rack() == rack }); chosen != nil {
+			return chosen
+		}
+	}
+	return nil
+}
+
+func rackRank(rack, dataRack string) int {
+	if rack == dataRack {
+		return 0
+	}
+	return 1
+}
+
+func (p *planner) chooseGangServers(c candidate, allow func(*serverState) bool) []*serverState {
+	step := &c.job.Steps[c.step]
+	tasksOn := make(map[string]int)
+	allocated := make(map[*serverState]ledger.Resources)
+	var chosen []*serverState
+	for range step.Count {
+		var best *serverState
+		for _, r := range p.serversByPool[c.pool] {
+			fits := step.CapacityUse().FitsIn(r.free.Minus(allocated[r])) && (step.Label == "" || r.server.Has(step.Label))
+			withinSpread := step.Spread == 0 || tasksOn[r.server.ID] < step.Spread
+			if !fits || !withinSpread || r.trialOnly || !allow(r) || !r.carries(step, tasksOn[r.server.ID], r.free.Minus(allocated[r])) {
+				continue
+			}
+			if best == nil || preferable(step, r, best) {
+				best = r
+			}
+		}
+		if best == nil {
+			return nil
+		}
+		chosen = append(chosen, best)
+		allocated[best] = allocated[best].Plus(step.CapacityUse())
+		tasksOn[best.server.ID]++
+	}
+	return chosen
+}
