--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -44,6 +44,7 @@
 		_ = json.NewEncoder(w).Encode(i.status.Load())
 	})
 	mux.HandleFunc("POST "+CallPath, func(w http.ResponseWriter, r *http.Request) {
+		drop := i.drop.Load() // read before the call is counted: a test that has seen the count may change it
 		i.calls.Add(1)
 		var c dispatch.Call
 		_ = json.NewDecoder(r.Body).Decode(&c)
@@ -51,7 +52,7 @@
 			<-*hang
 		}
 		switch {
-		case i.drop.Load():
+		case drop:
 			panic(http.ErrAbortHandler)
 		case !i.status.Load().Leads && !i.reads.Load():
 			w.WriteHeader(http.StatusMisdirectedRequest)
