Dispatch: the log names the newest runs of a server that goes away

The log said how many runs a backend server had when it stopped answering, not which, so a task that crashes servers and a machine that crashes looked the same.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -256,7 +256,8 @@
 		return
 	}
 	if server.FailedCalls == 0 {
-		s.log.Warn("backend server doesn't answer", "server", h.serverID, "runs", len(s.engine.ledger.LiveOn(h.serverID)), "error", err)
+		s.log.Warn("backend server doesn't answer", "server", h.serverID, "runs", len(s.engine.ledger.LiveOn(h.serverID)),
+			"newest", s.newestRunsLocked(h.serverID), "error", err)
 	}
 	server.Unanswered(boottime.Now())
 	h.closeLapsedRunsLocked(server)
@@ -345,7 +346,7 @@
 // report requested from now on tells which runs exist.
 func (s *session) serverRestartedLocked(serverID string) {
 	now, runs := boottime.Now(), s.engine.ledger.LiveOn(serverID)
-	s.log.Info("backend server has started anew", "server", serverID, "runs", len(runs))
+	s.log.Info("backend server has started anew", "server", serverID, "runs", len(runs), "newest", s.newestRunsLocked(serverID))
 	for id, t := range runs {
 		o := s.orders[runKey{id, t.Run}]
 		if o == nil {
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -30,6 +30,11 @@
 	orderStopped
 )
 
+// String returns the name of the state for logs.
+func (o orderState) String() string {
+	return [...]string{"planned", "taken", "unanswered", "stopped"}[o]
+}
+
 // order is the session's record of a run that it ordered or found in a report.
 type order struct {
 	state orderState
@@ -304,7 +309,7 @@
 // incarnationGoneLocked closes all runs of a server incarnation that no longer exists.
 func (s *session) incarnationGoneLocked(serverID, reason string) {
 	runs := s.engine.ledger.LiveOn(serverID)
-	s.log.Info("backend server is gone", "server", serverID, "runs", len(runs), "reason", reason)
+	s.log.Info("backend server is gone", "server", serverID, "runs", len(runs), "newest", s.newestRunsLocked(serverID), "reason", reason)
 	for id, t := range runs {
 		s.closeRunLocked(id, t, ledger.EndLost)
 	}
