Schedule tests: a failed run counts as an attempt whether or not its end was acknowledged in time

Whether a job may be shown as failed depends on runs that ended failed (LOST: only these count as attempts), and they had. The check now counts all failed ends; a leader knows of no others, so it is as strict as the rule.

--- a/internal/dispatch/schedules_test.go
+++ b/internal/dispatch/schedules_test.go
@@ -411,7 +411,7 @@
 		if j.submission.Steps[id.Step].Gang {
 			step.Index = 0
 		}
-		if fails[step] += t.failsAcked; fails[step] >= rigAttempts {
+		if fails[step] += t.fails; fails[step] >= rigAttempts {
 			return true
 		}
 	}
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -178,9 +178,12 @@
 	t := s.w.taskLocked(key.task)
 	if how == ledger.EndDone {
 		t.done = true
-	} else {
-		s.w.breakGangLocked(key, at)
+		return
+	}
+	if how == ledger.EndFailed {
+		t.fails++
 	}
+	s.w.breakGangLocked(key, at)
 }
 
 // breakGangLocked ends the other members of a gang after one has ended.
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -107,6 +107,7 @@
 type simTask struct {
 	done       bool
 	doneAcked  bool
+	fails      int // runs that ended failed; failsAcked counts those whose end was acknowledged while its server's lease held
 	failsAcked int
 	// crashes counts the servers that crashed while they ran the task, startsAfterCrashes its starts since the third of them.
 	crashes, startsAfterCrashes int
