Hold calls acknowledge no ends to a server that doesn't answer

What callers could see: a task that had ended done ran again.

Cause: an acknowledgement is repeated until a hold call is answered. A server that crashes and restarts under its ID numbers its ends anew. A repetition that reaches the new incarnation late makes it forget ends which it hasn't reported; the leader then finds the run missing, takes it for lost and starts the task again.

After an unanswered call the next one carries no acknowledgement; its answer tells the incarnation, and the one after it acknowledges. The platform's hold call names no incarnation, so a single call that is itself carried out late could still do it.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -311,11 +311,18 @@
 }
 
 func newRig(t *testing.T, servers *fakeServers) *rig {
+	t.Helper()
+	return newRigWith(t, servers, servers)
+}
+
+// newRigWith returns a rig whose dispatcher calls the servers through calls.
+func newRigWith(t *testing.T, servers *fakeServers, calls Servers) *rig {
 	t.Helper()
 	engine := NewEngine(hclog.NewNullLogger())
+	engine.ledger.Format = ledger.FormatLists
 	r := &rig{t: t, engine: engine, log: &fakeLog{engine: engine}, servers: servers}
 	r.d = New(Options{
-		Name: "c1", Address: "127.0.0.1:1", Engine: engine, Replica: r.log, Servers: servers, Log: hclog.NewNullLogger(),
+		Name: "c1", Address: "127.0.0.1:1", Engine: engine, Replica: r.log, Servers: calls, Log: hclog.NewNullLogger(),
 		Scope: tally.NoopScope, ElectionTime: time.Hour,
 	})
 	r.start()
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -135,9 +135,9 @@
 		h.born, h.committedEnd, h.ackedEnd, h.contacted = server.Born, 0, 0, false
 	}
 	o := HoldOrder{Fence: s.holder.Fence}
-	if h.committedEnd > h.ackedEnd {
-		// Sent until a call is answered, and not again: a server that has restarted under its ID counts its ends anew and would
-		// forget ends that it hasn't reported.
+	if h.committedEnd > h.ackedEnd && server.FailedCalls == 0 {
+		// Sent until a call is answered, and not again, nor to a server that doesn't answer: one that has restarted under its ID
+		// counts its ends anew and would forget ends that it hasn't reported.
 		o.AckedEnd = h.committedEnd
 	}
 	if !h.reportWanted {
