A server ends once another begins at its address

What callers saw: after a crash the runs of a server waited for the lapse of its lease, 5 s and more, although its machine was up again after 3.2 s.

Cause: that a server is gone was learnt only from a call that another incarnation answered. Calls to a silent server are 0.1 s apart and more; where the new server crashed too before one arrived, its predecessor seemed silent until the lapse.

The first announcement of an incarnation now ends whichever server was at its address and began earlier; two can't share an address, and a delayed announcement of an earlier one changes nothing.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -269,6 +269,9 @@
 	if change == fleet.Appeared && before != nil {
 		s.serverRestartedLocked(c.Server.ID)
 	}
+	if change == fleet.Appeared {
+		s.replacedByLocked(*c.Server)
+	}
 	if change != fleet.Stale {
 		server.Clock.Observe(c.Server.ClockMS, now, now)
 		if server.FailedCalls > 0 {
@@ -285,6 +288,18 @@
 	return announced, mustCommit, false
 }
 
+// replacedByLocked handles the first announcement of an incarnation: whichever server was at its address before is gone.
+func (s *session) replacedByLocked(a ledger.Server) {
+	if a.Address == "" {
+		return
+	}
+	for id, server := range s.fleet.All() {
+		if id != a.ID && server.Address == a.Address && server.Born < a.Born && !server.Left {
+			s.incarnationGoneLocked(id, "another backend server has announced itself at its address")
+		}
+	}
+}
+
 // uncommittedLocked returns what a server announced last, and whether the log's state lacks a part that other replicas
 // rely on.
 func (s *session) uncommittedLocked(server *fleet.Server) (announced ledger.Server, lacks bool) {
