A start that another incarnation answers is recorded as refused

Its end was queued twice, as lost with the runs of the server that is gone and then as refused, and the first counts. The task hadn't begun, so nothing may be concluded from it about that server's end. The order of the two is now the other way round. TestMisdirectedStartIsRefused times out before.

--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -35,3 +35,16 @@
 		must.Less(t, time.Second, boottime.Now()-at)
 	})
 }
+
+// Guards against a task that is held to have run, and may be suspected, on a server that refused its start because another
+// incarnation is there.
+func TestMisdirectedStartIsRefused(t *testing.T) {
+	f := newFakeServers("a")
+	f.replaced["a"] = true
+	r := newRig(t, f)
+	r.submit("j", small)
+	r.until(func() bool {
+		notes := r.do(&Call{Op: OpExplain, Path: "j"}).Job.Ends
+		return len(notes) > 0 && notes[0].How == ledger.EndRefused
+	})
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -136,8 +136,8 @@
 		s.setOrderStateLocked(key, orderStopped)
 		s.ensureHoldLoopLocked(st.Worker)
 	case StartMisdirected:
+		s.ends.add(ledger.End{Task: st.Task, Run: st.Run, Worker: st.Worker, How: ledger.EndRefused}) // before those of the other runs
 		s.incarnationGoneLocked(st.Worker, "another incarnation answers at its address")
-		s.ends.add(ledger.End{Task: st.Task, Run: st.Run, Worker: st.Worker, How: ledger.EndRefused})
 	default:
 		s.handleRefusalLocked(st, answer, heard)
 	}
