Tasks that crash backend servers are isolated and given up

Cause: the end of a run whose server is gone was recorded as lost or lapsed, which uses up no attempt, and nothing else remembered it. The class of fault: a failure is put down to the place where it happens, and what caused it is tried again without bound.

The newest runs on each server that goes away hold the same few tasks, on other machines each time; a job's state never changes.

Change: the end of a run carries what the end of its server says about the task, from which runs began there last, which had worked and which may not have begun. The log counts it with the task, so no change of leader or restart loses it. Two suspicions, or four crashes, end the job as failed. A suspected task starts alone on its server, so that the second crash tells it from those that shared the first; a quarter of a pool is kept for that at most, for 1.5 s at most. A lapsed lease counts only once another incarnation shows that the server crashed. Log format 2 gates the new field.

Not tried: holding suspects back without a time limit.

--- a/cmd/laburnumctl/jobs.go
+++ b/cmd/laburnumctl/jobs.go
@@ -72,7 +72,7 @@
 		fmt.Fprintln(w, "\nENDED\tTASK\tRUN\tSERVER\tHOW")
 	}
 	for _, n := range j.Ends {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", formatUnixMS(n.AtMS), n.Task, n.Run, n.Worker, n.How)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", formatUnixMS(n.AtMS), n.Task, n.Run, n.Worker, describeEnd(n))
 	}
 }
 
@@ -141,3 +141,11 @@
 	}
 	return time.UnixMilli(ms).UTC().Format("2006-01-02T15:04:05.000Z")
 }
+
+// describeEnd returns how a run ended and, if its server crashed, what that says about the task.
+func describeEnd(n ledger.UnsuccessfulEnd) string {
+	if n.Crash == "" {
+		return string(n.How)
+	}
+	return fmt.Sprintf("%s (server crashed: %s)", n.How, n.Crash)
+}
--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -172,34 +172,37 @@
 }
 
 // listsAllowed reports whether entries may hold lists of submissions and cancellations.
-func (s *session) listsAllowed() bool {
+func (s *session) listsAllowed() bool { return s.format() >= ledger.FormatLists }
+
+// format returns the format of commands in force.
+func (s *session) format() int {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	return s.engine.ledger.Format >= ledger.FormatLists
+	return s.engine.ledger.Format
 }
 
-// raiseFormat commits the newest format of commands once all members are known to understand it, and then ends. There is no
-// way back: an earlier version would ignore the lists and hold another state.
+// raiseFormat commits the newest format of commands that all members are known to understand, until it is the newest of this
+// version. There is no way back: an earlier version would ignore parts of commands and hold another state.
 func (s *session) raiseFormat() {
 	ticker := time.NewTicker(formatCheckInterval)
 	defer ticker.Stop()
-	for !s.listsAllowed() {
+	for format := s.format(); format < ledger.NewestFormat; format = s.format() {
 		select {
 		case <-s.ctx.Done():
 			return
 		case <-ticker.C:
 		}
 		ctx, cancel := context.WithTimeout(s.ctx, formatCheckInterval)
-		understood := s.memberFormat(ctx) >= ledger.FormatLists
+		understood := min(s.memberFormat(ctx), ledger.NewestFormat)
 		cancel()
-		if !understood {
+		if understood <= format {
 			continue
 		}
-		if _, err := s.propose(&ledger.Command{Format: ledger.FormatLists}); err != nil {
+		if _, err := s.propose(&ledger.Command{Format: understood}); err != nil {
 			s.log.Warn("format of the log not raised yet", "error", err)
 			continue
 		}
-		s.log.Info("format of the log raised; earlier versions can't join any more", "format", ledger.FormatLists)
+		s.log.Info("format of the log raised; earlier versions can't join any more", "format", understood)
 	}
 }
 
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -7,7 +7,9 @@
 	"strings"
 	"time"
 
+	"laburnumrouter/internal/request/fleet"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/request/schedule"
 )
 
 // maxLoggedRuns limits the runs that are named in the log line about the end of a backend server.
@@ -35,3 +37,105 @@
 	}
 	return list
 }
+
+const (
+	// crashWindowMS is how long before the newest run on a server that crashed a run may have been ordered to be suspected of the
+	// crash. A task that crashes servers does so as it starts, and the server's failure to answer is noticed within callTimeout.
+	crashWindowMS = schedule.ProbationMS
+	// inheritedWindowMS is the same bound for runs of which only the order is known. The earlier leader may have ordered others
+	// until it noticed that the server was silent.
+	inheritedWindowMS = crashWindowMS + int64((holdWait+callTimeout)/time.Millisecond)
+	// survivedTime and unrelatedTime are how long a run must have worked for its task to be an unlikely cause of a crash, and none.
+	survivedTime  = schedule.ProbationMS * time.Millisecond
+	unrelatedTime = 5 * time.Second
+)
+
+// recordCrashLocked records, for each live run of an incarnation that has ended, what that says about its task. The ends of
+// these runs carry it. last is what was known of the incarnation. lapsed is set if it may be cut off instead, so that its runs
+// end because their leases have lapsed; then only those that it may have ended with count.
+func (s *session) recordCrashLocked(last *fleet.Server, lapsed bool) {
+	if last == nil || last.Draining || last.Left {
+		return // its end was announced or ordered
+	}
+	runs := make(map[ledger.TaskID]*ledger.Task)
+	newestMS := int64(0)
+	for id, t := range s.engine.ledger.LiveOn(last.ID) {
+		if t.Born != 0 && t.Born != last.Born {
+			continue
+		}
+		runs[id] = t
+		if o := s.orders[runKey{id, t.Run}]; o == nil || o.state == orderTaken {
+			newestMS = max(newestMS, t.OrderedMS)
+		}
+	}
+	suspects := make(map[string]bool) // by job
+	for id, t := range runs {
+		key := runKey{id, t.Run}
+		evidence := crashEvidence(s.orders[key], last.AnsweredAt, newestMS-t.OrderedMS)
+		if evidence == ledger.CrashSuspected {
+			suspects[id.Job] = true
+		}
+		if evidence != "" && !(lapsed && (evidence == ledger.CrashPossible || evidence == ledger.CrashUnrelated)) {
+			s.crashes[key] = evidence
+		}
+	}
+	// A server that was silent may have been cut off first, and its runs may have ended before it did.
+	silent := last.FailedCalls > 0 && !last.ConnectionFailed
+	if len(suspects) < 2 && !silent {
+		return
+	}
+	for id, t := range runs {
+		if key := (runKey{id, t.Run}); s.crashes[key] == ledger.CrashSuspected {
+			s.crashes[key] = ledger.CrashShared
+		}
+	}
+}
+
+// crashEvidence returns what the end of a server that last answered at answeredAt says about a task that had a run there,
+// regardless of the other runs there. o is nil if this leader has no order or report of the run; olderMS is how much earlier
+// than the newest run it was ordered.
+func crashEvidence(o *order, answeredAt time.Duration, olderMS int64) ledger.CrashEvidence {
+	switch {
+	case o == nil && olderMS <= inheritedWindowMS:
+		return ledger.CrashUnclear // an earlier leader committed the start, and may not have sent the order
+	case o == nil:
+		return ""
+	case o.state != orderTaken:
+		return ledger.CrashUnclear
+	}
+	switch worked := answeredAt - o.since; {
+	case worked >= unrelatedTime:
+		return ledger.CrashUnrelated
+	case worked >= survivedTime || olderMS > crashWindowMS:
+		return ledger.CrashPossible
+	}
+	return ledger.CrashSuspected
+}
+
+// crashOfLocked returns the evidence that the end of a run carries.
+func (s *session) crashOfLocked(id ledger.TaskID, run int) ledger.CrashEvidence {
+	if s.engine.ledger.Format < ledger.FormatCrashes {
+		return "" // members of an earlier version would hold another state
+	}
+	return s.crashes[runKey{id, run}]
+}
+
+// logCrashesLocked logs the ends that tell something about their tasks, and the tasks that were given up.
+func (s *session) logCrashesLocked(r *ledger.Result) {
+	for _, e := range r.Ended {
+		if e.Crash == "" {
+			continue
+		}
+		var counted ledger.Task
+		if _, t := s.engine.ledger.Task(e.Task); t != nil {
+			counted = *t
+		}
+		s.stats.crashed.Inc(1)
+		s.log.Info("server crashed under a task", "task", e.Task, "run", e.Run, "server", e.Worker, "end", e.How, "evidence", e.Crash,
+			"suspicions", counted.Suspicions, "crashes", counted.Crashes, "unclear", counted.UnclearCrashes)
+	}
+	for _, g := range r.GivenUp {
+		s.stats.givenUp.Inc(1)
+		s.log.Warn("task is given up: servers crashed under it", "task", g.Task, "suspicions", g.Suspicions, "crashes", g.Crashes, "unclear", g.Unclear)
+	}
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -10,6 +11,63 @@
 	"laburnumrouter/internal/request/ledger"
 )
 
+// crashingServers restart, without anything that ran on them, after each start of a task of the job "deadly".
+type crashingServers struct{ *fakeServers }
+
+func (c crashingServers) Start(ctx context.Context, to Target, o StartOrder) (StartAnswer, int64, error) {
+	answer, clock, err := c.fakeServers.Start(ctx, to, o)
+	if o.Task.Job == "deadly" && answer == StartAccepted {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		*c.servers[to.ID] = *newFakeServer(c.servers[to.ID].born + 1)
+	}
+	return answer, clock, err
+}
+
+// startsOf returns the number of starts of a job's tasks.
+func (f *fakeServers) startsOf(job string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, key := range f.starts {
+		if key.task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a task that crashes one backend server after the other, also if the leader changes or the servers return
+// under their IDs, and against the loss of the tasks that shared a server with it.
+func TestTaskThatCrashesServersIsGivenUp(t *testing.T) {
+	for _, newLeader := range []bool{false, true} {
+		inVirtualTime(t, func(t *testing.T) {
+			f := newFakeServers("a", "b", "c")
+			r := newRigWith(t, f, crashingServers{f})
+			step := ledger.Step{Count: 1, Need: ledger.Resources{CPU: 100, MemMB: 100}, EstimateMS: 100}
+			r.submit("innocent", step)
+			r.submit("deadly", step)
+			if newLeader {
+				r.until(func() bool { return f.startsOf("deadly") == 1 })
+				r.log.lead(2)
+			}
+			r.until(func() bool { return r.d.Leads() && r.state("deadly") == ledger.Failed })
+			must.Between(t, 2, f.startsOf("deadly"), 4)
+			var id string
+			r.until(func() bool {
+				for id = range f.servers {
+					if len(f.runs(id)) > 0 {
+						return true
+					}
+				}
+				return false
+			})
+			time.Sleep(5 * time.Second)
+			f.finish(id, f.runs(id)[0], ledger.EndDone)
+			r.until(func() bool { return r.state("innocent") == ledger.Completed })
+		})
+	}
+}
+
 // Guards against runs that wait for the lapse of their leases although another server has begun at their server's address,
 // which shows that theirs is gone. It may be gone itself before a call reaches it.
 func TestServerEndsOnceAnotherBeginsAtItsAddress(t *testing.T) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -44,7 +44,7 @@
 	MachineLease time.Duration
 	// DataCentres are the names of the data centres. If the list is empty, those of known servers are known.
 	DataCentres []string
-	// MemberFormat returns the newest format of commands (ledger.FormatLists) that all members of the log are known to
+	// MemberFormat returns the newest format of commands (ledger.NewestFormat) that all members of the log are known to
 	// understand; nil if that is unknown.
 	MemberFormat func(context.Context) int
 	// Cold bounds the starts on backend servers that are slow after their start.
@@ -267,7 +267,7 @@
 	change := s.fleet.Announce(*c.Server, now)
 	server := s.fleet.Get(c.Server.ID)
 	if change == fleet.Appeared && before != nil {
-		s.serverRestartedLocked(c.Server.ID)
+		s.serverRestartedLocked(before)
 	}
 	if change == fleet.Appeared {
 		s.replacedByLocked(*c.Server)
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -90,7 +90,7 @@
 		return false
 	}
 	if err != nil {
-		return h.wasInterrupted() || h.handleFailure(err)
+		return h.wasInterrupted() || h.handleFailure(err, c.ctx.Err() == nil)
 	}
 	h.ackedEnd = max(h.ackedEnd, c.order.AckedEnd)
 	h.processReport(report, asked, heard)
@@ -232,13 +232,14 @@
 	return lasting && o.state == orderTaken && o.percent < 100 && boottime.Now()-o.since < startupTime
 }
 
-// handleFailure records a failed hold call and waits. It reports whether to call again.
-func (h *holdLoop) handleFailure(err error) bool {
-	h.recordFailure(err)
+// handleFailure records a failed hold call and waits. atOnce is set if the call failed before its time limit. It reports whether
+// to call again.
+func (h *holdLoop) handleFailure(err error, atOnce bool) bool {
+	h.recordFailure(err, atOnce)
 	return h.pause()
 }
 
-func (h *holdLoop) recordFailure(err error) {
+func (h *holdLoop) recordFailure(err error, atOnce bool) {
 	s := h.session
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
@@ -260,6 +261,7 @@
 			"newest", s.newestRunsLocked(h.serverID), "error", err)
 	}
 	server.Unanswered(boottime.Now())
+	server.ConnectionFailed = server.ConnectionFailed || atOnce
 	h.closeLapsedRunsLocked(server)
 }
 
@@ -270,6 +272,7 @@
 	if !s.leasesLapsedLocked(server, now) {
 		return
 	}
+	s.recordCrashLocked(server, true)
 	for id, t := range s.engine.ledger.LiveOn(h.serverID) {
 		if o := s.orders[runKey{id, t.Run}]; o != nil && o.state == orderPlanned {
 			continue
@@ -323,7 +326,7 @@
 		next := server.Server
 		next.Born, next.Draining = report.Born, false
 		s.fleet.Adopt(next, heard)
-		s.serverRestartedLocked(h.serverID)
+		s.serverRestartedLocked(server)
 		h.born, h.committedEnd, h.ackedEnd, h.contacted = report.Born, 0, 0, false
 		server = s.fleet.Get(h.serverID)
 	}
@@ -344,9 +347,13 @@
 // serverRestartedLocked handles a new incarnation under the ID of a known server. The runs of the earlier incarnation are
 // gone, but an order sent just before may have started a run, with a lease of up to maxServerLease, on the new one. Only a
 // report requested from now on tells which runs exist.
-func (s *session) serverRestartedLocked(serverID string) {
+//
+// before is what was known of the earlier incarnation.
+func (s *session) serverRestartedLocked(before *fleet.Server) {
+	serverID := before.ID
 	now, runs := boottime.Now(), s.engine.ledger.LiveOn(serverID)
 	s.log.Info("backend server has started anew", "server", serverID, "runs", len(runs), "newest", s.newestRunsLocked(serverID))
+	s.recordCrashLocked(before, false)
 	for id, t := range runs {
 		o := s.orders[runKey{id, t.Run}]
 		if o == nil {
@@ -426,6 +433,7 @@
 			o.state, o.since = orderTaken, boottime.Now()
 		}
 		s.runBeganLocked(key, h.serverID)
+		delete(s.crashes, key) // it runs on the present incarnation
 		o.percent, o.reportedAt = row.Percent, asked
 		if provesWorking(&j.Steps[row.Task.Step], row) {
 			s.fleet.Get(h.serverID).Health.Working(o.since, boottime.Now())
@@ -482,6 +490,9 @@
 		case o == nil:
 			// This leader has no order for the run, and the report proves that earlier leaders are fenced off.
 			s.log.Info("inherited run is lost", "task", id, "run", t.Run, "server", h.serverID)
+			if server := s.fleet.Get(h.serverID); t.Born < server.Born {
+				s.recordCrashLocked(&fleet.Server{Server: ledger.Server{ID: h.serverID, Born: t.Born}}, false)
+			}
 			s.closeRunLocked(id, t, ledger.EndLost)
 		case o.since >= asked:
 			// The report may be older than the state of the order.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -310,17 +310,19 @@
 func (s *session) incarnationGoneLocked(serverID, reason string) {
 	runs := s.engine.ledger.LiveOn(serverID)
 	s.log.Info("backend server is gone", "server", serverID, "runs", len(runs), "newest", s.newestRunsLocked(serverID), "reason", reason)
+	server := s.fleet.Get(serverID)
+	s.recordCrashLocked(server, false)
 	for id, t := range runs {
 		s.closeRunLocked(id, t, ledger.EndLost)
 	}
-	if server := s.fleet.Get(serverID); server != nil {
+	if server != nil {
 		server.Left = true
 	}
 }
 
 // closeRunLocked queues the end of a live run with the newest checkpoint that was reported.
 func (s *session) closeRunLocked(id ledger.TaskID, t *ledger.Task, how ledger.EndCause) {
-	e := ledger.End{Task: id, Run: t.Run, Worker: t.Worker, How: how}
+	e := ledger.End{Task: id, Run: t.Run, Worker: t.Worker, How: how, Crash: s.crashOfLocked(id, t.Run)}
 	if o := s.orders[runKey{id, t.Run}]; o != nil {
 		e.Checkpoint = o.checkpoint
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -81,6 +81,8 @@
 	fleet     *fleet.Table
 	orders    map[runKey]*order
 	holdLoops map[string]*holdLoop
+	// crashes holds what the end of a server's incarnation says about the tasks of the runs that it had.
+	crashes map[runKey]ledger.CrashEvidence
 	// begun holds the unfinished jobs of which this leader knows that a run has begun and the ledger doesn't.
 	begun begunJobs
 	// pendingLoggedAt is when an answer about the pending jobs of a queue was last logged.
@@ -159,7 +161,7 @@
 		engine: d.engine, log: d.log.With("term", term), replica: d.replica, servers: d.servers, machines: d.machines,
 		leaderLease: termLease{d.leaderLease, term}, holder: Holder{Name: d.name, Fence: term}, stats: d.stats,
 		startedAt: boottime.Now(), machineLease: d.machineLease, dataCentres: d.dataCentres, cold: d.cold,
-		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), begun: make(begunJobs), pendingLoggedAt: make(map[string]time.Duration),
+		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), crashes: make(map[runKey]ledger.CrashEvidence), begun: make(begunJobs), pendingLoggedAt: make(map[string]time.Duration),
 		reserved: make(map[string]bool), sentPaces: make(map[runKey]sentPace), pacers: make(map[string]*pacing.Pacer),
 		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[upkeepKey]time.Duration),
 		missingSince: make(map[string]time.Duration), missingChecks: make(map[string]int),
@@ -306,7 +308,9 @@
 	for _, e := range r.Ended {
 		delete(s.orders, runKey{e.Task, e.Run})
 		delete(s.sentPaces, runKey{e.Task, e.Run})
+		delete(s.crashes, runKey{e.Task, e.Run})
 	}
+	s.logCrashesLocked(r)
 	s.forgetRecordedLocked(c, r)
 	c.EachSubmit(r, func(submitted *ledger.Submission, verdict ledger.Verdict) {
 		if verdict == ledger.Accepted {
@@ -319,7 +323,7 @@
 			s.ensureHoldLoopLocked(st.Worker)
 		}
 	}
-	if c.Cancel != "" || len(c.Cancels) > 0 || len(r.Ended) > 0 {
+	if c.Cancel != "" || len(c.Cancels) > 0 || len(r.Ended) > 0 || len(r.GivenUp) > 0 {
 		s.jobsFinishedLocked(c, r)
 	}
 	s.notify()
@@ -337,6 +341,9 @@
 	for _, e := range r.Ended {
 		ids[e.Task.Job] = true
 	}
+	for _, g := range r.GivenUp {
+		ids[g.Task.Job] = true
+	}
 	for id := range ids {
 		j := s.engine.ledger.Job(id)
 		if j == nil || !j.State.Final() {
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -20,7 +20,10 @@
 	startsDroppedEvacuated tally.Counter
 	entries                tally.Counter
 	planDelay              tally.Timer
-	scope                  tally.Scope
+	// crashed counts the runs whose server crashed, or may have, if that tells something about their task. givenUp counts the
+	// tasks that were given up for it.
+	crashed, givenUp tally.Counter
+	scope            tally.Scope
 }
 
 // latencyBuckets double from 0.5 ms to 8 s. They range from the time of a plan to beyond proposeTimeout.
@@ -32,6 +35,7 @@
 		commit: timer("commit_latency"), order: timer("order_latency"), plan: timer("plan_latency"), call: timer("call_latency"),
 		refused: scope.Counter("orders_refused"), machineCalls: scope.Counter("machine_calls"), entries: scope.Counter("log_entries"), planDelay: timer("plan_delay"), scope: scope,
 		evacuatedDataCentres: scope.Gauge("evacuated_data_centres"), startsDroppedEvacuated: scope.Counter("starts_dropped_evacuated"),
+		crashed: scope.Counter("runs_crashed"), givenUp: scope.Counter("tasks_given_up"),
 	}
 }
 
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -431,7 +431,11 @@
 		if reached {
 			reachedIncarnation = s.incarnation
 		}
+		refused := w.refuses && s != nil && !s.up && !s.partitioned && c.i.up
 		w.mu.Unlock()
+		if refused && sleepFor(w.ctx, replyDelay) == nil {
+			answers <- error(errRefused)
+		}
 		if !reached {
 			return
 		}
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -41,6 +41,7 @@
 var (
 	errUnreachable = errors.New("cut off")
 	errBusy        = errors.New("too busy")
+	errRefused     = errors.New("connection refused")
 )
 
 // simulation is the state of one simulated schedule.
@@ -80,6 +81,8 @@
 	ordersOnly bool
 	// crashAway is how long a server is down that a deadly task has crashed; 0 is forever.
 	crashAway time.Duration
+	// refuses is set if calls to a server that is down fail at once.
+	refuses bool
 }
 
 type simJob struct {
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -233,7 +233,7 @@
 // leaderStatus reports what this instance knows about the leader.
 func (c *control) leaderStatus() leader.LeaderStatus {
 	s := c.node.Status()
-	status := leader.LeaderStatus{Leads: c.dispatcher.Leads(), Limits: c.dispatcher.Limits(), Format: ledger.FormatLists, DataCentre: c.settings.DataCentre}
+	status := leader.LeaderStatus{Leads: c.dispatcher.Leads(), Limits: c.dispatcher.Limits(), Format: ledger.NewestFormat, DataCentre: c.settings.DataCentre}
 	for _, m := range s.Members {
 		status.Members = append(status.Members, m.Address)
 		if m.Name == s.Leader {
--- a/internal/leader/search.go
+++ b/internal/leader/search.go
@@ -191,7 +191,7 @@
 
 // MemberFormat returns the newest format of commands that the instances at all addresses understand; 0 if one doesn't answer.
 func (c *Client) MemberFormat(ctx context.Context, addresses []string) int {
-	lowest := ledger.FormatLists
+	lowest := ledger.NewestFormat
 	for _, address := range addresses {
 		status, err := c.probe(ctx, address)
 		if err != nil {
--- a/internal/request/fleet/fleet.go
+++ b/internal/request/fleet/fleet.go
@@ -35,6 +35,9 @@
 	// FailedCalls counts the calls without an answer since the last answered one; FailedAt is the time of the newest.
 	FailedCalls int
 	FailedAt    time.Duration
+	// ConnectionFailed is set if one of these calls failed at once: its connection was refused or broke, so the server has
+	// probably ended. The others took up their time, so it may be cut off.
+	ConnectionFailed bool
 	// AvoidUntil is the time until which the server gets no new work because it rejected a start or left repeated ones unanswered.
 	AvoidUntil time.Duration
 	// unansweredStarts counts the failures to answer starts since the last accepted one; startUnansweredAt is the time of the
@@ -134,7 +137,7 @@
 // Answered records that a call was answered at now.
 func (s *Server) Answered(now time.Duration) {
 	s.AnsweredAt = now
-	s.FailedCalls = 0
+	s.FailedCalls, s.ConnectionFailed = 0, false
 }
 
 // Unanswered records that a call got no answer.
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -33,13 +33,13 @@
 	l.Format = max(l.Format, c.Format)
 	l.applyBegun(c.Begun)
 	for _, e := range c.Ends {
-		if l.applyEnd(e) {
+		if l.applyEnd(e, r) {
 			r.Ended = append(r.Ended, e)
 		}
 	}
 	r.Started = l.applyStarts(c.Starts)
 	for _, s := range c.Servers {
-		l.applyServer(s)
+		l.applyServer(s, r)
 	}
 	for _, g := range c.Gone {
 		if existing, ok := l.Servers[g.ID]; ok && existing.Born == g.Born {
@@ -135,6 +135,7 @@
 	}
 	j.State, j.FinishedMS = s, l.ClockMS
 	l.dropWaiting(j)
+	l.dropSuspects(j)
 	l.finished = append(l.finished, j.ID)
 	l.releaseFinished(j)
 }
@@ -280,7 +281,7 @@
 
 // applyEnd closes a task's live run and reports whether it did. An end of any other run has no effect, because that run
 // was already closed with another outcome.
-func (l *Ledger) applyEnd(e End) bool {
+func (l *Ledger) applyEnd(e End, r *Result) bool {
 	j, t := l.Task(e.Task)
 	if t == nil || t.Phase != Live || t.Run != e.Run || t.Worker != e.Worker {
 		return false
@@ -293,7 +294,7 @@
 		t.Checkpoint = e.Checkpoint
 	}
 	if e.How != EndDone {
-		j.addUnsuccessfulEnd(UnsuccessfulEnd{Task: e.Task, Run: e.Run, Worker: e.Worker, How: e.How, AtMS: l.ClockMS})
+		j.addUnsuccessfulEnd(UnsuccessfulEnd{Task: e.Task, Run: e.Run, Worker: e.Worker, How: e.How, Crash: e.Crash, AtMS: l.ClockMS})
 	}
 	step := &j.Steps[e.Task.Step]
 	if e.How.provesBegin(step.Gang) {
@@ -304,6 +305,8 @@
 		l.taskDone(j, e.Task)
 	case e.How == EndFailed:
 		l.taskFailed(j, e.Task, t)
+	default:
+		l.crashedUnder(j, t, e, r)
 	}
 	if !j.State.Final() && j.hasWaiting() {
 		l.addWaiting(j)
@@ -325,6 +328,8 @@
 	} else {
 		record.setPhase(j.task(id), Done)
 		record.Done++
+		delete(l.suspects, id)
+		delete(l.unresolved, id)
 	}
 	if record.Done < len(record.Tasks) {
 		return
@@ -345,6 +350,8 @@
 		j.Live--
 	}
 	record.setPhase(t, Done)
+	delete(l.suspects, id)
+	delete(l.unresolved, id)
 }
 
 // taskFailed counts a failed run. The failures of a gang are counted together, in the record of its first task. A task
@@ -391,7 +398,7 @@
 }
 
 // applyServer records a backend server's announcement unless a newer one is recorded already or the incarnation has left.
-func (l *Ledger) applyServer(s Server) {
+func (l *Ledger) applyServer(s Server, r *Result) {
 	if l.HasLeft(s.ID, s.Born) {
 		return
 	}
@@ -402,4 +409,5 @@
 	// Draining is permanent: an incarnation that began to leave doesn't take work again.
 	s.Draining = s.Draining || (ok && s.Born == existing.Born && existing.Draining)
 	l.Servers[s.ID] = s
+	l.resolveRuns(s, r)
 }
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -49,6 +49,10 @@
 const (
 	// FormatLists: commands may have Submits and Cancels.
 	FormatLists = 1
+	// FormatCrashes: ends may have Crash.
+	FormatCrashes = 2
+	// NewestFormat is the newest format that this version understands.
+	NewestFormat = FormatCrashes
 )
 
 // OnlyJobs reports whether a command has no other parts than Submit, Cancel, their lists, Begun, Ends and Starts. Parts that
@@ -125,6 +129,9 @@
 	How    EndCause
 	// Checkpoint is the newest checkpoint known; if it is empty, the recorded one stays.
 	Checkpoint string `json:",omitempty"`
+	// Crash is set if the run ended with its server's incarnation or, for EndLapsed, may have. Earlier versions ignore it, so
+	// it is used only from FormatCrashes on.
+	Crash CrashEvidence `json:",omitempty"`
 }
 
 // Server is a backend server's announcement of itself.
@@ -240,4 +247,6 @@
 	Started []Start `json:",omitempty"`
 	// Ended lists the ends that were accepted, each of which closed a live run.
 	Ended []End `json:",omitempty"`
+	// GivenUp lists the tasks that were given up because backend servers crashed under them. Their jobs have failed.
+	GivenUp []GivenUpTask `json:",omitempty"`
 }
--- a/internal/request/ledger/encode.go
+++ b/internal/request/ledger/encode.go
@@ -66,6 +66,9 @@
 	if e.Checkpoint != "" {
 		b = appendString(append(b, `,"Checkpoint":`...), e.Checkpoint)
 	}
+	if e.Crash != "" {
+		b = appendString(append(b, `,"Crash":`...), string(e.Crash))
+	}
 	return append(b, '}')
 }
 
--- a/internal/request/ledger/job.go
+++ b/internal/request/ledger/job.go
@@ -4,6 +4,7 @@
 package ledger
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -180,6 +181,11 @@
 	return b
 }
 
+// compare orders IDs by job, occurrence, step and index.
+func (t TaskID) compare(o TaskID) int {
+	return cmp.Or(strings.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (t *TaskID) UnmarshalText(text []byte) error {
 	id, err := ParseTaskID(string(text))
@@ -241,8 +247,15 @@
 	Worker string `json:",omitempty"`
 	Born   int64  `json:",omitempty"`
 	// Fails counts the runs that ended with EndFailed; for a gang, its first task counts those of all tasks.
-	Fails      int    `json:",omitempty"`
-	Checkpoint string `json:",omitempty"`
+	Fails int `json:",omitempty"`
+	// Crashes counts the backend servers that crashed under a run of the task soon after its start, UnclearCrashes those on which
+	// the run may not have begun, and Suspicions those of Crashes that the task is suspected of. Unresolved lists runs that may
+	// get counted later.
+	Crashes        int             `json:",omitempty"`
+	UnclearCrashes int             `json:",omitempty"`
+	Suspicions     int             `json:",omitempty"`
+	Unresolved     []UnresolvedRun `json:",omitempty"`
+	Checkpoint     string          `json:",omitempty"`
 	// OrderedMS is when the newest run was ordered, EndedMS when it ended, by the leader's time of day.
 	OrderedMS int64 `json:",omitempty"`
 	EndedMS   int64 `json:",omitempty"`
@@ -336,6 +349,7 @@
 	Run    int
 	Worker string
 	How    EndCause
+	Crash  CrashEvidence `json:",omitempty"`
 	// AtMS is the leader's time of day in milliseconds since 1970.
 	AtMS int64
 }
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -78,6 +78,8 @@
 	usage map[string]Resources
 	// load is the capacity that the live runs take up, by backend server.
 	load map[string]Resources
+	// suspects and unresolved hold, of unfinished jobs, the tasks that may crash backend servers and those with unresolved runs.
+	suspects, unresolved map[TaskID]*Task
 	// evacuated is the set of evacuated data centres.
 	evacuated map[string]bool
 	// finished lists the IDs of finished jobs, the oldest first.
@@ -133,6 +135,7 @@
 	l.liveRuns = make(map[string]map[TaskID]*Task)
 	l.usage = make(map[string]Resources)
 	l.load = make(map[string]Resources)
+	l.suspects, l.unresolved = make(map[TaskID]*Task), make(map[TaskID]*Task)
 	l.evacuated = make(map[string]bool)
 	for name, e := range l.Evacuations {
 		if e.Evacuated {
@@ -159,6 +162,7 @@
 			l.addWaiting(j)
 		}
 		l.eachLive(j, l.addLive)
+		l.indexCrashes(j)
 	}
 	l.sortFinished()
 }
--- a/internal/request/schedule/gang.go
+++ b/internal/request/schedule/gang.go
@@ -16,9 +16,14 @@
 	for i := range step.Count {
 		run = max(run, taskRecord(c, i).Run+1)
 	}
-	chosen := p.chooseGangServers(c, func(*serverState) bool { return true })
+	if p.gangAwaitsResolution(c) {
+		return
+	}
+	suspected := p.gangIsolates(c)
+	allow := func(r *serverState) bool { return p.mayHost(r, c, suspected) }
+	chosen := p.chooseGangServers(c, allow)
 	if step.RackLocal {
-		if sameRack := p.chooseGangOnRack(c); sameRack != nil {
+		if sameRack := p.chooseGangOnRack(c, allow); sameRack != nil {
 			chosen = sameRack
 		}
 	}
@@ -27,7 +32,7 @@
 	}
 }
 
-func (p *planner) chooseGangOnRack(c candidate) []*serverState {
+func (p *planner) chooseGangOnRack(c candidate, allow func(*serverState) bool) []*serverState {
 	var racks []string
 	for _, r := range p.serversByPool[c.pool] {
 		if rack := r.server.Rack(); rack != "" && !slices.Contains(racks, rack) {
@@ -38,7 +43,7 @@
 		slices.SortStableFunc(racks, func(a, b string) int { return cmp.Compare(rackRank(a, dataRack), rackRank(b, dataRack)) })
 	}
 	for _, rack := range racks {
-		if chosen := p.chooseGangServers(c, func(r *serverState) bool { return r.server.Rack() == rack }); chosen != nil {
+		if chosen := p.chooseGangServers(c, func(r *serverState) bool { return r.server.Rack() == rack && allow(r) }); chosen != nil {
 			return chosen
 		}
 	}
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -133,9 +133,12 @@
 	hasLasting bool // it runs lasting tasks
 	trialOnly  bool // it may get a single run, to find out whether it works again
 	slow       bool
-	due        bool // its machine has an upkeep before it
-	planned    int  // starts in this plan
-	cold       bool // it is slow after its start
+	due        bool   // its machine has an upkeep before it
+	planned    int    // starts in this plan
+	plannedFor string // the job of the newest of them
+	// isolatedFor is the job whose suspected task has the server to itself; empty if any task may start there.
+	isolatedFor string
+	cold        bool // it is slow after its start
 	// coldStarts is how many starts a cold server may get in this plan. If coldGrows is set, it may also use its capacity but for
 	// coldWithheld.
 	coldStarts   int
@@ -170,6 +173,7 @@
 	for _, list := range p.serversByPool {
 		slices.SortFunc(list, func(a, b *serverState) int { return strings.Compare(a.server.ID, b.server.ID) })
 	}
+	p.isolate()
 	return p
 }
 
@@ -348,13 +352,16 @@
 		return
 	}
 	step := &c.job.Steps[c.step]
+	tasksOn := liveTasksByServer(c)
+	if len(p.Ledger.Suspects()) > 0 && !p.placeSuspects(c, tasksOn) {
+		return
+	}
 	if p.knownUnplaced(c) {
 		return
 	}
-	tasksOn := liveTasksByServer(c)
 	for i := range step.Count {
 		t := taskRecord(c, i)
-		if t.Phase != ledger.Waiting {
+		if t.Phase != ledger.Waiting || p.isolates(&t) {
 			continue
 		}
 		if !p.withinLimit(c.job.Workspace, step.Need) {
@@ -420,17 +427,23 @@
 	r.free = r.free.Minus(step.CapacityUse())
 	r.hasLasting = r.hasLasting || step.Lasting
 	r.planned++
+	r.plannedFor = c.job.ID
 	p.plannedUsage[c.job.Workspace] = p.plannedUsage[c.job.Workspace].Plus(step.Need)
 }
 
 // chooseServer returns the best server for one more task of a step, or nil if none fits. tasksOn is the number of the
 // step's tasks on each server.
 func (p *planner) chooseServer(c candidate, tasksOn map[string]int) *serverState {
+	return p.chooseServerAmong(c, tasksOn, func(r *serverState) bool { return r.isolatedFor == "" })
+}
+
+// chooseServerAmong returns the best server for one more task of a step among those that allow accepts, or nil if none fits.
+func (p *planner) chooseServerAmong(c candidate, tasksOn map[string]int, allow func(*serverState) bool) *serverState {
 	step := &c.job.Steps[c.step]
 	need := step.CapacityUse()
 	var best *serverState
 	for _, r := range p.serversByPool[c.pool] {
-		if !need.FitsIn(r.free) || (step.Label != "" && !r.server.Has(step.Label)) {
+		if !allow(r) || !need.FitsIn(r.free) || (step.Label != "" && !r.server.Has(step.Label)) {
 			continue
 		}
 		if step.Spread > 0 && tasksOn[r.server.ID] >= step.Spread {
--- a/internal/request/schedule/why.go
+++ b/internal/request/schedule/why.go
@@ -34,12 +34,24 @@
 			in.Ledger.Usage(j.Workspace).CPU, in.Ledger.Usage(j.Workspace).MemMB, in.Ledger.Usage(j.Workspace).GPU, need.CPU, need.MemMB, need.GPU)
 	case len(p.serversByPool[c.pool]) == 0:
 		return fmt.Sprintf("no backend server of pool %s is usable", c.pool) + explainEvacuated(in)
-	case s.Gang && p.chooseGangServers(c, func(*serverState) bool { return true }) == nil, !s.Gang && p.chooseServer(c, liveTasksByServer(c)) == nil:
+	case p.hasWaitingSuspect(c):
+		return "a task may have crashed backend servers and waits for one on which no other has just begun"
+	case s.Gang && p.chooseGangServers(c, func(r *serverState) bool { return p.mayHost(r, c, false) }) == nil, !s.Gang && p.chooseServer(c, liveTasksByServer(c)) == nil:
 		return p.explainNoCapacity(c)
 	}
 	return "the task can be placed by the next plan"
 }
 
+// hasWaitingSuspect reports whether a task of the candidate waits to be started alone.
+func (p *planner) hasWaitingSuspect(c candidate) bool {
+	for i := range c.job.Steps[c.step].Count {
+		if t := taskRecord(c, i); t.Phase == ledger.Waiting && p.isolates(&t) {
+			return true
+		}
+	}
+	return false
+}
+
 // explainEvacuated returns a part of a message that names the evacuated data centres, or nothing if there are none.
 func explainEvacuated(in *Input) string {
 	if len(in.Evacuated) == 0 {
