A request is never refused as not run after an attempt that may have run

What callers saw: 503 "not-run" for an idempotent request whose first attempt had reached a backend server that died. A caller that then acts as if nothing had run is misled.

Cause: a retry that found no free server returned its own refusal, which speaks of the last attempt only. The refusal of an attempt without an answer is now kept beside it; the request's outcome is unknown once there is one. An idempotent request may still run in another data centre after that, asked once and not again and again.

TestRetryWithoutServerLeavesOutcomeUnknown got 503 before and gets 502, unknown.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -36,30 +37,33 @@
 func (e *Entry) dispatch(ctx context.Context, r *http.Request, t *admission.Ticket) (*openResponse, *outcome.Refusal) {
 	r = forward.WithRetryableBody(r)
 	if !e.overflowEntries.hasDataCentres() {
-		return e.dispatchLocal(ctx, r, t)
+		a, refusal, unanswered := e.dispatchLocal(ctx, r, t)
+		return a, cmp.Or(unanswered, refusal)
 	}
 	first := *t
 	first.StartBy = earlier(t.StartBy, e.now().Add(overflowDelay))
 	if !e.router.HasLiveInstance(t.Pool, e.now()) {
 		first.StartBy = e.now()
 	}
-	a, refusal := e.dispatchLocal(ctx, r, &first)
+	a, refusal, unanswered := e.dispatchLocal(ctx, r, &first)
 	for refusal != nil && mayOverflow(refusal) {
 		a, elsewhere := e.overflow(ctx, r, t)
-		if elsewhere == nil || elsewhere.Outcome != outcome.NotRun || !forward.PrepareRetry(r) {
+		switch {
+		case elsewhere == nil || elsewhere.Outcome != outcome.NotRun:
 			return a, elsewhere
-		}
-		if !e.now().Before(t.StartBy) || ctx.Err() != nil {
-			return nil, refusal
+		case !forward.PrepareRetry(r):
+			return nil, cmp.Or(unanswered, elsewhere)
+		case unanswered != nil || !e.now().Before(t.StartBy) || ctx.Err() != nil:
+			return nil, cmp.Or(unanswered, refusal)
 		}
 		again := *t
 		again.InterruptWaitAt = e.now().Add(overflowRetryInterval + rand.N(overflowRetryInterval))
-		a, refusal = e.dispatchLocal(ctx, r, &again)
+		a, refusal, unanswered = e.dispatchLocal(ctx, r, &again)
 		if refusal == nil || refusal.Reason != queue.ReasonNoCapacity {
-			return a, refusal
+			return a, cmp.Or(unanswered, refusal)
 		}
 	}
-	return a, refusal
+	return a, cmp.Or(unanswered, refusal)
 }
 
 // mayOverflow reports whether another data centre may be able to start a request that was refused here.
@@ -72,22 +76,27 @@
 }
 
 // dispatchLocal runs the request on an instance of this data centre. It retries a request that did not run or
-// that is idempotent, as long as the retry budget allows it and the body can be sent again.
-func (e *Entry) dispatchLocal(ctx context.Context, r *http.Request, t *admission.Ticket) (*openResponse, *outcome.Refusal) {
+// that is idempotent, as long as the retry budget allows it and the body can be sent again. refusal is that of the last attempt.
+// unanswered is that of an earlier attempt after which the request may have run: the outcome of the request is then unknown,
+// whatever refused the last one.
+func (e *Entry) dispatchLocal(ctx context.Context, r *http.Request, t *admission.Ticket) (a *openResponse, refusal, unanswered *outcome.Refusal) {
 	e.retries.addToken()
 	backoff := initialBackoff
 	for attempt := 1; ; attempt++ {
 		p, refusal := e.place(ctx, t)
 		if refusal != nil {
-			return nil, refusal
+			return nil, refusal, unanswered
 		}
 		a, refusal := e.run(ctx, r, t, p)
-		if refusal == nil || attempt == maxAttempts {
-			return a, refusal
+		if refusal == nil {
+			return a, nil, nil
 		}
 		repeatable := refusal.Outcome == outcome.NotRun || t.Idempotent
-		if !repeatable || ctx.Err() != nil || !forward.PrepareRetry(r) || !e.retries.takeRetry() {
-			return nil, refusal
+		if attempt == maxAttempts || !repeatable || ctx.Err() != nil || !forward.PrepareRetry(r) || !e.retries.takeRetry() {
+			return nil, refusal, unanswered
+		}
+		if refusal.Outcome != outcome.NotRun {
+			unanswered = refusal
 		}
 		e.log.Info("retrying", "id", p.requestID, "queue", t.Queue, "team", t.Workspace, "instance", p.Instance, "attempt", attempt, "reason", refusal.Reason)
 		e.scope.Counter("retried").Inc(1)
@@ -95,7 +104,7 @@
 		retry.AvoidInstance = p.Instance
 		t = &retry
 		if !pause(ctx, backoff/2+rand.N(backoff)) {
-			return nil, refusal
+			return nil, refusal, unanswered
 		}
 		backoff *= 2
 	}
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -88,6 +88,51 @@
 	eventually(t, "all slots and permits are released", func() bool { return e.idle(gone, good) })
 }
 
+// Guards against a refusal that says "not run" after a first attempt that may have run: its server died, and no other one was
+// free for the retry. If another data centre has one, the request runs there.
+func TestRetryWithoutServerLeavesOutcomeUnknown(t *testing.T) {
+	for _, elsewhere := range []bool{false, true} {
+		f := newFleet(t, "dc1", "dc2")
+		e := f.entries[0]
+		var dying *testServer
+		dying = f.addServer("dc1", func(w http.ResponseWriter, r *http.Request) {
+			f.announce(e, dying, 2, e.now().Add(-time.Minute))
+			raw("")(w, r)
+		})
+		if elsewhere {
+			f.addServer("dc2", echo)
+		}
+		got := f.call(e, http.MethodGet, "", "Request-Timeout", "0.3")
+		must.Eq(t, 1, int(dying.runs.Load()))
+		if elsewhere {
+			must.Eq(t, 200, got.status)
+			continue
+		}
+		must.Eq(t, 502, got.status)
+		must.Eq(t, outcome.Unknown, got.outcome)
+	}
+}
+
+// Guards against a request that crashes one backend server after the other, in one data centre after the other: retries of
+// idempotent requests are bounded over all of them.
+func TestRequestThatCrashesServersReachesFew(t *testing.T) {
+	f := newFleet(t, "dc1", "dc2", "dc3")
+	var dying []*testServer
+	for _, dc := range []string{"dc1", "dc2", "dc3"} {
+		for range 2 {
+			dying = append(dying, f.addServer(dc, raw("")))
+		}
+	}
+	got := f.call(f.entries[0], http.MethodGet, "", "Request-Timeout", "2")
+	must.Eq(t, 502, got.status)
+	must.Eq(t, outcome.Unknown, got.outcome)
+	runs := 0
+	for _, s := range dying {
+		runs += int(s.runs.Load())
+	}
+	must.LessEq(t, maxAttempts, runs)
+}
+
 // A connection that no longer delivers anything is given up once the instance's announcements do not list its
 // request. The request then fails or is retried according to its method, and new connections serve the next ones.
 func TestSilentConnectionIsAbandoned(t *testing.T) {
--- a/internal/entry/overflow.go
+++ b/internal/entry/overflow.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -164,8 +165,8 @@
 	r = forward.WithRetryableBody(forward.WithReadTimeout(w, r))
 	ctx, cancel := context.WithDeadline(r.Context(), t.Deadline)
 	defer cancel()
-	a, refusal := e.dispatchLocal(ctx, r, t)
-	if refusal != nil {
+	a, refusal, unanswered := e.dispatchLocal(ctx, r, t)
+	if refusal = cmp.Or(unanswered, refusal); refusal != nil {
 		e.refuse(w, t, refusal)
 		return
 	}
