Suspected tasks get half of a pool, and wait for a server of their own before their last crash

Cause: a quarter of a small pool is two servers. Most suspected tasks waited 1.5 s in vain, started beside new deadly ones and were counted along.

Now up to half of a pool is kept for suspected tasks, and one that a further crash would end waits for its own server without that limit, before others.

--- a/internal/request/ledger/crash.go
+++ b/internal/request/ledger/crash.go
@@ -53,6 +53,9 @@
 		slices.ContainsFunc(t.Unresolved, func(u UnresolvedRun) bool { return u.Evidence != CrashUnclear })
 }
 
+// LastChance reports whether a further crash of whatever evidence may end the task.
+func (t *Task) LastChance() bool { return t.Crashes+t.UnclearCrashes >= maxCrashes-1 }
+
 // recordCrash counts the crash of a server under a task and reports whether the task is to be given up.
 func (t *Task) recordCrash(evidence CrashEvidence) (giveUp bool) {
 	switch evidence {
--- a/internal/request/schedule/isolate.go
+++ b/internal/request/schedule/isolate.go
@@ -16,9 +16,10 @@
 	// ProbationMS is how long a run must have worked until its task no longer counts as one that crashes its server by starting.
 	ProbationMS = 500
 	// isolationShare is the part of a pool's servers, 1/isolationShare, that are kept for suspected tasks at most; at least one.
-	isolationShare = 4
+	isolationShare = 2
 	// isolationWaitMS is how long a suspected task waits for a server of its own, or a gang for servers where none has just begun.
-	// Then it starts as any other: a crash that it shares with others doesn't tell which task is at fault, but is counted.
+	// Then it starts as any other: a crash that it shares with others doesn't tell which task is at fault, but is counted. A
+	// task that the next crash would end waits as long as it takes, so that it isn't given up for another's fault.
 	isolationWaitMS = 1500
 	// unresolvedWaitMS is how long a task under which a server has crashed waits to learn whether its last server, whose lease
 	// lapsed, crashed too.
@@ -50,9 +51,16 @@
 			isolated[r.server.Pool]++
 		}
 	}
-	// Those that have waited longest come first, so that the servers kept for them stay the same from plan to plan.
+	// The order is that of the waits, so that the servers kept for tasks stay the same from plan to plan.
 	slices.SortFunc(waiting, func(a, b ledger.TaskID) int {
-		return cmp.Or(cmp.Compare(suspects[a].EndedMS, suspects[b].EndedMS), strings.Compare(a.String(), b.String()))
+		x, y := suspects[a], suspects[b]
+		if x.LastChance() != y.LastChance() {
+			if x.LastChance() {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(x.EndedMS, y.EndedMS), strings.Compare(a.String(), b.String()))
 	})
 	served := make(map[string]bool)
 	for _, id := range waiting {
@@ -80,7 +88,7 @@
 
 // isolates reports whether a waiting task is to be started alone, or not yet.
 func (p *planner) isolates(t *ledger.Task) bool {
-	return t.SuspectedOfCrashes() && (p.awaitsResolution(t) || p.WallMS-t.EndedMS < isolationWaitMS)
+	return t.SuspectedOfCrashes() && (p.awaitsResolution(t) || t.LastChance() || p.WallMS-t.EndedMS < isolationWaitMS)
 }
 
 // onProbation reports whether a run was ordered less than ProbationMS ago.
--- a/internal/request/schedule/isolate_test.go
+++ b/internal/request/schedule/isolate_test.go
@@ -79,8 +79,8 @@
 	must.NotEq(t, "", workerOf(starts, "suspect"))
 }
 
-// Guards against many suspected tasks that hold up the other work of a pool, or each other: a quarter of the servers is kept
-// for them at most, and those that get none start as any other task soon.
+// Guards against many suspected tasks that hold up the other work of a pool, or each other: half of the servers are kept for
+// them at most, and those that get none start as any other task soon, unless one more crash would end them.
 func TestManySuspectedTasksHoldUpNothing(t *testing.T) {
 	f := newFixture(t)
 	for _, id := range []string{"a", "b", "c", "d"} {
@@ -91,11 +91,31 @@
 		f.submit(id, newStep(1, 100))
 	}
 	f.crashed(jobs...)
-	f.submit("other", newStep(12, 1000))
+	f.submit("other", newStep(8, 1000))
 	starts := f.plan(startMS)
-	must.SliceLen(t, 13, starts)
+	must.SliceLen(t, 2+8, starts)
 	f.commit(startMS, starts)
-	must.SliceLen(t, 3, f.plan(startMS+isolationWaitMS))
+	f.submit("last", newStep(1, 100))
+	f.crashed("last")
+	for run := 2; run <= 3; run++ {
+		again := ledger.Start{Task: ledger.TaskID{Job: "last"}, Run: run, Worker: "gone", Born: 1}
+		f.commit(startMS, []ledger.Start{again})
+		f.ledger.Apply(&ledger.Command{NowMS: startMS, Ends: []ledger.End{{Task: again.Task, Run: run, Worker: "gone", How: ledger.EndLost, Crash: ledger.CrashShared}}})
+	}
+	f.submit("more", newStep(8, 1000))
+	starts = f.plan(startMS + isolationWaitMS)
+	own := workerOf(starts, "last")
+	must.NotEq(t, "", own)
+	must.EqOp(t, 1, startsByServer(starts)[own])
+	for _, id := range jobs {
+		must.True(t, f.started(id) || workerOf(starts, id) != "")
+	}
+}
+
+// started reports whether a job's first task has a live run.
+func (f *fixture) started(job string) bool {
+	_, t := f.ledger.Task(ledger.TaskID{Job: job})
+	return t.Phase == ledger.Live
 }
 
 // Guards against a suspected task that never starts because the server kept for it may hold no more tasks of its step, hasn't
