A server's changed capacity is committed, so that a new leader keeps to it

What could happen: a server without a guard of its own is filled beyond its capacity (LIMIT), or one that has grown stays half empty, right after a change of the leader.

Cause: only a server's first announcement, its move and its leaving were committed. A new leader started from the capacity of then until the server's next announcement.

A changed capacity is now committed like a changed pool, and logged. What runs and what is being stopped counted already.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -264,6 +264,10 @@
 	}
 	now := boottime.Now()
 	before := s.fleet.Get(c.Server.ID)
+	var capacity ledger.Resources
+	if before != nil {
+		capacity = before.Capacity
+	}
 	change := s.fleet.Announce(*c.Server, now)
 	server := s.fleet.Get(c.Server.ID)
 	if change == fleet.Appeared && before != nil {
@@ -278,6 +282,9 @@
 			s.ensureHoldLoopLocked(c.Server.ID) // the server may be reachable again
 		}
 	}
+	if change == fleet.Renewed && server.Capacity != capacity {
+		s.log.Info("capacity of a backend server changed", "server", c.Server.ID, "from", capacity, "to", server.Capacity)
+	}
 	// An announcement that isn't newer may repeat one whose commit failed.
 	announced, mustCommit = s.uncommittedLocked(server)
 	if change == fleet.Appeared || change == fleet.Leaving {
@@ -305,7 +312,7 @@
 func (s *session) uncommittedLocked(server *fleet.Server) (announced ledger.Server, lacks bool) {
 	recorded, known := s.engine.ledger.KnownServers()[server.ID]
 	lacks = !known || recorded.Born != server.Born || recorded.Draining != server.Draining || recorded.Pool != server.Pool ||
-		recorded.Address != server.Address || recorded.DataCentre != server.DataCentre
+		recorded.Address != server.Address || recorded.DataCentre != server.DataCentre || recorded.Capacity != server.Capacity
 	return server.Server, lacks
 }
 
