Jobs of the control log: a job that takes workers down is parked at the third time

The same class of fault outside mode jobs: the task of an idempotent job that ended because its worker went down was queued again without any count, so one job could take down one worker after the other, or the same one whenever it was back.

Each such end within a minute of the task's start now counts like a failure, also on the same worker, and the third parks the job with its reason. A task that had run for longer is no suspect. FailedWorkers of the job keeps the count in the log, so it survives a change of the leader. Jobs that aren't idempotent never ran again.

TestJobThatTakesWorkersDownIsParked: waiting before, parked now. Jobs that only shared the worker are counted too in this mode: their tasks' ends say nothing else.

--- a/internal/request/jobs/jobs.go
+++ b/internal/request/jobs/jobs.go
@@ -37,10 +37,13 @@
 	// StartGrace is how long a start request may be in flight before the platform is asked about the task. A
 	// query before the start arrives would void it: the platform never starts a task that it was asked about before.
 	StartGrace = 10 * time.Second
-	// maxFailedWorkers is the number of distinct workers on which a job fails before it is parked.
+	// maxFailedWorkers is the number of distinct workers on which a job fails before it is parked. Each time that a worker went
+	// down soon after the job's start counts as well, also if it is the same one.
 	maxFailedWorkers = 3
-	firstBackoff     = time.Second
-	maxBackoff       = time.Minute
+	// crashSuspicionTime is how long a task must have run for it to be no suspect when its worker goes down.
+	crashSuspicionTime = time.Minute
+	firstBackoff       = time.Second
+	maxBackoff         = time.Minute
 )
 
 // TaskID returns the id of the platform task that runs the current attempt of a job.
@@ -133,6 +136,8 @@
 		return withState(job, failed, "ended early on %s: %s; not idempotent, so not run again", job.Worker, r.Reason)
 	case r.Cause == platform.CauseTask:
 		return recordWorkerFailure(job, now, r.Reason)
+	case r.Cause == platform.CauseWorker && time.Duration(r.RanMS)*time.Millisecond < crashSuspicionTime:
+		return retryOrPark(job, now, append(slices.Clone(job.FailedWorkers), job.Worker), "went down: "+r.Reason)
 	}
 	return requeue(job, now, "ended early: "+r.Reason)
 }
@@ -144,13 +149,18 @@
 	return n
 }
 
-// recordWorkerFailure adds the job's worker to those on which it failed. The job is parked once it has failed on
-// maxFailedWorkers distinct workers; otherwise it waits for another attempt after an exponential backoff.
+// recordWorkerFailure adds the job's worker to those on which it failed.
 func recordWorkerFailure(job *laburnumv1.Job, now time.Time, reason string) *laburnumv1.Job {
 	workers := job.FailedWorkers
 	if !slices.Contains(workers, job.Worker) {
 		workers = append(slices.Clone(workers), job.Worker)
 	}
+	return retryOrPark(job, now, workers, reason)
+}
+
+// retryOrPark returns the job with the workers on which it failed. It is parked once there are maxFailedWorkers; otherwise it
+// waits for another attempt after an exponential backoff.
+func retryOrPark(job *laburnumv1.Job, now time.Time, workers []string, reason string) *laburnumv1.Job {
 	if len(workers) >= maxFailedWorkers {
 		n := withState(job, parked, "failed on %s; the last: %s", strings.Join(workers, ", "), reason)
 		n.FailedWorkers = workers
--- a/internal/request/jobs/jobs_test.go
+++ b/internal/request/jobs/jobs_test.go
@@ -60,6 +60,27 @@
 	}
 }
 
+// Guards against a job that takes down one worker after the other, or the same one each time it is back. One whose worker goes
+// down after it has run for long isn't blamed.
+func TestJobThatTakesWorkersDownIsParked(t *testing.T) {
+	down := func(ran time.Duration) *platform.TaskReport {
+		return &platform.TaskReport{State: platform.TaskEnded, Cause: platform.CauseWorker, Reason: "worker down", RanMS: ran.Milliseconds()}
+	}
+	for _, second := range []string{"w9", "w2"} {
+		j := job(running, true)
+		for _, worker := range []string{"w9", second} {
+			j.State, j.Worker = running, worker
+			j = ApplyReport(j, down(time.Second), now)
+			must.Eq(t, waiting, j.State)
+		}
+		j.State = running
+		j = ApplyReport(j, down(time.Hour), now)
+		must.Eq(t, waiting, j.State)
+		j.State = running
+		must.Eq(t, parked, ApplyReport(j, down(time.Second), now).State)
+	}
+}
+
 func TestJobStateAfterStartRequest(t *testing.T) {
 	cause := errors.New("cause")
 	must.Eq(t, running, ApplyStartResult(job(starting, false), nil, now).State)
