A replica without a log votes for none that has one, unless it voted before there was a log

Cause: that a voter has lost its data folder is told from the folder's identifier in the committed membership. A voter that was cut off or killed in the log's first second lacks that entry, so it took the vote of one that had come back with an empty folder, and the two were a quorum without what they had helped to commit.

A replica with an empty log now rejects candidates whose log isn't empty, for it may have held a part of that log. One that voted before there was a log, as its hard state or its present run shows, has lost nothing and votes. A founder that starts for the first time after the only replica with the newest log was lost has to wait for it.

TestReplicaWithLostDataFolderDoesNotVoteForOldLog failed before ("leader c of term 2 lacks committed entry 2"). First try, without the hard state, left two voters without a leader in TestRandomSchedules; TestVoterOfFirstElectionVotesAgain keeps that. Schedules with 600 checks pass.

--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -143,6 +143,8 @@
 	heardByLeader bool
 	log           log
 	members       membershipHistory
+	// tookPartInFirstElection is set if this replica is known to have voted, with this data folder, before it had a log.
+	tookPartInFirstElection bool
 
 	now              uint64 // ticks since the start
 	electionElapsed  int
@@ -186,6 +188,7 @@
 	c.log.load(p)
 	c.log.commit = max(p.Snapshot.GetIndex(), min(hs.GetCommit(), c.log.last()))
 	c.log.applied = p.Snapshot.GetIndex()
+	c.tookPartInFirstElection = c.log.last() == 0 && c.vote != ""
 	c.members.load(p.Snapshot, c.log.entriesAfter(p.Snapshot.GetIndex()))
 	c.written = c.hardState()
 	c.durable = c.written
--- a/internal/process/replica/core/core_test.go
+++ b/internal/process/replica/core/core_test.go
@@ -290,6 +290,59 @@
 	}}))
 }
 
+// Guards against a second log in the place of the first, whose committed entries are lost: a replica that lost its data folder
+// votes for one that was cut off before the identifiers of the folders were recorded.
+func TestReplicaWithLostDataFolderDoesNotVoteForOldLog(t *testing.T) {
+	n := newNetwork(3, "a", "b", "c")
+	a, b, c := n.peers["a"], n.peers["b"], n.peers["c"]
+	a.core.campaign()
+	n.processReady(a)
+	for c.core.log.last() == 0 {
+		n.run(1)
+	}
+	n.isolate("c")
+	must.Zero(t, c.core.members.get("b").Replica)
+	n.run(4 * testHeartbeatTicks)
+	must.NotEq(t, 0, a.core.members.get("b").Replica)
+	_, _, err := n.propose(a, 1, 1)
+	must.NoError(t, err)
+	n.deliverAll()
+	must.Eq(t, "1", n.sheets["1"])
+
+	n.crash(a)
+	n.crash(b)
+	n.add("b", a.core.members.at(0), 7)
+	n.heal()
+	n.run(40 * testElectionTicks)
+	must.Nil(t, n.leader())
+	n.start(a)
+	n.run(40 * testElectionTicks)
+	must.Eq(t, "1", n.sheets["1"])
+	n.requireInvariants(t)
+}
+
+// Guards against a log that stands still because its first leader was lost before all voters had an entry of it: one that
+// voted in that election has lost nothing.
+func TestVoterOfFirstElectionVotesAgain(t *testing.T) {
+	n := newNetwork(3, "a", "b", "c")
+	a, b, c := n.peers["a"], n.peers["b"], n.peers["c"]
+	a.core.campaign()
+	n.processReady(a)
+	for c.core.vote == "" {
+		n.deliver(0)
+	}
+	n.cutLinks[[2]string{"a", "c"}] = true
+	for b.core.log.last() == 0 {
+		n.run(1)
+	}
+	must.Zero(t, c.core.log.last())
+	n.crash(a)
+	n.heal()
+	n.run(40 * testElectionTicks)
+	must.NotNil(t, n.leader())
+	n.requireInvariants(t)
+}
+
 func TestMessageOfOtherClusterIsIgnored(t *testing.T) {
 	n, a := newElectedNetwork(t, "a", "b", "c")
 	must.Eq(t, OtherCluster, a.core.Step(Message{From: "x", To: "a", ConsensusMessage: &laburnumv1.ConsensusMessage{
--- a/internal/process/replica/core/election.go
+++ b/internal/process/replica/core/election.go
@@ -18,6 +18,7 @@
 	c.term++
 	c.vote = c.cfg.Name
 	c.votes = make(map[string]bool)
+	c.tookPartInFirstElection = c.tookPartInFirstElection || c.log.last() == 0
 	c.resetElectionTimer()
 	c.requestVotes(laburnumv1.ConsensusType_CONSENSUS_TYPE_VOTE, c.term)
 	if c.countVote(c.cfg.Name, true) == electionWon {
@@ -43,6 +44,13 @@
 	return m.LogTerm > last || (m.LogTerm == last && m.Index >= c.log.last())
 }
 
+// mayHaveLostLog reports whether this replica has no log although there is one: it may have held a part of it, which was
+// lost with its data folder. The folder's identifier doesn't tell a candidate that was cut off before the leader recorded
+// it. A replica that took part in the election of the first leader has lost nothing.
+func (c *Core) mayHaveLostLog(m Message) bool {
+	return c.log.last() == 0 && m.Index > 0 && !c.tookPartInFirstElection
+}
+
 // withholdsVote reports whether a leader was in contact within the minimum election timeout. Votes are withheld
 // for that time, so that a replica that was cut off can't replace a working leader. With LeaderLease, a replica
 // also withholds its vote for that time after its start: it may have confirmed a leader before it restarted.
@@ -54,7 +62,7 @@
 }
 
 func (c *Core) stepPreVote(m Message) {
-	grant := m.Term > c.term && c.candidateUpToDate(m) && !c.withholdsVote()
+	grant := m.Term > c.term && c.candidateUpToDate(m) && !c.mayHaveLostLog(m) && !c.withholdsVote()
 	resp := &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_PRE_VOTE_RESPONSE, Reject: !grant}
 	if grant {
 		resp.Term = m.Term
@@ -64,9 +72,10 @@
 
 func (c *Core) stepVote(m Message) {
 	canVote := c.vote == m.From || (c.vote == "" && c.leader == "")
-	grant := canVote && c.candidateUpToDate(m)
+	grant := canVote && c.candidateUpToDate(m) && !c.mayHaveLostLog(m)
 	if grant {
 		c.vote = m.From
+		c.tookPartInFirstElection = c.tookPartInFirstElection || c.log.last() == 0
 		c.resetElectionTimer()
 	}
 	c.sendAfterWrite(m.From, &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_VOTE_RESPONSE, Reject: !grant})
