Suspected tasks may be the trial of a suspect server; what they need is computed once a plan

A pool whose only servers may get trial runs and whose only task waits for a server of its own before its last crash would have stood still: each waited for the other. Such a server now comes last for a suspected task instead of not at all. Found by reading; TestSuspectedTaskIsTrialOfSuspectServer fails without it.

Newest run and room of a server are computed once a plan and not for each suspected task. isolate is split into its three steps; no other change of behaviour.

--- a/internal/request/schedule/isolate.go
+++ b/internal/request/schedule/isolate.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"strings"
 
@@ -29,56 +28,68 @@
 // isolate reserves servers for suspected tasks: those on probation keep theirs, and each waiting one gets the server that is
 // likely to be ready for it first.
 func (p *planner) isolate() {
-	suspects := p.Ledger.Suspects()
-	if len(suspects) == 0 {
+	if len(p.Ledger.Suspects()) == 0 {
 		return
 	}
+	isolated := p.keepProbation() // number of reserved servers by pool
+	served := make(map[string]bool)
+	for _, id := range p.waitingSuspects() {
+		j := p.Ledger.Job(id.Job)
+		q := p.Ledger.Index().Queue(j.Queue)
+		step := &j.Steps[id.Step]
+		if q == nil || step.Gang || served[id.Job] || !p.withinLimit(j.Workspace, step.Need) {
+			continue
+		}
+		if isolated[q.Pool] >= max(1, len(p.serversByPool[q.Pool])/isolationShare) {
+			continue
+		}
+		if r := p.serverToIsolate(candidate{job: j, occurrence: id.Occurrence, step: id.Step, pool: q.Pool}); r != nil {
+			r.isolatedFor = id.Job
+			isolated[q.Pool]++
+			served[id.Job] = true
+		}
+	}
+}
+
+// keepProbation reserves the servers of suspected tasks that have just begun, and returns their number by pool.
+func (p *planner) keepProbation() map[string]int {
 	states := make(map[string]*serverState)
 	for _, list := range p.serversByPool {
 		for _, r := range list {
 			states[r.server.ID] = r
 		}
 	}
-	isolated := make(map[string]int) // by pool
+	reserved := make(map[string]int)
+	for id, t := range p.Ledger.Suspects() {
+		if r := states[t.Worker]; t.Phase == ledger.Live && r != nil && r.isolatedFor == "" && p.onProbation(t) {
+			r.isolatedFor = id.Job
+			reserved[r.server.Pool]++
+		}
+	}
+	return reserved
+}
+
+// waitingSuspects returns the tasks that wait to be started alone. Those that a further crash may end come first, then those that
+// have waited longest, so that the servers kept for them stay the same from plan to plan.
+func (p *planner) waitingSuspects() []ledger.TaskID {
+	suspects := p.Ledger.Suspects()
 	var waiting []ledger.TaskID
 	for id, t := range suspects {
-		r := states[t.Worker]
-		switch {
-		case t.Phase == ledger.Waiting && p.isolates(t) && !p.awaitsResolution(t):
+		if t.Phase == ledger.Waiting && p.isolates(t) && !p.awaitsResolution(t) {
 			waiting = append(waiting, id)
-		case t.Phase == ledger.Live && r != nil && r.isolatedFor == "" && p.onProbation(t):
-			r.isolatedFor = id.Job
-			isolated[r.server.Pool]++
 		}
 	}
-	// The order is that of the waits, so that the servers kept for tasks stay the same from plan to plan.
 	slices.SortFunc(waiting, func(a, b ledger.TaskID) int {
 		x, y := suspects[a], suspects[b]
-		if x.LastChance() != y.LastChance() {
-			if x.LastChance() {
-				return -1
-			}
+		switch {
+		case x.LastChance() && !y.LastChance():
+			return -1
+		case y.LastChance() && !x.LastChance():
 			return 1
 		}
 		return cmp.Or(cmp.Compare(x.EndedMS, y.EndedMS), strings.Compare(a.String(), b.String()))
 	})
-	served := make(map[string]bool)
-	for _, id := range waiting {
-		j := p.Ledger.Job(id.Job)
-		q := p.Ledger.Index().Queue(j.Queue)
-		step := &j.Steps[id.Step]
-		if q == nil || step.Gang || served[id.Job] || isolated[q.Pool] >= max(1, len(p.serversByPool[q.Pool])/isolationShare) {
-			continue
-		}
-		if !p.withinLimit(j.Workspace, step.Need) {
-			continue
-		}
-		if r := p.serverToIsolate(candidate{job: j, occurrence: id.Occurrence, step: id.Step, pool: q.Pool}); r != nil {
-			r.isolatedFor = id.Job
-			isolated[q.Pool]++
-			served[id.Job] = true
-		}
-	}
+	return waiting
 }
 
 // awaitsResolution reports whether a task waits to learn whether its last server crashed.
@@ -100,10 +111,10 @@
 	step, tasksOn := &c.job.Steps[c.step], liveTasksByServer(c)
 	var best *serverState
 	for _, r := range p.serversByPool[c.pool] {
-		if step.Spread > 0 && tasksOn[r.server.ID] >= step.Spread {
+		if r.isolatedFor != "" || step.Label != "" && !r.server.Has(step.Label) {
 			continue
 		}
-		if r.isolatedFor != "" || r.trialOnly || step.Label != "" && !r.server.Has(step.Label) || !step.CapacityUse().FitsIn(p.freeLater(r)) {
+		if step.Spread > 0 && tasksOn[r.server.ID] >= step.Spread || !step.CapacityUse().FitsIn(p.load(r).freeLater) {
 			continue
 		}
 		if best == nil || p.readier(step, r, best) {
@@ -113,35 +124,42 @@
 	return best
 }
 
-// freeLater returns the capacity of a server that is free once its tasks that don't last have ended.
-func (p *planner) freeLater(r *serverState) ledger.Resources {
-	free := r.server.Capacity
-	for id := range p.Ledger.LiveOn(r.server.ID) {
-		if step := &p.Ledger.Job(id.Job).Steps[id.Step]; step.Lasting {
-			free = free.Minus(step.CapacityUse())
+// serverLoad is what the live runs of a server tell about when it is ready for a suspected task.
+type serverLoad struct {
+	// freeLater is the capacity that is free once the tasks that don't last have ended.
+	freeLater ledger.Resources
+	// newestRunMS is when the newest run was ordered; 0 if there is none.
+	newestRunMS int64
+}
+
+// load returns the load of a server, which is computed once a plan.
+func (p *planner) load(r *serverState) *serverLoad {
+	if r.load == nil {
+		r.load = &serverLoad{freeLater: r.server.Capacity}
+		for id, t := range p.Ledger.LiveOn(r.server.ID) {
+			r.load.newestRunMS = max(r.load.newestRunMS, t.OrderedMS)
+			if step := &p.Ledger.Job(id.Job).Steps[id.Step]; step.Lasting {
+				r.load.freeLater = r.load.freeLater.Minus(step.CapacityUse())
+			}
 		}
 	}
-	return free
+	return r.load
 }
 
+// readier reports whether a is likely to be ready for a suspected task of a step before b. A server without lasting tasks is
+// preferred: a crash would end them. One that may get a trial run only comes last.
 func (p *planner) readier(step *ledger.Step, a, b *serverState) bool {
+	if a.trialOnly != b.trialOnly {
+		return b.trialOnly
+	}
 	now := func(r *serverState) bool { return step.CapacityUse().FitsIn(r.free) && r.carries(step, 0, r.free) }
 	if x, y := now(a), now(b); x != y {
 		return x
 	}
-	// A server without lasting tasks is preferred: a crash would end them.
 	if a.hasLasting != b.hasLasting {
 		return b.hasLasting
 	}
-	return p.newestRunMS(a) < p.newestRunMS(b)
-}
-
-// newestRunMS returns when the newest live run of a server was ordered, or 0 if it has none.
-func (p *planner) newestRunMS(r *serverState) (newest int64) {
-	for t := range maps.Values(p.Ledger.LiveOn(r.server.ID)) {
-		newest = max(newest, t.OrderedMS)
-	}
-	return newest
+	return p.load(a).newestRunMS < p.load(b).newestRunMS
 }
 
 // settled reports whether no run of another job has been planned or ordered for a server within ProbationMS.
--- a/internal/request/schedule/isolate_test.go
+++ b/internal/request/schedule/isolate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -145,6 +146,21 @@
 	}
 }
 
+// Guards against a pool that stands still because its only servers may get trial runs only and its only task wants a server of
+// its own: neither would ever be cleared.
+func TestSuspectedTaskIsTrialOfSuspectServer(t *testing.T) {
+	f := newFixture(t)
+	f.server("a", "p", nil)
+	f.submit("suspect", newStep(1, 100))
+	f.crashed("suspect")
+	for range 3 {
+		f.fleet.Get("a").Health.Failed(f.now)
+	}
+	f.now += 3 * time.Second
+	f.server("a", "p", func(s *ledger.Server) { s.Seq = 2 })
+	must.EqOp(t, "a", workerOf(f.plan(startMS), "suspect"))
+}
+
 // Guards against a task that is started while it isn't known whether its last server crashed: it would be started again and
 // again on servers that stay away longer than their lease.
 func TestTaskWithUnresolvedRunWaits(t *testing.T) {
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -138,7 +138,8 @@
 	plannedFor string // the job of the newest of them
 	// isolatedFor is the job whose suspected task has the server to itself; empty if any task may start there.
 	isolatedFor string
-	cold        bool // it is slow after its start
+	load        *serverLoad // nil until it is asked for
+	cold        bool        // it is slow after its start
 	// coldStarts is how many starts a cold server may get in this plan. If coldGrows is set, it may also use its capacity but for
 	// coldWithheld.
 	coldStarts   int
