A lapsed run alone doesn't make its task a suspect

Most servers that fall silent are cut off or slow. A task is now held for a suspect once a crash has been counted; a lapse only waits for its server's fate where there is a suspicion already, as before.

--- a/internal/request/ledger/crash.go
+++ b/internal/request/ledger/crash.go
@@ -49,8 +49,7 @@
 // SuspectedOfCrashes reports whether a task may crash the backend servers that start it. It is started only where no other run
 // has just begun, so that the next crash tells.
 func (t *Task) SuspectedOfCrashes() bool {
-	return t.Suspicions > 0 || t.Crashes+t.UnclearCrashes >= crashesToIsolate ||
-		slices.ContainsFunc(t.Unresolved, func(u UnresolvedRun) bool { return u.Evidence != CrashUnclear })
+	return t.Suspicions > 0 || t.Crashes+t.UnclearCrashes >= crashesToIsolate
 }
 
 // LastChance reports whether a further crash of whatever evidence may end the task.
