A server that was silent before its connection was refused may have been cut off first

That server was cut off, the run ended there, the server crashed and then refused calls; any refused call was taken to show that it had ended with the run.

Only the first failed call after an answer tells now: refused at once, the server has just ended; after a time limit it counts as shared. Starts record this like hold calls.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -260,8 +260,7 @@
 		s.log.Warn("backend server doesn't answer", "server", h.serverID, "runs", len(s.engine.ledger.LiveOn(h.serverID)),
 			"newest", s.newestRunsLocked(h.serverID), "error", err)
 	}
-	server.Unanswered(boottime.Now())
-	server.ConnectionFailed = server.ConnectionFailed || atOnce
+	server.Unanswered(boottime.Now(), atOnce)
 	h.closeLapsedRunsLocked(server)
 }
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -68,7 +68,7 @@
 		for _, st := range starts {
 			group.Go(func() {
 				if s.contain("start", func() { s.sendStart(ctx, st) }) {
-					s.handleUnansweredStart(st, errUnexpected)
+					s.handleUnansweredStart(st, errUnexpected, false)
 				}
 			})
 		}
@@ -111,7 +111,7 @@
 	answer, clock, err := s.servers.Start(ctx, to, o)
 	heard := boottime.Now()
 	if err != nil {
-		s.handleUnansweredStart(st, err)
+		s.handleUnansweredStart(st, err, ctx.Err() == nil)
 		return
 	}
 	s.stats.order.Record(heard - asked)
@@ -173,13 +173,14 @@
 	s.ends.add(ledger.End{Task: st.Task, Run: st.Run, Worker: st.Worker, How: ledger.EndRefused})
 }
 
-func (s *session) handleUnansweredStart(st ledger.Start, err error) {
+// handleUnansweredStart records that a start got no answer. atOnce is set if its call failed before its time limit.
+func (s *session) handleUnansweredStart(st ledger.Start, err error, atOnce bool) {
 	now := boottime.Now()
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	s.log.Warn("order unanswered; it may be carried out", "task", st.Task, "run", st.Run, "server", st.Worker, "error", err)
 	if server := s.fleet.Get(st.Worker); server != nil && server.Born == st.Born {
-		server.Unanswered(now)
+		server.Unanswered(now, atOnce)
 		if server.StartUnanswered(now, callTimeout) {
 			server.AvoidUntil = now + startBackoff
 			server.Health.StartFailed(now)
--- a/internal/request/fleet/fleet.go
+++ b/internal/request/fleet/fleet.go
@@ -35,8 +35,8 @@
 	// FailedCalls counts the calls without an answer since the last answered one; FailedAt is the time of the newest.
 	FailedCalls int
 	FailedAt    time.Duration
-	// ConnectionFailed is set if one of these calls failed at once: its connection was refused or broke, so the server has
-	// probably ended. The others took up their time, so it may be cut off.
+	// ConnectionFailed is set if the first of these calls failed at once: its connection was refused or broke, so the server
+	// has probably just ended. Otherwise the call took up its time, and the server may have been cut off first.
 	ConnectionFailed bool
 	// AvoidUntil is the time until which the server gets no new work because it rejected a start or left repeated ones unanswered.
 	AvoidUntil time.Duration
@@ -140,8 +140,11 @@
 	s.FailedCalls, s.ConnectionFailed = 0, false
 }
 
-// Unanswered records that a call got no answer.
-func (s *Server) Unanswered(now time.Duration) {
+// Unanswered records that a call got no answer. atOnce is set if it failed before its time limit.
+func (s *Server) Unanswered(now time.Duration, atOnce bool) {
+	if s.FailedCalls == 0 {
+		s.ConnectionFailed = atOnce
+	}
 	s.FailedCalls++
 	s.FailedAt = now
 }
--- a/internal/request/schedule/schedule_test.go
+++ b/internal/request/schedule/schedule_test.go
@@ -98,7 +98,7 @@
 			f.fleet.Get("a").AnnouncedAt = f.now - AnnouncementTimeout - 1
 		}, map[string]int{"b": 1}},
 		{"a server that doesn't answer", newStep(2, 4000), func(f *fixture) {
-			f.fleet.Get("a").Unanswered(f.now)
+			f.fleet.Get("a").Unanswered(f.now, false)
 		}, map[string]int{"b": 1}},
 		{"a server that rejected a start", newStep(2, 4000), func(f *fixture) {
 			f.fleet.Get("a").AvoidUntil = f.now + 1
