--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -57,17 +57,7 @@
 	if last == nil || last.Draining || last.Left {
 		return // its end was announced or ordered
 	}
-	runs := make(map[ledger.TaskID]*ledger.Task)
-	newestMS := int64(0)
-	for id, t := range s.engine.ledger.LiveOn(last.ID) {
-		if t.Born != 0 && t.Born != last.Born {
-			continue
-		}
-		runs[id] = t
-		if o := s.orders[runKey{id, t.Run}]; o == nil || o.state == orderTaken {
-			newestMS = max(newestMS, t.OrderedMS)
-		}
-	}
+	runs, newestMS := s.runsOfLocked(last)
 	suspects := make(map[string]bool) // by job
 	for id, t := range runs {
 		key := runKey{id, t.Run}
@@ -91,6 +81,21 @@
 	}
 }
 
+// runsOfLocked returns the live runs of an incarnation, and when the newest of those was ordered that may have begun.
+func (s *session) runsOfLocked(server *fleet.Server) (runs map[ledger.TaskID]*ledger.Task, newestMS int64) {
+	runs = make(map[ledger.TaskID]*ledger.Task)
+	for id, t := range s.engine.ledger.LiveOn(server.ID) {
+		if t.Born != 0 && t.Born != server.Born {
+			continue
+		}
+		runs[id] = t
+		if o := s.orders[runKey{id, t.Run}]; o == nil || o.state == orderTaken {
+			newestMS = max(newestMS, t.OrderedMS)
+		}
+	}
+	return runs, newestMS
+}
+
 // crashEvidence returns what the end of a server that last answered at answeredAt says about a task that had a run there,
 // regardless of the other runs there. o is nil if this leader has no order or report of the run; olderMS is how much earlier
 // than the newest run it was ordered.
