Log what a stop, a machine order and a lapsed lease were decided by

Stops of lasting tasks now name the other tasks of the step that don't work, machine orders the age of the list, lapses how long the server was silent and when it was last granted a lease.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -46,6 +46,8 @@
 	contacted bool
 	// reportWanted is set while a report is wanted at once. It is guarded by engine.mu.
 	reportWanted bool
+	// silence is how long the server hadn't answered any call when its newest report arrived.
+	silence time.Duration
 }
 
 // ensureHoldLoopLocked starts a hold loop for a server unless one is running.
@@ -332,6 +334,7 @@
 	if server.FailedCalls > 1 {
 		s.log.Info("backend server answers again", "server", h.serverID)
 	}
+	h.silence = heard - server.AnsweredAt
 	server.Answered(heard)
 	server.Clock.Observe(report.ClockMS, asked, heard)
 	listed := make(map[runKey]bool, len(report.Running)+len(report.Finished))
@@ -402,6 +405,9 @@
 		} else {
 			server.Health.Done(0, 0, now)
 		}
+	case ledger.EndLapsed:
+		h.session.log.Warn("lease lapsed on a server that answers", "task", f.Task, "run", f.Run, "server", h.serverID, "lasting", step.Lasting,
+			"silent_for", h.silence, "granted_ago", now-server.LeaseGrantedAt)
 	case ledger.EndFailed:
 		server.Health.Failed(now)
 		h.session.log.Info("run failed", "task", f.Task, "run", f.Run, "server", h.serverID, "suspect", server.Health.Suspect())
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -205,9 +205,10 @@
 	if server == nil {
 		return 0, false
 	}
-	deadline, known := server.Clock.DeadlineAfter(boottime.Now(), leaseTime)
+	now := boottime.Now()
+	deadline, known := server.Clock.DeadlineAfter(now, leaseTime)
 	if known {
-		server.LeaseDeadlineMS = max(server.LeaseDeadlineMS, deadline)
+		server.LeaseDeadlineMS, server.LeaseGrantedAt = max(server.LeaseDeadlineMS, deadline), now
 	}
 	return deadline, known
 }
@@ -232,7 +233,7 @@
 		return
 	}
 	o.stopping = true
-	s.log.Info("run is stopped", "task", id, "run", t.Run, "server", t.Worker, "reason", reason)
+	s.log.Info("run is stopped", "task", id, "run", t.Run, "server", t.Worker, "reason", reason, "others", s.describeOthersLocked(id))
 	s.ensureHoldLoopLocked(t.Worker)
 	serverID, run := t.Worker, t.Run
 	s.spawn(func() {
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -305,7 +305,8 @@
 	defer cancel()
 	answer, err := s.machines.Move(WithPermission(ctx, s.mayOrder), s.holder, m.Machine, m.To)
 	s.stats.machineCalls.Inc(1)
-	s.log.Info("machine moves", "machine", m.Machine, "server", server, "from", m.From, "to", m.To, "answer", answer, "error", err)
+	s.log.Info("machine moves", "machine", m.Machine, "server", server, "from", m.From, "to", m.To,
+		"list_age", boottime.Now()-s.cachedMachines.lastRequested(), "answer", answer, "error", err)
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	switch {
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -306,6 +307,45 @@
 	return away
 }
 
+// describeOthersLocked describes, for the log, the other tasks of a lasting task's step that don't work in full, and the age of the
+// oldest report on those that do. It returns an empty string for other tasks.
+func (s *session) describeOthersLocked(id ledger.TaskID) string {
+	j := s.engine.ledger.Job(id.Job)
+	o := j.Occurrences[id.Occurrence]
+	if o == nil || !j.Steps[id.Step].Lasting {
+		return ""
+	}
+	var away []string
+	oldest, now := time.Duration(0), boottime.Now()
+	for i := range o.Steps[id.Step].Tasks {
+		other := id
+		if other.Index = i; other == id {
+			continue
+		}
+		t := &o.Steps[id.Step].Tasks[i]
+		if !s.fullyRunningLocked(other, maxReportAge) {
+			away = append(away, fmt.Sprintf("%d run %d %v", i, t.Run, s.orderStateLocked(other, t)))
+		} else {
+			oldest = max(oldest, now-s.orders[runKey{other, t.Run}].reportedAt)
+		}
+	}
+	return fmt.Sprintf("away %v of %d, may miss %d, oldest report %v", away, len(o.Steps[id.Step].Tasks), j.Steps[id.Step].MayMiss, oldest)
+}
+
+// orderStateLocked describes what is known of a task's newest run, for the log.
+func (s *session) orderStateLocked(id ledger.TaskID, t *ledger.Task) string {
+	o := s.orders[runKey{id, t.Run}]
+	switch {
+	case t.Phase != ledger.Live:
+		return "not ordered"
+	case o == nil:
+		return "inherited"
+	case o.stopping:
+		return "being stopped"
+	}
+	return fmt.Sprintf("%v, %d%% %v ago", o.state, o.percent, boottime.Now()-o.reportedAt)
+}
+
 // reportsFreshLocked reports whether stopping a lasting task stays within a limit of unavailable tasks of its step by reports
 // of at most freshReportAge. Otherwise it requests reports on all other tasks of the step: if each were requested only when its
 // own report is too old, they would never be fresh together.
@@ -379,7 +419,7 @@
 	defer cancel()
 	answer, err := s.machines.Upkeep(WithPermission(ctx, s.mayOrder), s.holder, m.Machine, m.Wave)
 	s.stats.machineCalls.Inc(1)
-	s.log.Info("upkeep ordered", "wave", m.Wave, "machine", m.Machine, "server", server, "answer", answer, "error", err)
+	s.log.Info("upkeep ordered", "wave", m.Wave, "machine", m.Machine, "server", server, "list_age", boottime.Now()-s.cachedMachines.lastRequested(), "answer", answer, "error", err)
 	if err != nil {
 		return
 	}
--- a/internal/request/fleet/fleet.go
+++ b/internal/request/fleet/fleet.go
@@ -16,6 +16,8 @@
 	Clock lease.Clock
 	// LeaseDeadlineMS is the latest lease deadline, on the server's clock, that this leader may have granted to it.
 	LeaseDeadlineMS int64
+	// LeaseGrantedAt is when that deadline was sent, on our clock; 0 if this leader has granted none.
+	LeaseGrantedAt time.Duration
 	// EarlierLeaseUntil is the time, on our clock, until which a lease that was granted to an earlier incarnation of the
 	// same ID may still be valid.
 	EarlierLeaseUntil time.Duration
