An order for a machine is sent only while it ends no work

Cause: moves and upkeeps take effect on whichever server the machine carries by then, but were decided by the server that the platform's list named last. A wave ordered the upkeep of machines whose move was under way, by a list from before it, and again each 0.2 s until the machine was up, by when its new server had work. The same holds after a crash, and for a new leader that doesn't know what the former one has just moved.

Change: one function sends all orders for machines. Right before an order is written it asks again whether the newest list names the server that the order was decided for, nothing runs or is planned there, and no server with work may have taken its place since: one that appeared after the list was requested blocks the order until a newer list shows it, or until the listed server answers a call. While an order is under way, or may still be carried out without an answer, servers that the list doesn't show get no work. An upkeep waits for the result of a move. Ruled out as enough: waiting for the move alone, which leaves crashes and a change of leader.

--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -336,6 +336,7 @@
 	}
 	h.silence = heard - server.AnsweredAt
 	server.Answered(heard)
+	server.AliveAt = max(server.AliveAt, asked)
 	server.Clock.Observe(report.ClockMS, asked, heard)
 	listed := make(map[runKey]bool, len(report.Running)+len(report.Finished))
 	ends, newest := h.collectEndsLocked(report, server, listed, heard)
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -29,8 +29,16 @@
 	requestedAt time.Duration
 	list        []Machine
 	byName      map[string]Machine
-	// servers holds the server that each machine was last listed with, also of machines that the newest list lacks.
-	servers map[string]string
+	// last holds what each machine was last listed with, also of machines that the newest list lacks; listed are the IDs of the
+	// servers in the newest list.
+	last   map[string]lastListing
+	listed map[string]bool
+}
+
+// lastListing is the newest list's entry of a machine.
+type lastListing struct {
+	server      string
+	requestedAt time.Duration
 }
 
 // lastRequested returns when the list was requested.
@@ -61,11 +69,13 @@
 		return
 	}
 	v.list, v.byName, v.requestedAt = list, byName, requestedAt
-	if v.servers == nil {
-		v.servers = make(map[string]string)
+	if v.last == nil {
+		v.last = make(map[string]lastListing)
 	}
+	v.listed = make(map[string]bool, len(list))
 	for _, m := range list {
-		v.servers[m.Name] = m.Server
+		v.last[m.Name] = lastListing{m.Server, requestedAt}
+		v.listed[m.Server] = true
 	}
 }
 
@@ -73,7 +83,21 @@
 func (v *machineCache) lastServer(machine string) string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.servers[machine]
+	return v.last[machine].server
+}
+
+// lastListed returns when the newest list that has a machine was requested; 0 if none has.
+func (v *machineCache) lastListed(machine string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.last[machine].requestedAt
+}
+
+// lists reports whether the newest list shows a server.
+func (v *machineCache) lists(server string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.listed[server]
 }
 
 // snapshot returns the machines by name and when the list was requested.
@@ -122,7 +146,10 @@
 	if cache.lastRequested() == 0 {
 		s.log.Info("platform's list of machines read for the first time", "machines", len(list), "took", boottime.Now()-asked)
 	}
+	s.engine.mu.Lock()
 	cache.replace(list, byName, asked)
+	s.reserveUnansweredLocked(list)
+	s.engine.mu.Unlock()
 	s.recordPoolSizes(list)
 	return true
 }
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -118,7 +118,7 @@
 		s.engine.mu.Lock()
 		s.missingChecks["m1"] = checks
 		s.engine.mu.Unlock()
-		s.orderUpkeep(ledger.UpkeepTransition{Wave: 1, Machine: "m1", Phase: ledger.UpkeepOrdered}, "")
+		s.orderUpkeep(1, machineOrder{machine: "m1"})
 		must.Eq(t, ended, r.do(&Call{Op: OpWaveState, Wave: wave}).WaveCompleted)
 	}
 }
--- a/internal/dispatch/missing_test.go
+++ b/internal/dispatch/missing_test.go
@@ -122,7 +122,7 @@
 		s := r.d.session.Load()
 		r.until(func() bool { return s.cachedMachines.lastRequested() > 0 })
 		s.engine.mu.Lock()
-		s.reserved["a"], s.movesInFlight["m1"] = true, true
+		s.reserved["a"], s.movesInFlight["m1"] = true, "a"
 		s.engine.mu.Unlock()
 		moved := make(chan struct{})
 		go func() {
--- a/internal/dispatch/moves_test.go
+++ b/internal/dispatch/moves_test.go
@@ -51,7 +51,7 @@
 	s := r.d.session.Load()
 	r.until(func() bool { return s.cachedMachines.lastRequested() > 0 })
 	s.engine.mu.Lock()
-	s.reserved["a"] = true
+	s.reserved["a"], s.movesInFlight["m1"] = true, "a"
 	s.engine.mu.Unlock()
 	s.moveMachine(pools.Move{Machine: "m1", From: "p", To: "off"})
 	return r, m
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -122,7 +122,7 @@
 // planInputLocked returns the current input for the scheduler.
 func (s *session) planInputLocked() *schedule.Input {
 	return &schedule.Input{
-		Now: boottime.Now(), WallMS: time.Now().UnixMilli(), Ledger: s.engine.ledger, Fleet: s.fleet, Reserved: s.reserved, Due: s.dueServers,
+		Now: boottime.Now(), WallMS: time.Now().UnixMilli(), Ledger: s.engine.ledger, Fleet: s.fleet, Reserved: s.withheldLocked(), Due: s.dueServers,
 		Evacuated: s.engine.ledger.Evacuated(), Cold: s.cold,
 	}
 }
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"laburnumrouter/internal/process/boottime"
@@ -116,7 +117,7 @@
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	for _, m := range moves {
-		s.abandonMoveLocked(m.Machine, s.cachedMachines.get(m.Machine).Server)
+		s.abandonMoveLocked(m.Machine, s.movesInFlight[m.Machine])
 	}
 	return false
 }
@@ -172,8 +173,8 @@
 	moves := s.pools.Plan(now, demand, list, s.machineCPU)
 	s.logPoolSizesLocked(now, demand, list)
 	for _, m := range moves {
-		s.movesInFlight[m.Machine] = true
-		if server := s.cachedMachines.get(m.Machine).Server; server != "" {
+		server := s.cachedMachines.lastServer(m.Machine)
+		if s.movesInFlight[m.Machine] = server; server != "" {
 			s.reserved[server] = true
 		}
 	}
@@ -289,29 +290,28 @@
 	if server == nil || server.Draining || s.reserved[m.Server] {
 		return false
 	}
-	return len(s.engine.ledger.LiveOn(m.Server)) == 0 && s.planned[m.Server] == 0
+	return s.idleLocked(m.Server)
 }
 
 // moveMachine orders the move of one machine to its new pool.
 func (s *session) moveMachine(m pools.Move) {
-	server := s.cachedMachines.get(m.Machine).Server
-	if !s.mayOrder() {
-		s.engine.mu.Lock()
-		defer s.engine.mu.Unlock()
-		s.abandonMoveLocked(m.Machine, server)
-		return
-	}
-	ctx, cancel := context.WithTimeout(s.ctx, machineTimeout)
-	defer cancel()
-	answer, err := s.machines.Move(WithPermission(ctx, s.mayOrder), s.holder, m.Machine, m.To)
-	s.stats.machineCalls.Inc(1)
+	s.engine.mu.Lock()
+	server := s.movesInFlight[m.Machine]
+	s.engine.mu.Unlock()
+	answer, err := s.orderMachine(machineOrder{machine: m.Machine, server: server}, func(ctx context.Context) (MachineAnswer, error) {
+		return s.machines.Move(ctx, s.holder, m.Machine, m.To)
+	})
 	s.log.Info("machine moves", "machine", m.Machine, "server", server, "from", m.From, "to", m.To,
 		"list_age", boottime.Now()-s.cachedMachines.lastRequested(), "answer", answer, "error", err)
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	switch {
+	case errors.Is(err, errWithheld):
+		s.abandonMoveLocked(m.Machine, server)
+		return
 	case err != nil:
 		s.moveUnanswered[m.Machine] = true
+		s.machineOrderUnansweredLocked()
 	case answer == MachineAccepted:
 		delete(s.moveUnanswered, m.Machine)
 	default:
--- a/internal/dispatch/schedules_test.go
+++ b/internal/dispatch/schedules_test.go
@@ -76,10 +76,7 @@
 	restore := boottime.SetTestClock(w.now)
 	defer restore()
 	draw := rand.New(rand.NewPCG(seed, 2))
-	for range 3 {
-		w.addInstance()
-	}
-	w.elect(0)
+	w.startInstances()
 	w.configure(draw)
 	rejectsOverCapacity := draw.IntN(2) == 0
 	for n := range 3 + draw.IntN(3) {
@@ -94,8 +91,21 @@
 	if more != nil {
 		more(w, rand.New(rand.NewPCG(seed, 3)))
 	}
+	w.finish(t, seed, cancel)
+}
+
+// startInstances starts three control instances, the first of which leads.
+func (w *simulation) startInstances() {
+	for range 3 {
+		w.addInstance()
+	}
+	w.elect(0)
+}
+
+// finish lets the faults pass, waits until all work has ended, and fails the test on violations.
+func (w *simulation) finish(t *testing.T, seed uint64, cancel func()) {
 	w.spawn(w.watchPending)
-	_ = sleepFor(ctx, faultPhase+5*time.Second)
+	_ = sleepFor(w.ctx, faultPhase+5*time.Second)
 	w.awaitCompletion(t, seed)
 	cancel()
 	w.group.Wait()
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -96,6 +96,8 @@
 	// order for an upkeep.
 	upkeepServer     map[string]string
 	upkeepAcceptedAt map[upkeepKey]time.Duration
+	// upkeepUnanswered are the machines of which the last order for an upkeep got no answer.
+	upkeepUnanswered map[string]bool
 	// missingSince is when the first of the platform's lists that lacked a machine of a wave was requested, or the one that
 	// last led to a check by an upkeep order.
 	missingSince map[string]time.Duration
@@ -110,8 +112,12 @@
 	movedAt        map[string]time.Duration
 	movedTo        map[string]string
 	moveUnanswered map[string]bool
-	// movesInFlight are the machines whose move is planned or ordered and not answered yet.
-	movesInFlight map[string]bool
+	// movesInFlight are the machines whose move is planned or ordered and not answered yet, with the servers that they carried.
+	movesInFlight map[string]string
+	// machineOrders counts the orders for machines that are under way. One without an answer may be carried out until
+	// machineOrderPossibleUntil.
+	machineOrders             int
+	machineOrderPossibleUntil time.Duration
 	// moveNotBefore is when a machine that the platform refused to move may be ordered to move again.
 	moveNotBefore map[string]time.Duration
 	// machineCPU and machineMemMB are the capacity of the largest server, in millicores and MiB.
@@ -163,10 +169,10 @@
 		startedAt: boottime.Now(), machineLease: d.machineLease, dataCentres: d.dataCentres, cold: d.cold,
 		fleet: fleet.NewTable(), orders: make(map[runKey]*order), holdLoops: make(map[string]*holdLoop), crashes: make(map[runKey]ledger.CrashEvidence), begun: make(begunJobs), pendingLoggedAt: make(map[string]time.Duration),
 		reserved: make(map[string]bool), sentPaces: make(map[runKey]sentPace), pacers: make(map[string]*pacing.Pacer),
-		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[upkeepKey]time.Duration),
+		upkeepServer: make(map[string]string), upkeepAcceptedAt: make(map[upkeepKey]time.Duration), upkeepUnanswered: make(map[string]bool),
 		missingSince: make(map[string]time.Duration), missingChecks: make(map[string]int),
 		planned: make(map[string]int), movedAt: make(map[string]time.Duration), movedTo: make(map[string]string),
-		moveUnanswered: make(map[string]bool), moveNotBefore: make(map[string]time.Duration), cachedMachines: &machineCache{}, movesInFlight: make(map[string]bool),
+		moveUnanswered: make(map[string]bool), moveNotBefore: make(map[string]time.Duration), cachedMachines: &machineCache{}, movesInFlight: make(map[string]string),
 		loggedOutlooks: make(map[string]forecast.Outlook), machineDataCentre: make(map[string]string),
 		wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -103,7 +104,7 @@
 			return
 		}
 	}
-	s.orderUpkeeps(number, s.planWave(number, byName, requestedAt), byName)
+	s.orderUpkeeps(number, s.planWave(number, byName, requestedAt))
 }
 
 // returnedMachines returns the machines of a wave whose upkeep is over: the platform lists them as up in a read that
@@ -199,9 +200,11 @@
 }
 
 // mayBeOrderedLocked reports whether this leader may order a machine's upkeep now: no order of another leader and no move
-// may still take effect.
+// may still take effect, and the list shows the result of the last move.
 func (s *session) mayBeOrderedLocked(name string) bool {
-	return s.mayOrderMachineLocked(name) && !s.movesInFlight[name]
+	_, inFlight := s.movesInFlight[name]
+	_, unsettled := s.movedAt[name]
+	return s.mayOrderMachineLocked(name) && !inFlight && !unsettled
 }
 
 // reserveForUpkeepLocked keeps new work from the server that a machine was last listed with, and returns the server.
@@ -378,51 +381,57 @@
 }
 
 // orderUpkeeps takes machines down. All orders are committed in one log entry before they are sent.
-func (s *session) orderUpkeeps(number int64, names []string, byName map[string]Machine) {
-	c := &ledger.Command{By: s.holder.Fence}
-	for _, name := range s.reserveAndPickIdle(names) {
-		c.Upkeep = append(c.Upkeep, ledger.UpkeepTransition{Wave: number, Machine: name, Phase: ledger.UpkeepOrdered})
-	}
-	if len(c.Upkeep) == 0 {
+func (s *session) orderUpkeeps(number int64, names []string) {
+	orders := s.reserveAndPickIdle(names)
+	if len(orders) == 0 {
 		return
 	}
+	c := &ledger.Command{By: s.holder.Fence}
+	for _, o := range orders {
+		c.Upkeep = append(c.Upkeep, ledger.UpkeepTransition{Wave: number, Machine: o.machine, Phase: ledger.UpkeepOrdered})
+	}
 	if _, err := s.propose(c); err != nil {
 		s.log.Warn("upkeep orders not committed", "wave", number, "machines", len(c.Upkeep), "error", err)
 		return
 	}
-	inParallel(c.Upkeep, func(m ledger.UpkeepTransition) { s.orderUpkeep(m, byName[m.Machine].Server) })
+	inParallel(orders, func(o machineOrder) { s.orderUpkeep(number, o) })
 }
 
-// reserveAndPickIdle reserves all named machines but those whose move is under way, and returns those without live or
-// planned runs.
-func (s *session) reserveAndPickIdle(names []string) (idle []string) {
+// reserveAndPickIdle reserves all named machines but those whose move is under way, and returns orders for those on which no
+// work would end.
+func (s *session) reserveAndPickIdle(names []string) (orders []machineOrder) {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	for _, name := range names {
-		if s.movesInFlight[name] {
+		if _, moving := s.movesInFlight[name]; moving {
 			continue
 		}
-		server := s.reserveForUpkeepLocked(name)
-		if server == "" || len(s.engine.ledger.LiveOn(server)) == 0 && s.planned[server] == 0 {
-			idle = append(idle, name)
+		o := machineOrder{machine: name, server: s.reserveForUpkeepLocked(name)}
+		if s.idleLocked(o.server) {
+			orders = append(orders, o)
 		}
 	}
-	return idle
+	return orders
 }
 
 // orderUpkeep takes one machine down.
-func (s *session) orderUpkeep(m ledger.UpkeepTransition, server string) {
-	if !s.mayOrder() {
+func (s *session) orderUpkeep(wave int64, o machineOrder) {
+	answer, err := s.orderMachine(o, func(ctx context.Context) (MachineAnswer, error) {
+		return s.machines.Upkeep(ctx, s.holder, o.machine, wave)
+	})
+	s.log.Info("upkeep ordered", "wave", wave, "machine", o.machine, "server", o.server, "list_age", boottime.Now()-s.cachedMachines.lastRequested(), "answer", answer, "error", err)
+	if errors.Is(err, errWithheld) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, machineTimeout)
-	defer cancel()
-	answer, err := s.machines.Upkeep(WithPermission(ctx, s.mayOrder), s.holder, m.Machine, m.Wave)
-	s.stats.machineCalls.Inc(1)
-	s.log.Info("upkeep ordered", "wave", m.Wave, "machine", m.Machine, "server", server, "list_age", boottime.Now()-s.cachedMachines.lastRequested(), "answer", answer, "error", err)
+	s.engine.mu.Lock()
+	if s.upkeepUnanswered[o.machine] = err != nil; err != nil {
+		s.machineOrderUnansweredLocked()
+	}
+	s.engine.mu.Unlock()
 	if err != nil {
 		return
 	}
+	m := ledger.UpkeepTransition{Wave: wave, Machine: o.machine, Phase: ledger.UpkeepOrdered}
 	switch answer {
 	case MachineAccepted:
 		s.engine.mu.Lock()
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -27,6 +27,8 @@
 	draining bool
 	// renamed servers start under a new ID after a crash, at the same address.
 	renamed bool
+	// machine is nil if no platform manages the server's machine.
+	machine *simMachine
 	seq     int64
 
 	fence      uint64
@@ -52,7 +54,7 @@
 	how         ledger.EndCause
 }
 
-func (w *simulation) addServer(id string, cpu int64, rejectsOverCapacity bool) {
+func (w *simulation) addServer(id string, cpu int64, rejectsOverCapacity bool) *simServer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s := &simServer{
@@ -61,6 +63,7 @@
 	w.servers[id] = s
 	s.startIncarnation()
 	w.spawn(s.announceLoop)
+	return s
 }
 
 func (s *simServer) startIncarnation() {
@@ -85,21 +88,26 @@
 // announceLoop announces the server regularly.
 func (s *simServer) announceLoop() {
 	for sleepFor(s.w.ctx, s.w.between(time.Second, 1500*time.Millisecond)) == nil {
-		s.w.mu.Lock()
-		if !s.up || s.partitioned {
-			s.w.mu.Unlock()
-			continue
-		}
-		s.seq++
-		a := ledger.Server{
-			ID: s.id, Pool: "p", Address: s.address, Capacity: s.capacity, Born: s.born, Seq: s.seq, ClockMS: s.clock(s.w.now()), Draining: s.draining,
-			DataCentre: s.dataCentre,
-		}
+		s.announceOnce()
+	}
+}
+
+// announceOnce announces the server if it is up and reachable.
+func (s *simServer) announceOnce() {
+	s.w.mu.Lock()
+	if !s.up || s.partitioned {
 		s.w.mu.Unlock()
-		ctx, cancel := context.WithTimeout(s.w.ctx, time.Second)
-		s.w.do(ctx, &Call{Op: OpAnnounce, Server: &a})
-		cancel()
+		return
+	}
+	s.seq++
+	a := ledger.Server{
+		ID: s.id, Pool: s.pool(), Address: s.address, Capacity: s.capacity, Born: s.born, Seq: s.seq, ClockMS: s.clock(s.w.now()), Draining: s.draining,
+		DataCentre: s.dataCentre,
 	}
+	s.w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.w.ctx, time.Second)
+	defer cancel()
+	s.w.do(ctx, &Call{Op: OpAnnounce, Server: &a})
 }
 
 // crash ends the server and its runs. It restarts under the same id after away, unless away is 0.
@@ -112,19 +120,23 @@
 	s.w.endDueRunsLocked()
 	s.up = false
 	s.w.logger.Info("server: crashes", "server", s.id, "life", s.incarnation)
-	for key := range s.running {
+	for key, run := range s.running {
+		s.w.noteWorkLocked(key, run, s.w.now())
 		delete(s.running, key)
 		s.w.taskLocked(key.task).crashes++
 		s.w.breakGangLocked(key, s.w.now())
 	}
 	s.finished = nil
 	s.w.mu.Unlock()
+	life := s.incarnation
 	if away == 0 || sleepFor(s.w.ctx, away) != nil {
 		return
 	}
 	s.w.mu.Lock()
-	s.startIncarnation()
-	s.w.mu.Unlock()
+	defer s.w.mu.Unlock()
+	if s.incarnation == life && (s.machine == nil || s.machine.state == MachineUp) { // unless an order started the machine anew
+		s.startIncarnation()
+	}
 }
 
 // endDueRunsLocked ends all runs that are due, on all servers in chronological order, and marks expired ends.
@@ -170,6 +182,7 @@
 	if s.running[key] == nil {
 		return
 	}
+	s.w.noteWorkLocked(key, s.running[key], at)
 	delete(s.running, key)
 	s.highestRun[key.task] = max(s.highestRun[key.task], key.run)
 	s.lastEnd++
@@ -510,12 +523,13 @@
 // Stop implements Servers.
 func (c *simCalls) Stop(ctx context.Context, to Target, o StopOrder) error {
 	c.checkSender(o.Fence)
-	fenced, err := c.call(ctx, to, true, func(s *simServer, _ bool) any {
+	fenced, err := c.call(ctx, to, true, func(s *simServer, late bool) any {
 		s.w.endDueRunsLocked()
 		if o.Fence < s.fence {
 			return true
 		}
 		s.fence = o.Fence
+		s.orderEndsLocked(runKey{o.Task, o.Run}, "stop", late)
 		s.highestRun[o.Task] = max(s.highestRun[o.Task], o.Run)
 		s.endLocked(runKey{o.Task, o.Run}, ledger.EndStopped, s.w.now())
 		return false
@@ -564,8 +578,12 @@
 	for _, f := range s.finished {
 		r.Finished = append(r.Finished, f.FinishedTask)
 	}
-	for key := range s.running {
-		r.Running = append(r.Running, RunningTask{Task: key.task, Run: key.run, Percent: 100})
+	for key, run := range s.running {
+		percent := 100
+		if !s.w.worksLocked(key, run) {
+			percent = 0
+		}
+		r.Running = append(r.Running, RunningTask{Task: key.task, Run: key.run, Percent: percent})
 	}
 	return r
 }
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -83,6 +83,8 @@
 	crashAway time.Duration
 	// refuses is set if calls to a server that is down fail at once.
 	refuses bool
+	// startup is how long a lasting task has run before it works in full.
+	startup time.Duration
 }
 
 type simJob struct {
@@ -114,6 +116,9 @@
 	failsAcked int
 	// crashes counts the servers that crashed while they ran the task, startsAfterCrashes its starts since the third of them.
 	crashes, startsAfterCrashes int
+	// workedAt is when the task last worked in full; orderedAway is set from the end of a run by an order until it does again.
+	workedAt    time.Duration
+	orderedAway bool
 }
 
 func newSimulation(ctx context.Context, seed uint64) *simulation {
--- a/internal/request/fleet/fleet.go
+++ b/internal/request/fleet/fleet.go
@@ -30,6 +30,8 @@
 	// call was last answered. Both are on our clock.
 	AnnouncedAt time.Duration
 	AnsweredAt  time.Duration
+	// AppearedAt is when this leader first heard of the incarnation. AliveAt is when a call that it answered was sent.
+	AppearedAt, AliveAt time.Duration
 	// DrainingSince is when the server first announced that it is draining.
 	DrainingSince time.Duration
 	// Left is set once the server is known to be stopping or to have stopped.
@@ -95,7 +97,7 @@
 		return Stale
 	}
 	if s == nil || a.Born > s.Born {
-		s = &Server{Server: a, AnnouncedAt: now}
+		s = &Server{Server: a, AnnouncedAt: now, AppearedAt: now}
 		s.Clock.Observe(a.ClockMS, now, now)
 		t.servers[a.ID] = s
 		if a.Draining {
@@ -126,7 +128,7 @@
 func (t *Table) Adopt(a ledger.Server, now time.Duration) {
 	a.Seq = 0         // so that any announcement is newer
 	a.ColdLeftMS = -1 // what was announced has changed since
-	s := &Server{Server: a, AnnouncedAt: now}
+	s := &Server{Server: a, AnnouncedAt: now, AppearedAt: now}
 	if a.Draining {
 		s.DrainingSince = now
 	}
