A lasting job goes on without a task that is given up

Callers of a lasting service of which one task crashed its servers lost all its tasks at once: the job failed, and whatever ran of it was stopped, though nobody had cancelled it (AVAIL). The same held for a job with lasting steps of which a task of another step was out of attempts.

Cause: a job that ends as failed was treated like one that is cancelled. Change: the task alone is given up (a phase of its own, in the log's state, from format 3 on); the job fails once none of its lasting tasks runs or may be started. Explain says how many tasks are given up. Weighed: failing the job and leaving its tasks to run, which restarts none of them and keeps a finished job with live runs in the record for good.

Ledger test TestGivenUpTaskLeavesLastingTasksOfItsJob.

--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 
@@ -29,6 +30,8 @@
 type StepView struct {
 	Occurrence, Step, Count, Done int
 	Gang, Lasting                 bool `json:",omitempty"`
+	// GivenUp counts the tasks that aren't started again.
+	GivenUp int `json:",omitempty"`
 	// Running lists the backend servers of its live runs.
 	Running []string `json:",omitempty"`
 	// Waits explains why tasks wait; empty if none waits.
@@ -99,14 +102,20 @@
 	if o != nil {
 		v.Done = o.Steps[step].Done
 		for _, t := range o.Steps[step].Tasks {
-			if t.Phase == ledger.Live {
+			switch t.Phase {
+			case ledger.Live:
 				v.Running = append(v.Running, t.Worker)
+			case ledger.GivenUp:
+				v.GivenUp++
 			}
 		}
 	}
-	if v.Done+len(v.Running) < v.Count {
+	if v.Done+v.GivenUp+len(v.Running) < v.Count {
 		v.Waits = schedule.ExplainWaiting(in, j, k, step)
 	}
+	if v.GivenUp > 0 {
+		v.Waits = strings.TrimSuffix(fmt.Sprintf("%d given up, not started again; %s", v.GivenUp, v.Waits), "; ")
+	}
 	return v
 }
 
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -308,6 +308,7 @@
 	default:
 		l.crashedUnder(j, t, e, r)
 	}
+	l.failUnlessServing(j)
 	if !j.State.Final() && j.hasWaiting() {
 		l.addWaiting(j)
 	}
@@ -355,7 +356,7 @@
 }
 
 // taskFailed counts a failed run. The failures of a gang are counted together, in the record of its first task. A task
-// whose attempts are used up fails its job; lasting tasks have no limit of attempts.
+// whose attempts are used up is given up; lasting tasks have no limit of attempts.
 func (l *Ledger) taskFailed(j *Job, id TaskID, t *Task) {
 	counter := t
 	if j.Steps[id.Step].Gang {
@@ -366,7 +367,7 @@
 		return
 	}
 	if counter.Fails >= l.maxAttempts(j) {
-		l.finish(j, Failed)
+		l.giveUp(j, id)
 	}
 }
 
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -51,8 +51,10 @@
 	FormatLists = 1
 	// FormatCrashes: ends may have Crash.
 	FormatCrashes = 2
+	// FormatGivenUp: a task that is given up or out of attempts doesn't fail its job while lasting tasks of the job go on.
+	FormatGivenUp = 3
 	// NewestFormat is the newest format that this version understands.
-	NewestFormat = FormatCrashes
+	NewestFormat = FormatGivenUp
 )
 
 // OnlyJobs reports whether a command has no other parts than Submit, Cancel, their lists, Begun, Ends and Starts. Parts that
--- a/internal/request/ledger/crash.go
+++ b/internal/request/ledger/crash.go
@@ -78,7 +78,7 @@
 
 // crashedUnder records the evidence of an end. If only a lease lapsed, it counts once the server is known to have crashed.
 func (l *Ledger) crashedUnder(j *Job, t *Task, e End, r *Result) {
-	if e.Crash == "" || j.State.Final() {
+	if e.Crash == "" || j.State.Final() || t.GivenUp {
 		return
 	}
 	if e.How != EndLapsed {
@@ -107,12 +107,46 @@
 	return CrashPossible
 }
 
-// countCrash counts a crash under a task. A task that is given up fails its job, also if it is a lasting one.
+// countCrash counts a crash under a task, which may be given up for it.
 func (l *Ledger) countCrash(j *Job, id TaskID, t *Task, evidence CrashEvidence, r *Result) {
 	giveUp := t.recordCrash(evidence)
 	l.indexSuspect(j, id, t)
 	if giveUp {
 		r.GivenUp = append(r.GivenUp, GivenUpTask{Task: id, Crashes: t.Crashes, Unclear: t.UnclearCrashes, Suspicions: t.Suspicions})
+		l.giveUp(j, id)
+	}
+}
+
+// giveUp gives up a task, and with it its gang. That fails the job, unless lasting tasks of it go on: they are stopped only if the
+// job is cancelled.
+func (l *Ledger) giveUp(j *Job, id TaskID) {
+	if l.Format < FormatGivenUp {
+		l.finish(j, Failed)
+		return
+	}
+	record := &j.Occurrences[id.Occurrence].Steps[id.Step]
+	for i := range record.Tasks {
+		if i != id.Index && !j.Steps[id.Step].Gang {
+			continue
+		}
+		t := &record.Tasks[i]
+		if t.GivenUp = true; t.Phase == Waiting {
+			record.setPhase(t, Waiting)
+		}
+		member := id
+		member.Index = i
+		delete(l.suspects, member)
+		delete(l.unresolved, member)
+	}
+	if j.HasGivenUp = true; !j.hasWaiting() {
+		l.dropWaiting(j)
+	}
+	l.failUnlessServing(j)
+}
+
+// failUnlessServing fails a job that has given up tasks and of which no lasting task goes on.
+func (l *Ledger) failUnlessServing(j *Job) {
+	if j.HasGivenUp && !j.State.Final() && !j.serves() {
 		l.finish(j, Failed)
 	}
 }
@@ -167,7 +201,7 @@
 
 // indexSuspect updates the index of suspected tasks.
 func (l *Ledger) indexSuspect(j *Job, id TaskID, t *Task) {
-	if !j.State.Final() && t.SuspectedOfCrashes() {
+	if !j.State.Final() && !t.GivenUp && t.SuspectedOfCrashes() {
 		l.suspects[id] = t
 	} else {
 		delete(l.suspects, id)
@@ -201,7 +235,7 @@
 		for s := range o.Steps {
 			for i := range o.Steps[s].Tasks {
 				id, t := TaskID{Job: j.ID, Occurrence: k, Step: s, Index: i}, &o.Steps[s].Tasks[i]
-				if t.Phase == Done {
+				if t.Phase == Done || t.GivenUp {
 					continue
 				}
 				l.indexSuspect(j, id, t)
--- a/internal/request/ledger/crash_test.go
+++ b/internal/request/ledger/crash_test.go
@@ -115,3 +115,36 @@
 	l.Apply(&Command{Ends: []End{{Task: task("late", 0, 0), Run: 1, Worker: "w", How: EndLost, Crash: CrashSuspected}}})
 	must.MapEmpty(t, l.Suspects())
 }
+
+// Guards against a lasting job that fails, so that all its tasks are stopped, because one of them is given up or a task of another
+// step is out of attempts. Nobody has cancelled the job; it fails once none of its lasting tasks goes on.
+func TestGivenUpTaskLeavesLastingTasksOfItsJob(t *testing.T) {
+	l := newLedger(t)
+	l.Apply(&Command{Format: FormatGivenUp})
+	submit(t, l, "j", Step{Count: 2, Lasting: true}, Step{Count: 1})
+	serving := Start{Task: task("j", 0, 1), Run: 1, Worker: "w"}
+	l.Apply(&Command{Starts: []Start{serving}})
+	for range 2 {
+		crash(l, task("j", 0, 0), EndLost, CrashSuspected)
+	}
+	failing := Start{Task: task("j", 1, 0), Worker: "w"}
+	for failing.Run = 1; failing.Run <= 9; failing.Run++ { // more than any queue of the tests allows
+		l.Apply(&Command{Starts: []Start{failing}})
+		l.Apply(&Command{Ends: []End{{Task: failing.Task, Run: failing.Run, Worker: "w", How: EndFailed}}})
+	}
+	l = reload(t, l)
+	must.EqOp(t, Running, l.Job("j").State)
+	must.EqOp(t, 1, l.Job("j").Live)
+	must.MapEmpty(t, l.Suspects())
+	for _, id := range []TaskID{task("j", 0, 0), failing.Task} {
+		_, record := l.Task(id)
+		must.EqOp(t, GivenUp, record.Phase)
+		must.SliceEmpty(t, l.Apply(&Command{Starts: []Start{{Task: id, Run: record.Run + 1, Worker: "w"}}}).Started)
+	}
+	l.Apply(&Command{Ends: []End{{Task: serving.Task, Run: 1, Worker: "w", How: EndLost}}})
+	must.EqOp(t, Running, l.Job("j").State) // it is started again
+	for range 2 {
+		crash(l, serving.Task, EndLost, CrashSuspected)
+	}
+	must.EqOp(t, Failed, l.Job("j").State)
+}
--- a/internal/request/ledger/job.go
+++ b/internal/request/ledger/job.go
@@ -236,6 +236,8 @@
 	Live
 	// Done: a run of the task, or of another task of its gang, ended with EndDone.
 	Done
+	// GivenUp: the task has no run and isn't started again, while lasting tasks of its job go on.
+	GivenUp
 )
 
 // Task is the record of one task.
@@ -255,7 +257,9 @@
 	UnclearCrashes int             `json:",omitempty"`
 	Suspicions     int             `json:",omitempty"`
 	Unresolved     []UnresolvedRun `json:",omitempty"`
-	Checkpoint     string          `json:",omitempty"`
+	// GivenUp is set if the task isn't started again once its present run has ended.
+	GivenUp    bool   `json:",omitempty"`
+	Checkpoint string `json:",omitempty"`
 	// OrderedMS is when the newest run was ordered, EndedMS when it ended, by the leader's time of day.
 	OrderedMS int64 `json:",omitempty"`
 	EndedMS   int64 `json:",omitempty"`
@@ -272,8 +276,11 @@
 // Waiting returns the number of tasks in phase Waiting.
 func (s *StepRecord) Waiting() int { return s.waiting }
 
-// setPhase moves a task of the step to a phase.
+// setPhase moves a task of the step to a phase; GivenUp takes the place of Waiting for a task that isn't started again.
 func (s *StepRecord) setPhase(t *Task, phase Phase) {
+	if phase == Waiting && t.GivenUp {
+		phase = GivenUp
+	}
 	if t.Phase == Waiting {
 		s.waiting--
 	}
@@ -297,6 +304,23 @@
 	}
 }
 
+// serves reports whether a lasting task of the job runs or may be started.
+func (j *Job) serves() bool {
+	for _, o := range j.Occurrences {
+		for s := range o.Steps {
+			if !j.Steps[s].Lasting {
+				continue
+			}
+			for i := range o.Steps[s].Tasks {
+				if phase := o.Steps[s].Tasks[i].Phase; phase == Live || phase == Waiting && j.ready(o, s) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // hasWaiting reports whether a task of the job is waiting, or whether an occurrence that hasn't begun may be due.
 func (j *Job) hasWaiting() bool {
 	if j.Times > 0 || j.Occurrences[0] == nil {
@@ -330,6 +354,8 @@
 	Live int `json:",omitempty"`
 	// Occurrences holds the occurrences that have begun, by number.
 	Occurrences map[int]*Occurrence `json:",omitempty"`
+	// HasGivenUp is set if a task of the job has been given up.
+	HasGivenUp bool `json:",omitempty"`
 	// Ended is the number of occurrences whose steps are all done; State tells whether the job has ended.
 	Ended int `json:",omitempty"`
 	// Work is the total CPU time of the job's tasks by its submitter's estimates, in thousandths of a core times
