Each attempt to stop a lasting task rests on recent reports

A stop for an upkeep or an evacuation was decided by reports of at most 1.7 s and then sent up to five times over 3 s without another look. With a notice of 4.5 s that is too late by 0.2 s; and a task of the step that drains, or ends by another order, counts as away at once. Callers see one more task away than their step may miss (AVAIL).

Change: the decision is asked again, with the lock held, right before each attempt. Evidence: TestRepeatedStopRestsOnRecentReports (the first stop is lost, the other task of the step fails) failed before: the stop was sent while one task ran, not two.

--- a/internal/dispatch/avail_test.go
+++ b/internal/dispatch/avail_test.go
@@ -160,3 +160,75 @@
 		must.LessEq(t, duration, boottime.Now()-began)
 	})
 }
+
+// firstStopLost is a network that loses the first stop. onLoss is called with mu held when it does.
+type firstStopLost struct {
+	*fakeServers
+	lost   bool
+	onLoss func()
+	// runsAtStop is the number of live runs at each stop that arrives.
+	runsAtStop []int
+}
+
+func (f *firstStopLost) Stop(ctx context.Context, to Target, o StopOrder) error {
+	f.mu.Lock()
+	if !f.lost {
+		f.lost = true
+		f.onLoss()
+		f.mu.Unlock()
+		<-ctx.Done()
+		return errNoAnswer
+	}
+	f.mu.Unlock()
+	running := f.totalRuns()
+	f.mu.Lock()
+	f.runsAtStop = append(f.runsAtStop, running)
+	f.mu.Unlock()
+	return f.fakeServers.Stop(ctx, to, o)
+}
+
+// Guards against a stop that is sent again although another task of the step has gone away since the first attempt.
+func TestRepeatedStopRestsOnRecentReports(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := &firstStopLost{}
+		r, machines := newWaveRig(t, 4, func(servers *fakeServers) Servers {
+			f.fakeServers = servers
+			return f
+		})
+		r.submit("j", ledger.Step{Count: 2, Spread: 1, MayMiss: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+		r.until(func() bool { return r.servers.totalRuns() == 2 })
+		refuse := func(on bool) {
+			for _, s := range f.servers {
+				s.refuses = on
+			}
+		}
+		f.onLoss = func() {
+			for _, s := range f.servers {
+				if k := key("j", 1, 1); s.running[k] {
+					s.end(k, ledger.EndFailed)
+				}
+			}
+			refuse(true)
+		}
+		for _, id := range []string{"s0", "s1", "s2", "s3"} {
+			if runs := r.servers.runs(id); len(runs) == 1 && runs[0] == key("j", 0, 1) {
+				r.startWave([]string{machines[id[1]-'0']}, 20*time.Second, 1)
+			}
+		}
+		r.until(func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.lost
+		})
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		refuse(false)
+		f.mu.Unlock()
+		r.until(func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(f.runsAtStop) > 0
+		})
+		must.Eq(t, []int{2}, f.runsAtStop)
+	})
+}
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -110,8 +110,9 @@
 	s.reserveForWaitingLocked(candidates, free)
 	for _, id := range candidates {
 		j, t := s.engine.ledger.Task(id)
-		if s.reportsFreshLocked(id, max(1, j.Steps[id.Step].MayMiss)) && free.ReserveElsewhere(id) {
-			s.stopLocked(id, t, "its data centre is evacuated")
+		limit := max(1, j.Steps[id.Step].MayMiss)
+		if s.reportsFreshLocked(id, limit) && free.ReserveElsewhere(id) {
+			s.stopWhileLocked(id, t, "its data centre is evacuated", func() bool { return s.reportsFreshLocked(id, limit) })
 		}
 	}
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -223,6 +223,12 @@
 
 // stopLocked stops a live run. The server reports its end.
 func (s *session) stopLocked(id ledger.TaskID, t *ledger.Task, reason string) {
+	s.stopWhileLocked(id, t, reason, func() bool { return true })
+}
+
+// stopWhileLocked stops a live run as long as permitted allows it. permitted is called with engine.mu held before each attempt,
+// because what the decision rests on may have changed since the last one.
+func (s *session) stopWhileLocked(id ledger.TaskID, t *ledger.Task, reason string, permitted func() bool) {
 	key := runKey{id, t.Run}
 	o := s.orders[key]
 	if o == nil {
@@ -237,15 +243,15 @@
 	s.ensureHoldLoopLocked(t.Worker)
 	serverID, run := t.Worker, t.Run
 	s.spawn(func() {
-		if s.contain("stop", func() { s.sendStop(serverID, id, run) }) {
+		if s.contain("stop", func() { s.sendStop(serverID, id, run, permitted) }) {
 			s.allowStop(id, run)
 		}
 	})
 }
 
-func (s *session) sendStop(serverID string, id ledger.TaskID, run int) {
+func (s *session) sendStop(serverID string, id ledger.TaskID, run int, permitted func() bool) {
 	for range maxStopAttempts {
-		if s.stopOnce(serverID, id, run) {
+		if s.stopOnce(serverID, id, run, permitted) {
 			return
 		}
 		select {
@@ -266,8 +272,8 @@
 	}
 }
 
-// stopOnce sends one stop and reports whether no further attempt is needed.
-func (s *session) stopOnce(serverID string, id ledger.TaskID, run int) bool {
+// stopOnce sends one stop, if permitted allows it, and reports whether no further attempt is needed.
+func (s *session) stopOnce(serverID string, id ledger.TaskID, run int, permitted func() bool) bool {
 	s.engine.mu.Lock()
 	server := s.fleet.Get(serverID)
 	o := s.orders[runKey{id, run}]
@@ -276,13 +282,13 @@
 		return true
 	}
 	to := Target{ID: serverID, Address: server.Address}
-	planned := o.state == orderPlanned
-	if !planned {
+	send := o.state != orderPlanned && permitted() // else the start order is still being sent
+	if send {
 		o.stopPossibleUntil = boottime.Now() + callTimeout + lateOrderBound
 	}
 	s.engine.mu.Unlock()
-	if planned {
-		return false // the start order is still being sent
+	if !send {
+		return false
 	}
 	if !s.mayOrder() {
 		return false
