A run whose start got no answer isn't stopped once it is reported as working

A start without an answer is stopped, so that its task can start elsewhere. The stop was repeated although a report had listed the run in the meantime: callers lost work that ran, and a lasting task was ended without regard to how many of its step were away.

Change: the stop is sent only while the order is still without an answer. Evidence: TestRunOfUnansweredStartThatWorksIsNotStopped failed before.

--- a/internal/dispatch/avail_test.go
+++ b/internal/dispatch/avail_test.go
@@ -187,6 +187,40 @@
 	return f.fakeServers.Stop(ctx, to, o)
 }
 
+// lateStart is a network that delays the first start and loses its answer.
+type lateStart struct {
+	*firstStopLost
+	delayed bool
+}
+
+func (l *lateStart) Start(ctx context.Context, to Target, o StartOrder) (StartAnswer, int64, error) {
+	if l.delayed {
+		return l.fakeServers.Start(ctx, to, o)
+	}
+	l.delayed = true
+	time.AfterFunc(callTimeout+stopRetryDelay, func() { _, _, _ = l.fakeServers.Start(context.Background(), to, o) })
+	<-ctx.Done()
+	return 0, 0, errNoAnswer
+}
+
+// Guards against a working task that is stopped because the answer to its start was lost: the start was carried out after the
+// first stop, which was lost, and before the second.
+func TestRunOfUnansweredStartThatWorksIsNotStopped(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		l := &lateStart{firstStopLost: &firstStopLost{onLoss: func() {}}}
+		r, _ := newWaveRig(t, 2, func(servers *fakeServers) Servers {
+			l.fakeServers = servers
+			return l
+		})
+		r.submit("j", ledger.Step{Count: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+		r.until(func() bool { return r.servers.totalRuns() == 1 })
+		time.Sleep(10 * time.Second)
+		must.True(t, l.lost)
+		must.SliceEmpty(t, l.runsAtStop)
+		must.Eq(t, []runKey{key("j", 0, 1)}, r.servers.starts)
+	})
+}
+
 // Guards against a stop that is sent again although another task of the step has gone away since the first attempt.
 func TestRepeatedStopRestsOnRecentReports(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -506,8 +506,11 @@
 			s.log.Info("run is lost", "task", id, "run", t.Run, "server", h.serverID, "stopped", o.state == orderStopped)
 			s.closeRunLocked(id, t, ledger.EndLost)
 		case o.state == orderUnanswered:
-			// The order may still be carried out unless the run is stopped first.
-			s.stopLocked(id, t, "its order was not answered")
+			// The order may still be carried out unless the run is stopped first. If it is, the run goes on.
+			s.stopWhileLocked(id, t, "its order was not answered", func() bool {
+				now := s.orders[key]
+				return now != nil && now.state == orderUnanswered
+			})
 		}
 	}
 }
