Leases are renewed while ends of runs aren't committed

The loop that renews a server's lease waited until the ends in its report were committed.

Ends that are queued already don't count for the server's health again. Evidence: TestLeasesAreRenewedWhileEndsAreNotCommitted failed before: lease until 5.07 s at 10.06 s.

--- a/internal/dispatch/avail_test.go
+++ b/internal/dispatch/avail_test.go
@@ -266,3 +266,26 @@
 		must.Eq(t, []int{2}, f.runsAtStop)
 	})
 }
+
+// Guards against leases that lapse on sound servers, and so end lasting tasks, because their renewals wait for the commit of ends.
+func TestLeasesAreRenewedWhileEndsAreNotCommitted(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r := newRig(t, newFakeServers("a"))
+		r.submit("lasting", ledger.Step{Count: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+		r.submit("ends", small)
+		r.until(func() bool { return r.servers.totalRuns() == 2 })
+		r.log.mu.Lock()
+		r.log.lost = 1 << 20
+		r.log.mu.Unlock()
+		r.servers.finish("a", key("ends", 0, 1), ledger.EndDone)
+		time.Sleep(2 * leaseTime)
+		r.servers.mu.Lock()
+		must.Greater(t, r.servers.clock(), r.servers.servers["a"].deadline)
+		must.Less(t, 100, len(r.servers.holds))
+		r.servers.mu.Unlock()
+		r.log.mu.Lock()
+		r.log.lost = 0
+		r.log.mu.Unlock()
+		r.until(func() bool { return r.state("ends") == ledger.Completed })
+	})
+}
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -44,6 +44,13 @@
 	return q.pendingDone
 }
 
+// has reports whether the end of a run is queued or being committed.
+func (q *endQueue) has(run runKey) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queued[run]
+}
+
 // run commits pending ends until the session ends.
 func (q *endQueue) run() {
 	for {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -303,6 +303,8 @@
 	}
 	select {
 	case <-s.ends.add(ends...):
+	case <-time.After(holdWait):
+		return // leases are to be renewed; the next report lists the ends again
 	case <-s.ctx.Done():
 		return
 	}
@@ -389,7 +391,9 @@
 			continue
 		}
 		s.runBeganLocked(key, h.serverID)
-		h.recordHealthLocked(server, j, f, now)
+		if !s.ends.has(key) {
+			h.recordHealthLocked(server, j, f, now)
+		}
 		ends = append(ends, ledger.End{Task: f.Task, Run: f.Run, Worker: h.serverID, How: f.How, Checkpoint: f.Checkpoint})
 	}
 	return ends, newest
