An answered stop is no sign of life of the server's incarnation

A stop names a run, and is answered by whichever incarnation has the ID by then; the answer doesn't say which.

TestAnsweredStopIsNoSignOfLife failed before.

--- a/internal/dispatch/avail_test.go
+++ b/internal/dispatch/avail_test.go
@@ -23,10 +23,16 @@
 	fewestRuns int
 	// frozen servers answer no hold calls from now on, but answer everything else.
 	frozen map[string]bool
+	// prompt is set if stops are carried out and answered at once.
+	prompt bool
 }
 
 func (l *lateStops) Stop(ctx context.Context, to Target, o StopOrder) error {
 	l.mu.Lock()
+	if l.prompt {
+		l.mu.Unlock()
+		return l.fakeServers.Stop(ctx, to, o)
+	}
 	if l.firstStop == 0 {
 		l.firstStop = boottime.Now()
 	}
@@ -141,7 +147,7 @@
 		r.servers.mu.Unlock()
 		time.Sleep(3 * time.Second)
 		s.engine.mu.Lock()
-		s.fleet.Get(server).Answered(boottime.Now()) // as after an answered start or pace
+		s.fleet.Get(server).Answered(boottime.Now()) // as after an answered start
 		s.engine.mu.Unlock()
 		must.False(t, mayStop())
 	})
@@ -289,3 +295,27 @@
 		r.until(func() bool { return r.state("ends") == ledger.Completed })
 	})
 }
+
+// Guards against a stop that a later incarnation with the same ID answers and that counts as a sign of life of the earlier one: its
+// tasks counted as working, and a task that had crashed it as one that had run there for long.
+func TestAnsweredStopIsNoSignOfLife(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		late := &lateStops{frozen: make(map[string]bool), prompt: true}
+		r, _ := newWaveRig(t, 1, func(f *fakeServers) Servers {
+			late.fakeServers = f
+			return late
+		})
+		r.submit("j", ledger.Step{Count: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+		r.until(func() bool { return r.servers.totalRuns() == 1 })
+		r.servers.mu.Lock()
+		*r.servers.servers["s0"], late.frozen["s0"] = *newFakeServer(2), true
+		r.servers.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		s := r.d.session.Load()
+		must.True(t, s.stopOnce("s0", ledger.TaskID{Job: "j"}, 1, func() bool { return true }))
+		s.engine.mu.Lock()
+		defer s.engine.mu.Unlock()
+		must.Positive(t, s.fleet.Get("s0").FailedCalls)
+		must.Less(t, boottime.Now()-time.Second, s.fleet.Get("s0").AnsweredAt)
+	})
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -299,8 +299,7 @@
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	switch {
-	case err == nil:
-		server.Answered(boottime.Now())
+	case err == nil: // possibly by a later incarnation with the same ID, so it is no sign of life
 		if o.state != orderTaken {
 			s.setOrderStateLocked(runKey{id, run}, orderStopped)
 			s.interruptHoldLocked(serverID)
