A new leader places no work where an ordered upkeep may still take effect

Around a change of leader both acted on one machine: the former leader's order for an upkeep, committed and perhaps under way, could end work that the new leader had placed on the machine's server in the meantime, and otherwise the new leader had to drain that work again, lasting tasks one after the other, before it could repeat the order.

Now it is reserved from the first list that shows it. Evidence: TestNewLeaderReservesMachinesWithOrderedUpkeep failed before. Moves of the former leader that are still under way aren't covered: the log's state doesn't say to which pool.

--- a/internal/dispatch/machineorder_test.go
+++ b/internal/dispatch/machineorder_test.go
@@ -84,3 +84,23 @@
 		r.until(func() bool { return len(r.servers.runs("b")) == 1 })
 	})
 }
+
+// Guards against work that a new leader places on a server whose machine may still be taken down by the former leader's order.
+func TestNewLeaderReservesMachinesWithOrderedUpkeep(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		m := &fakeMachines{list: []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}}, busy: map[string]bool{"m1": true}}
+		r := newMachineRig(t, m)
+		r.d.machineLease = 3 * time.Second
+		r.startWave([]string{"m1"}, 10*time.Second, 1)
+		r.until(func() bool { return len(m.ordered()) > 0 })
+		r.log.lead(2)
+		r.until(func() bool { return r.d.Leads() && r.d.session.Load().holder.Fence == 2 })
+		r.until(func() bool { return r.d.session.Load().cachedMachines.lastRequested() > 0 })
+		time.Sleep(2 * waveCheckInterval)
+		before := len(m.ordered())
+		r.submit("j", ledger.Step{Count: 2, Spread: 1, Need: ledger.Resources{CPU: 100}})
+		time.Sleep(time.Second)
+		must.SliceEmpty(t, r.servers.runs("a"))
+		must.SliceLen(t, before, m.ordered()) // the former leader's lease on the machine hasn't lapsed
+	})
+}
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -176,9 +176,12 @@
 		delete(s.missingSince, name)
 		delete(s.missingChecks, name)
 		if w.Phases[name] == ledger.UpkeepOrdered {
-			if !s.upkeepAcceptedLocked(number, name) && s.orderableLocked(m) && s.mayBeOrderedLocked(name) {
-				recheck = append(recheck, name) // already ordered, by this leader or an earlier one, but not answered
+			if !s.upkeepAcceptedLocked(number, name) && s.orderableLocked(m) {
+				// Already ordered, by this leader or an earlier one, but not answered: it may take effect at any time.
 				s.reserved[m.Server], s.upkeepServer[name] = true, m.Server
+				if s.mayBeOrderedLocked(name) {
+					recheck = append(recheck, name)
+				}
 			}
 			continue
 		}
