--- a/internal/dispatch/machineorder.go
+++ b/internal/dispatch/machineorder.go
@@ -95,13 +95,13 @@
 		s.engine.mu.Unlock()
 		return false
 	}
-	to := Target{ID: id, Address: server.Address}
+	to, born := Target{ID: id, Address: server.Address}, server.Born
 	s.engine.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	asked := boottime.Now()
 	report, err := s.servers.Hold(ctx, to, HoldOrder{Fence: s.holder.Fence})
-	if err != nil || report.Born != server.Born || len(report.Running) > 0 {
+	if err != nil || report.Born != born || len(report.Running) > 0 {
 		return false
 	}
 	s.engine.mu.Lock()
