--- a/internal/dispatch/avail_schedules_test.go
+++ b/internal/dispatch/avail_schedules_test.go
@@ -117,17 +117,8 @@
 	w.jobs[id] = j
 	w.mu.Unlock()
 	w.spawn(func() {
-		if sleepFor(w.ctx, at) != nil {
-			return
-		}
-		w.mu.Lock()
-		j.submitAttempts++
-		w.mu.Unlock()
-		if w.do(w.ctx, &Call{Op: OpSubmit, Host: "h", Path: "/q/" + id, Key: "key", Job: s}) == nil {
-			return
+		if sleepFor(w.ctx, at) == nil {
+			w.submit(j)
 		}
-		w.mu.Lock()
-		j.accepted, j.acceptedAt = true, w.now()
-		w.mu.Unlock()
 	})
 }
--- a/internal/dispatch/machineorder_test.go
+++ b/internal/dispatch/machineorder_test.go
@@ -29,18 +29,24 @@
 	})
 }
 
+// newReservedRig returns a rig that knows from the list of machines that m1 carries the server a, which is reserved.
+func newReservedRig(t *testing.T) (*rig, *fakeMachines, *session) {
+	m := &fakeMachines{list: []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}}}
+	r := newMachineRig(t, m)
+	s := r.d.session.Load()
+	r.until(func() bool { return s.cachedMachines.lastRequested() > 0 })
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	s.reserved["a"] = true
+	return r, m, s
+}
+
 // Guards against an order for a machine that ends the work of a server which appeared after the list of machines was read. The
 // order is sent if the listed server answers, because then the new one is on another machine.
 func TestMachineOrderIsWithheldFromNewServerWithWork(t *testing.T) {
 	for _, alive := range []bool{false, true} {
 		inVirtualTime(t, func(t *testing.T) {
-			m := &fakeMachines{list: []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}}}
-			r := newMachineRig(t, m)
-			s := r.d.session.Load()
-			r.until(func() bool { return s.cachedMachines.lastRequested() > 0 })
-			s.engine.mu.Lock()
-			s.reserved["a"] = true
-			s.engine.mu.Unlock()
+			r, m, s := newReservedRig(t)
 			r.submit("j", ledger.Step{Count: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
 			r.until(func() bool { return len(r.servers.runs("b")) == 1 })
 			s.engine.mu.Lock()
@@ -66,12 +72,8 @@
 // whether it is on that machine.
 func TestUnlistedServerGetsNoWorkDuringMachineOrder(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
-		m := &fakeMachines{list: []Machine{{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}}}
-		r := newMachineRig(t, m)
-		s := r.d.session.Load()
-		r.until(func() bool { return s.cachedMachines.lastRequested() > 0 })
+		r, _, s := newReservedRig(t)
 		s.engine.mu.Lock()
-		s.reserved["a"] = true
 		s.fleet.Get("b").AppearedAt = boottime.Now() + time.Second // no list that is read meanwhile shows it
 		s.engine.mu.Unlock()
 		_, err := s.orderMachine(machineOrder{machine: "m1", server: "a"}, func(context.Context) (MachineAnswer, error) {
--- a/internal/dispatch/schedules_test.go
+++ b/internal/dispatch/schedules_test.go
@@ -157,24 +157,27 @@
 	w.jobs[id] = j
 	w.mu.Unlock()
 	return func() {
-		if sleepFor(w.ctx, at) != nil {
-			return
-		}
-		w.mu.Lock()
-		j.submitAttempts++
-		w.mu.Unlock()
-		if w.do(w.ctx, &Call{Op: OpSubmit, Host: "h", Path: "/q/" + id, Key: "key", Job: s}) == nil {
-			return
-		}
-		w.mu.Lock()
-		j.accepted, j.acceptedAt = true, w.now()
-		w.mu.Unlock()
-		if cancelAfter > 0 {
+		if sleepFor(w.ctx, at) == nil && w.submit(j) && cancelAfter > 0 {
 			w.cancelJob(id, j, cancelAfter)
 		}
 	}
 }
 
+// submit submits a job and reports whether it was accepted before the schedule ended.
+func (w *simulation) submit(j *simJob) bool {
+	w.mu.Lock()
+	j.submitAttempts++
+	w.mu.Unlock()
+	s := j.submission
+	if w.do(w.ctx, &Call{Op: OpSubmit, Host: "h", Path: "/q/" + s.ID, Key: "key", Job: s}) == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j.accepted, j.acceptedAt = true, w.now()
+	return true
+}
+
 func (w *simulation) cancelJob(id string, j *simJob, after time.Duration) {
 	_ = sleepFor(w.ctx, after)
 	w.mu.Lock()
