--- a/internal/dispatch/machineorder.go
+++ b/internal/dispatch/machineorder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync/atomic"
 
 	"laburnumrouter/internal/process/boottime"
@@ -116,17 +117,14 @@
 	if s.machineOrders == 0 && boottime.Now() >= s.machineOrderPossibleUntil {
 		return s.reserved
 	}
-	withheld := s.reserved
-	listedAt := s.cachedMachines.lastRequested()
+	withheld, listedAt := s.reserved, s.cachedMachines.lastRequested()
+	copied := false
 	for id, server := range s.fleet.All() {
 		if server.AppearedAt <= listedAt || server.Left || s.reserved[id] || s.cachedMachines.lists(id) {
 			continue
 		}
-		if len(withheld) == len(s.reserved) {
-			withheld = make(map[string]bool, len(s.reserved)+1)
-			for reserved := range s.reserved {
-				withheld[reserved] = true
-			}
+		if !copied {
+			withheld, copied = maps.Clone(s.reserved), true
 		}
 		withheld[id] = true
 	}
