--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -512,8 +512,8 @@
 		case o.state == orderUnanswered:
 			// The order may still be carried out unless the run is stopped first. If it is, the run goes on.
 			s.stopWhileLocked(id, t, "its order was not answered", func() bool {
-				now := s.orders[key]
-				return now != nil && now.state == orderUnanswered
+				latest := s.orders[key]
+				return latest != nil && latest.state == orderUnanswered
 			})
 		}
 	}
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -313,12 +313,12 @@
 	return away
 }
 
-// describeOthersLocked describes, for the log, the other tasks of a lasting task's step that don't work in full, and the age of the
-// oldest report on those that do. It returns an empty string for other tasks.
+// describeOthersLocked describes, for the log, up to maxLoggedRuns other tasks of a lasting task's step that don't work in full, and
+// the age of the oldest report on those that do. It returns an empty string for other tasks, and once the job is over.
 func (s *session) describeOthersLocked(id ledger.TaskID) string {
 	j := s.engine.ledger.Job(id.Job)
 	o := j.Occurrences[id.Occurrence]
-	if o == nil || !j.Steps[id.Step].Lasting {
+	if o == nil || j.State.Final() || !j.Steps[id.Step].Lasting {
 		return ""
 	}
 	var away []string
@@ -329,10 +329,11 @@
 			continue
 		}
 		t := &o.Steps[id.Step].Tasks[i]
-		if !s.fullyRunningLocked(other, maxReportAge) {
-			away = append(away, fmt.Sprintf("%d run %d %v", i, t.Run, s.orderStateLocked(other, t)))
-		} else {
+		switch {
+		case s.fullyRunningLocked(other, maxReportAge):
 			oldest = max(oldest, now-s.orders[runKey{other, t.Run}].reportedAt)
+		case len(away) < maxLoggedRuns:
+			away = append(away, fmt.Sprintf("%d run %d %v", i, t.Run, s.orderStateLocked(other, t)))
 		}
 	}
 	return fmt.Sprintf("away %v of %d, may miss %d, oldest report %v", away, len(o.Steps[id.Step].Tasks), j.Steps[id.Step].MayMiss, oldest)
