--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -55,12 +55,6 @@
 	return v.list, v.requestedAt
 }
 
-func (v *machineCache) get(name string) Machine {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.byName[name]
-}
-
 // replace stores a list unless one that was requested later is stored already.
 func (v *machineCache) replace(list []Machine, byName map[string]Machine, requestedAt time.Duration) {
 	v.mu.Lock()
--- a/internal/dispatch/missing_test.go
+++ b/internal/dispatch/missing_test.go
@@ -140,3 +140,10 @@
 		must.True(t, !inUpkeep || s.reserved["a"])
 	})
 }
+
+// get returns the newest list's entry of a machine.
+func (v *machineCache) get(name string) Machine {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.byName[name]
+}
