--- a/internal/dispatch/avail_schedules_test.go
+++ b/internal/dispatch/avail_schedules_test.go
@@ -66,9 +66,11 @@
 	case 0:
 		w.drawEvacuations(draw)
 	case 1:
+		w.mu.Lock()
 		w.jobs["lasting0"].deadly = &stepIndex{0, 1}
 		w.crashAway = time.Duration(500+draw.IntN(6500)) * time.Millisecond
 		w.refuses = draw.IntN(2) == 0
+		w.mu.Unlock()
 	}
 	w.finish(t, seed, cancel)
 }
--- a/internal/dispatch/virtual_machines_test.go
+++ b/internal/dispatch/virtual_machines_test.go
@@ -51,9 +51,17 @@
 	return s.machine.pool
 }
 
+// delay waits for as long as the platform takes for one way of a call.
+func (p *simPlatform) delay(ctx context.Context) error {
+	p.w.mu.Lock()
+	slow := p.slow
+	p.w.mu.Unlock()
+	return sleepFor(ctx, p.w.between(time.Millisecond, slow))
+}
+
 // call carries out f after a delay. f's result is lost with the simulation's share of lost answers.
 func (p *simPlatform) call(ctx context.Context, f func()) error {
-	if err := sleepFor(ctx, p.w.between(time.Millisecond, p.slow)); err != nil {
+	if err := p.delay(ctx); err != nil {
 		return err
 	}
 	if !Permitted(ctx) {
@@ -67,7 +75,7 @@
 		<-ctx.Done()
 		return errUnreachable
 	}
-	return sleepFor(ctx, p.w.between(time.Millisecond, p.slow))
+	return p.delay(ctx)
 }
 
 // List implements Machines.
