--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -46,8 +46,8 @@
 	contacted bool
 	// reportWanted is set while a report is wanted at once. It is guarded by engine.mu.
 	reportWanted bool
-	// silence is how long the server hadn't answered any call when its newest report arrived.
-	silence time.Duration
+	// last describes the call whose report is being processed.
+	last callRecord
 }
 
 // ensureHoldLoopLocked starts a hold loop for a server unless one is running.
@@ -95,7 +95,7 @@
 		return h.wasInterrupted() || h.handleFailure(err, c.ctx.Err() == nil)
 	}
 	h.ackedEnd = max(h.ackedEnd, c.order.AckedEnd)
-	h.processReport(report, asked, heard)
+	h.processReport(c.order, report, asked, heard)
 	return true
 }
 
@@ -258,6 +258,9 @@
 		s.log.Warn("hold refused: another leader has a higher fencing token", "server", h.serverID)
 		return
 	}
+	if errors.Is(err, ErrUnhealthy) {
+		server.RefusedAt = boottime.Now()
+	}
 	if server.FailedCalls == 0 {
 		s.log.Warn("backend server doesn't answer", "server", h.serverID, "runs", len(s.engine.ledger.LiveOn(h.serverID)),
 			"newest", s.newestRunsLocked(h.serverID), "error", err)
@@ -295,9 +298,9 @@
 }
 
 // processReport reconciles the ledger with a server's report.
-func (h *holdLoop) processReport(report *HoldReport, asked, heard time.Duration) {
+func (h *holdLoop) processReport(o HoldOrder, report *HoldReport, asked, heard time.Duration) {
 	s := h.session
-	server, ends, newest := h.reconcile(report, asked, heard)
+	server, ends, newest := h.reconcile(o, report, asked, heard)
 	if server == nil || newest <= h.committedEnd && len(ends) == 0 {
 		return
 	}
@@ -316,7 +319,7 @@
 
 // reconcile updates the session by a report and returns the server, the ends to commit and the number of the newest end. The
 // server is nil if the report is of no use.
-func (h *holdLoop) reconcile(report *HoldReport, asked, heard time.Duration) (*fleet.Server, []ledger.End, int64) {
+func (h *holdLoop) reconcile(o HoldOrder, report *HoldReport, asked, heard time.Duration) (*fleet.Server, []ledger.End, int64) {
 	s := h.session
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
@@ -333,11 +336,13 @@
 		h.born, h.committedEnd, h.ackedEnd, h.contacted = report.Born, 0, 0, false
 		server = s.fleet.Get(h.serverID)
 	}
-	if server.FailedCalls > 1 {
-		s.log.Info("backend server answers again", "server", h.serverID)
+	if server.FailedCalls > 0 {
+		s.log.Info("backend server answers again", "server", h.serverID, "silent_for", ago(heard, server.AnsweredAt), "failed_calls", server.FailedCalls,
+			"granted_ago", ago(heard, server.LeaseGrantedAt))
 	}
-	h.silence = heard - server.AnsweredAt
+	h.last = callRecord{order: o, took: heard - asked, answeredAt: server.AnsweredAt, failed: server.FailedCalls}
 	server.Answered(heard)
+	server.ConfirmedDeadlineMS = max(server.ConfirmedDeadlineMS, o.DeadlineMS)
 	server.AliveAt = max(server.AliveAt, asked)
 	server.Clock.Observe(report.ClockMS, asked, heard)
 	listed := make(map[runKey]bool, len(report.Running)+len(report.Finished))
@@ -411,8 +416,7 @@
 			server.Health.Done(0, 0, now)
 		}
 	case ledger.EndLapsed:
-		h.session.log.Warn("lease lapsed on a server that answers", "task", f.Task, "run", f.Run, "server", h.serverID, "lasting", step.Lasting,
-			"silent_for", h.silence, "granted_ago", now-server.LeaseGrantedAt)
+		h.logLapse(f, server, step.Lasting, now)
 	case ledger.EndFailed:
 		server.Health.Failed(now)
 		h.session.log.Info("run failed", "task", f.Task, "run", f.Run, "server", h.serverID, "suspect", server.Health.Suspect())
@@ -444,6 +448,9 @@
 		}
 		s.runBeganLocked(key, h.serverID)
 		delete(s.crashes, key) // it runs on the present incarnation
+		if j.Steps[row.Task.Step].Lasting && row.Percent == 100 && o.percent < 100 {
+			s.log.Info("lasting task works", "task", row.Task, "run", row.Run, "server", h.serverID, "first_report", o.reportedAt == 0)
+		}
 		o.percent, o.reportedAt = row.Percent, asked
 		if provesWorking(&j.Steps[row.Task.Step], row) {
 			s.fleet.Get(h.serverID).Health.Working(o.since, boottime.Now())
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -129,6 +129,8 @@
 	ErrMisdirected = Error.New("another incarnation answers at the backend server's address")
 	// ErrFenced: the server has seen a higher fencing token.
 	ErrFenced = Error.New("a higher fencing token was used")
+	// ErrUnhealthy: the server answers that it is too busy, or unhealthy, to do anything.
+	ErrUnhealthy = Error.New("the backend server is unhealthy")
 )
 
 // Servers sends orders to backend servers.
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -350,7 +350,7 @@
 	case o.stopping:
 		return "being stopped"
 	}
-	return fmt.Sprintf("%v, %d%% %v ago", o.state, o.percent, boottime.Now()-o.reportedAt)
+	return fmt.Sprintf("%v, %d%% %v ago", o.state, o.percent, ago(boottime.Now(), o.reportedAt))
 }
 
 // reportsFreshLocked reports whether stopping a lasting task stays within a limit of unavailable tasks of its step by reports
--- a/internal/request/fleet/fleet.go
+++ b/internal/request/fleet/fleet.go
@@ -18,6 +18,9 @@
 	LeaseDeadlineMS int64
 	// LeaseGrantedAt is when that deadline was sent, on our clock; 0 if this leader has granted none.
 	LeaseGrantedAt time.Duration
+	// ConfirmedDeadlineMS is the latest deadline, on the server's clock, that an answered hold call of this leader carried; 0 if
+	// none did.
+	ConfirmedDeadlineMS int64
 	// EarlierLeaseUntil is the time, on our clock, until which a lease that was granted to an earlier incarnation of the
 	// same ID may still be valid.
 	EarlierLeaseUntil time.Duration
@@ -42,6 +45,8 @@
 	// ConnectionFailed is set if the first of these calls failed at once: its connection was refused or broke, so the server
 	// has probably just ended. Otherwise the call took up its time, and the server may have been cut off first.
 	ConnectionFailed bool
+	// RefusedAt is when the server last refused a hold call because it is unhealthy; 0 if it never did.
+	RefusedAt time.Duration
 	// AvoidUntil is the time until which the server gets no new work because it rejected a start or left repeated ones unanswered.
 	AvoidUntil time.Duration
 	// unansweredStarts counts the failures to answer starts since the last accepted one; startUnansweredAt is the time of the
