--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -153,7 +153,7 @@
 			case !step.Lasting || step.Gang || j.State.Final() || !s.orderSentLocked(id, t):
 			case s.orders[runKey{id, t.Run}].stopping:
 				stopping = append(stopping, id)
-			case server.FailedCalls == 0:
+			case server.Responsive():
 				candidates = append(candidates, id)
 			}
 		}
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -420,9 +420,9 @@
 	return len(f.holds) > 0 && f.holds[len(f.holds)-1].WaitMS == holdWait.Milliseconds()
 }
 
-// shortHoldAfter reports whether a hold call after the first n was asked to wait for unresolvedOrderWait only.
+// shortHoldAfter reports whether a hold call after the first n was asked to wait for unresolvedOrderWait at most.
 func (f *fakeServers) shortHoldAfter(n int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return slices.ContainsFunc(f.holds[n:], func(o HoldOrder) bool { return o.WaitMS == unresolvedOrderWait.Milliseconds() })
+	return slices.ContainsFunc(f.holds[n:], func(o HoldOrder) bool { return o.WaitMS <= unresolvedOrderWait.Milliseconds() })
 }
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -42,8 +42,10 @@
 	// take the abort for a failure. Both are guarded by engine.mu.
 	cancel      context.CancelFunc
 	interrupted bool
-	// contacted is set once the server has answered a hold call, which carries this leader's fencing token.
-	contacted bool
+	// renewal decides what the next call asks for. It is guarded by engine.mu.
+	renewal lease.Renewal
+	// waiting is set while a call is under way that the server may keep open. It is guarded by engine.mu.
+	waiting bool
 	// reportWanted is set while a report is wanted at once. It is guarded by engine.mu.
 	reportWanted bool
 	// last describes the call whose report is being processed.
@@ -57,7 +59,7 @@
 	}
 	h := &holdLoop{session: s, serverID: serverID}
 	if server := s.fleet.Get(serverID); server != nil {
-		h.born, h.committedEnd, h.ackedEnd, h.contacted = server.Born, server.CommittedEnd, server.CommittedEnd, server.HoldAnswered
+		h.born, h.committedEnd, h.ackedEnd = server.Born, server.CommittedEnd, server.CommittedEnd
 	}
 	s.holdLoops[serverID] = h
 	s.spawnLoop("hold", h.run)
@@ -134,10 +136,10 @@
 	}
 	s.holdRate.add(boottime.Now())
 	if server.Born != h.born {
-		h.born, h.committedEnd, h.ackedEnd, h.contacted = server.Born, 0, 0, false
+		h.born, h.committedEnd, h.ackedEnd, h.renewal = server.Born, 0, 0, lease.Renewal{}
 	}
 	o := HoldOrder{Fence: s.holder.Fence}
-	if h.committedEnd > h.ackedEnd && server.FailedCalls == 0 {
+	if h.committedEnd > h.ackedEnd && server.Responsive() {
 		// Sent until a call is answered, and not again, nor to a server that doesn't answer: one that has restarted under its ID
 		// counts its ends anew and would forget ends that it hasn't reported.
 		o.AckedEnd = h.committedEnd
@@ -145,21 +147,20 @@
 	if !h.reportWanted {
 		o.WaitMS = h.holdWaitLocked().Milliseconds()
 	}
-	if server.FailedCalls == 0 {
-		// A server that doesn't answer gets no new deadline: a renewal that reached it unnoticed would postpone the lapse
-		// of its leases.
+	if h.renewal.MayGrant(boottime.Now()) {
 		o.DeadlineMS, _ = s.grantLeaseLocked(h.serverID)
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout+time.Duration(o.WaitMS)*time.Millisecond)
-	h.cancel, h.interrupted = cancel, false
+	h.cancel, h.interrupted, h.waiting = cancel, false, o.WaitMS > 0
 	return holdCall{to: Target{ID: h.serverID, Address: server.Address}, order: o, ctx: ctx, cancel: cancel}
 }
 
-// interruptHoldLocked aborts the current hold call to a server, so that the next one asks at once what became of an
-// unanswered order.
+// interruptHoldLocked aborts the current hold call to a server if it waits for ends, so that the next one asks at once what became
+// of an unanswered order. Others are answered soon, and may be needed to renew the lease.
 func (s *session) interruptHoldLocked(serverID string) {
-	if h := s.holdLoops[serverID]; h != nil && h.cancel != nil && !h.interrupted {
+	if h := s.holdLoops[serverID]; h != nil && h.waiting && !h.interrupted {
 		h.interrupted = true
+		h.renewal.Aborted()
 		h.cancel()
 	}
 }
@@ -212,7 +213,7 @@
 func (h *holdLoop) holdWaitLocked() time.Duration {
 	s := h.session
 	live := s.engine.ledger.LiveOn(h.serverID)
-	if !h.contacted || len(live) == 0 {
+	if !h.renewal.MayWait() || len(live) == 0 {
 		return 0
 	}
 	wait := holdWait
@@ -259,8 +260,10 @@
 		return
 	}
 	if errors.Is(err, ErrUnhealthy) {
-		server.RefusedAt = boottime.Now()
+		h.recordRefusalLocked(server)
+		return
 	}
+	h.renewal.Unanswered()
 	if server.FailedCalls == 0 {
 		s.log.Warn("backend server doesn't answer", "server", h.serverID, "runs", len(s.engine.ledger.LiveOn(h.serverID)),
 			"newest", s.newestRunsLocked(h.serverID), "error", err)
@@ -269,6 +272,19 @@
 	h.closeLapsedRunsLocked(server)
 }
 
+// recordRefusalLocked records that the server refused a hold call. It is reachable, but gets no new work for a while, and whether its
+// tasks work isn't known.
+func (h *holdLoop) recordRefusalLocked(server *fleet.Server) {
+	s, now := h.session, boottime.Now()
+	if now-server.RefusedAt > holdWait {
+		s.log.Warn("hold refused: the backend server is unhealthy", "server", h.serverID, "runs", len(s.engine.ledger.LiveOn(h.serverID)),
+			"answered", ago(now, server.AnsweredAt))
+	}
+	server.RefusedAt, server.AvoidUntil = now, max(server.AvoidUntil, now+startBackoff)
+	h.renewal.Refused(now)
+	h.closeLapsedRunsLocked(server)
+}
+
 // closeLapsedRunsLocked closes the runs of an unreachable server once every lease granted to it has certainly lapsed.
 func (h *holdLoop) closeLapsedRunsLocked(server *fleet.Server) {
 	s := h.session
@@ -304,6 +320,10 @@
 	if server == nil || newest <= h.committedEnd && len(ends) == 0 {
 		return
 	}
+	if o.DeadlineMS == 0 {
+		s.ends.add(ends...)
+		return // the lease is to be renewed first; the next report lists the ends again
+	}
 	select {
 	case <-s.ends.add(ends...):
 	case <-time.After(holdWait):
@@ -333,7 +353,7 @@
 		next.Born, next.Draining = report.Born, false
 		s.fleet.Adopt(next, heard)
 		s.serverRestartedLocked(server)
-		h.born, h.committedEnd, h.ackedEnd, h.contacted = report.Born, 0, 0, false
+		h.born, h.committedEnd, h.ackedEnd, h.renewal = report.Born, 0, 0, lease.Renewal{}
 		server = s.fleet.Get(h.serverID)
 	}
 	if server.FailedCalls > 0 {
@@ -342,6 +362,7 @@
 	}
 	h.last = callRecord{order: o, took: heard - asked, answeredAt: server.AnsweredAt, failed: server.FailedCalls}
 	server.Answered(heard)
+	h.renewal.Answered(o.DeadlineMS > 0)
 	server.ConfirmedDeadlineMS = max(server.ConfirmedDeadlineMS, o.DeadlineMS)
 	server.AliveAt = max(server.AliveAt, asked)
 	server.Clock.Observe(report.ClockMS, asked, heard)
@@ -350,7 +371,7 @@
 	h.processRunningLocked(report, listed, asked)
 	h.handleUnlistedRunsLocked(listed, asked)
 	s.updatePacesLocked(h.serverID, report, heard)
-	h.contacted, server.HoldAnswered = true, true
+	server.HoldAnswered = true
 	return server, ends, newest
 }
 
--- /dev/null
+++ b/internal/dispatch/renewal_test.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"laburnumrouter/internal/request/ledger"
+)
+
+// flakyHolds is a network to servers that are silent, or refuse hold calls, while a test says so.
+type flakyHolds struct {
+	*fakeServers
+	silentHolds, refuses bool
+	// mutedOrders is set while starts are left unanswered and not carried out.
+	mutedOrders bool
+}
+
+func (f *flakyHolds) Hold(ctx context.Context, to Target, o HoldOrder) (*HoldReport, error) {
+	f.mu.Lock()
+	silent, refuses := f.silentHolds, f.refuses
+	f.mu.Unlock()
+	switch {
+	case silent:
+		<-ctx.Done()
+		return nil, errNoAnswer
+	case refuses:
+		return nil, ErrUnhealthy
+	}
+	report, err := f.fakeServers.Hold(ctx, to, o)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silentHolds { // the answer is lost
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return nil, errNoAnswer
+	}
+	return report, err
+}
+
+func (f *flakyHolds) Start(ctx context.Context, to Target, o StartOrder) (StartAnswer, int64, error) {
+	f.mu.Lock()
+	muted := f.mutedOrders
+	f.mu.Unlock()
+	if muted {
+		<-ctx.Done()
+		return 0, 0, errNoAnswer
+	}
+	return f.fakeServers.Start(ctx, to, o)
+}
+
+// newFlakyRig returns a rig with a lasting task on the server "a".
+func newFlakyRig(t *testing.T) (*rig, *flakyHolds) {
+	f := &flakyHolds{}
+	r, _ := newWaveRig(t, 1, func(servers *fakeServers) Servers {
+		f.fakeServers = servers
+		return f
+	})
+	r.submit("lasting", ledger.Step{Count: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+	r.until(func() bool { return r.servers.totalRuns() == 1 })
+	time.Sleep(2 * time.Second)
+	return r, f
+}
+
+// leaseLeft returns how long the lease of a server still lasts.
+func (f *fakeServers) leaseLeft(id string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(f.servers[id].deadline-f.clock()) * time.Millisecond
+}
+
+// setHolds changes how hold calls are treated from now on.
+func (f *flakyHolds) setHolds(silent, refuses bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silentHolds, f.refuses = silent, refuses
+}
+
+// Guards against a lease that isn't renewed although the server can be reached again: the first call after a failed one asked the
+// server to wait for a run to end, and the lease lapsed meanwhile.
+func TestLeaseIsRenewedOnContact(t *testing.T) {
+	for _, cut := range []time.Duration{200 * time.Millisecond, 1500 * time.Millisecond, 2700 * time.Millisecond, 3600 * time.Millisecond} {
+		inVirtualTime(t, func(t *testing.T) {
+			r, f := newFlakyRig(t)
+			f.setHolds(true, false)
+			time.Sleep(cut)
+			f.setHolds(false, false)
+			time.Sleep(contactBound)
+			must.Greater(t, leaseTime-contactBound, r.servers.leaseLeft("s0"), must.Sprintf("cut of %v", cut))
+		})
+	}
+}
+
+// Guards against refusals that count as silence: the server answers, so each further call may renew its lease.
+func TestRefusedHoldIsNoSilence(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r, f := newFlakyRig(t)
+		for range 20 {
+			f.setHolds(false, true)
+			time.Sleep(700 * time.Millisecond)
+			f.setHolds(false, false)
+			time.Sleep(150 * time.Millisecond) // one call
+			must.Greater(t, leaseTime-time.Second, r.servers.leaseLeft("s0"))
+		}
+	})
+}
+
+// Guards against renewals that starve while reports are asked for all the time.
+func TestWantedReportsDoNotDelayRenewals(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r, _ := newFlakyRig(t)
+		s := r.d.session.Load()
+		for range 2000 {
+			s.engine.mu.Lock()
+			s.requestReportLocked("s0")
+			s.engine.mu.Unlock()
+			time.Sleep(5 * time.Millisecond)
+			must.Greater(t, leaseTime-2*time.Second, r.servers.leaseLeft("s0"))
+		}
+	})
+}
+
+// Guards against a start that gets no answer and so keeps the server's lease from being renewed.
+func TestUnansweredStartsDoNotDelayRenewals(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r, f := newFlakyRig(t)
+		f.mu.Lock()
+		f.mutedOrders = true
+		f.mu.Unlock()
+		r.submit("muted", ledger.Step{Count: 4, Need: ledger.Resources{CPU: 100}, EstimateMS: 500})
+		for range 200 {
+			time.Sleep(50 * time.Millisecond)
+			must.Greater(t, leaseTime-2*time.Second, r.servers.leaseLeft("s0"))
+		}
+	})
+}
--- a/internal/dispatch/schedules_test.go
+++ b/internal/dispatch/schedules_test.go
@@ -209,15 +209,15 @@
 		case 2:
 			s.crash(length)
 		case 3:
-			w.enableFor(length, func(on bool) { s.partitioned = on })
+			w.enableFor(length, func(on bool) { s.partitioned, s.disturbedAt = on, w.now() })
 		case 4:
-			w.enableFor(length, func(on bool) { w.lateRate = rateIf(on, share) })
+			w.enableFor(length, func(on bool) { w.lateRate, w.disturbedAt = rateIf(on, share), w.now() })
 		case 5:
-			w.enableFor(length, func(on bool) { w.lossRate = rateIf(on, share) })
+			w.enableFor(length, func(on bool) { w.lossRate, w.disturbedAt = rateIf(on, share), w.now() })
 		case 6:
 			s.leave(length)
 		case 7:
-			w.enableFor(length, func(on bool) { s.partitioned = on })
+			w.enableFor(length, func(on bool) { s.partitioned, s.disturbedAt = on, w.now() })
 			s.crash(length)
 		}
 	}
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -370,7 +370,7 @@
 }
 
 // fullyRunningLocked reports whether a lasting task works in full: the last report of its server, requested at most maxAge
-// ago, says so, the server hasn't failed to answer since, and no stop of the run may still be carried out.
+// ago, says so, the server hasn't failed or refused to answer since, and no stop of the run may still be carried out.
 func (s *session) fullyRunningLocked(id ledger.TaskID, maxAge time.Duration) bool {
 	_, t := s.engine.ledger.Task(id)
 	if t == nil || t.Phase != ledger.Live {
@@ -381,7 +381,7 @@
 		return false
 	}
 	server := s.fleet.Get(t.Worker)
-	return server != nil && server.FailedCalls == 0
+	return server != nil && server.Responsive()
 }
 
 // orderUpkeeps takes machines down. All orders are committed in one log entry before they are sent.
--- a/internal/dispatch/virtual_log_test.go
+++ b/internal/dispatch/virtual_log_test.go
@@ -194,7 +194,7 @@
 		delete(w.pending, number)
 	}
 	w.term++
-	w.leader = i.index
+	w.leader, w.disturbedAt = i.index, w.now()
 	w.catchUpLocked(i)
 	i.believedTerm = w.term
 }
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -21,7 +21,9 @@
 	capacity            ledger.Resources
 	rejectsOverCapacity bool // else the leader alone keeps within the capacity
 	up, partitioned     bool
-	dataCentre          string
+	// disturbedAt is when the server was last cut off or reachable again.
+	disturbedAt time.Duration
+	dataCentre  string
 	// busy servers start nothing and answer every call that they are too busy.
 	busy     bool
 	draining bool
@@ -174,10 +176,22 @@
 	if server == nil {
 		return false
 	}
+	if how == ledger.EndLapsed {
+		server.checkLapseLocked(next, at)
+	}
 	server.endLocked(next, how, at)
 	return true
 }
 
+// checkLapseLocked checks that the leader couldn't reach the server for contactBound before its lease ended.
+func (s *simServer) checkLapseLocked(key runKey, at time.Duration) {
+	w := s.w
+	reachable := w.leader >= 0 && !s.partitioned && !s.busy && w.lateRate == 0 && w.lossRate == 0
+	if since := max(s.startedAt, s.disturbedAt, w.disturbedAt); reachable && at-since >= contactBound {
+		w.recordViolation("LEASE: %v run %d lapses on %s, which could be reached for %v", key.task, key.run, s.id, at-since)
+	}
+}
+
 func (s *simServer) endLocked(key runKey, how ledger.EndCause, at time.Duration) {
 	if s.running[key] == nil {
 		return
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -34,6 +34,9 @@
 	networkDelay  = 10 * time.Millisecond
 	// deadlyDelay bounds the time from the start of a deadly task to the crash of its server.
 	deadlyDelay = 20 * time.Millisecond
+	// contactBound is how long before its lease ends a server has to be reachable from a leader to keep it: two calls, the first of
+	// which runs into its time limit, and the time in which a new leader begins.
+	contactBound = time.Second
 	// dataCentreCount is the number of data centres; the servers are spread over them.
 	dataCentreCount = 3
 )
@@ -70,6 +73,8 @@
 
 	// Network faults: the fractions of calls that are carried out late and of answers that are lost.
 	lateRate, lossRate float64
+	// disturbedAt is when calls to all servers last began or ceased to be late or lost, or another leader began.
+	disturbedAt time.Duration
 
 	// evacuated holds when the evacuation of a data centre was acknowledged, until its restoration is ordered.
 	evacuated map[string]time.Duration
--- a/internal/request/fleet/fleet.go
+++ b/internal/request/fleet/fleet.go
@@ -158,6 +158,9 @@
 	s.FailedAt = now
 }
 
+// Responsive reports whether the server has neither refused a hold call nor left a call unanswered since it last answered one.
+func (s *Server) Responsive() bool { return s.FailedCalls == 0 && s.RefusedAt <= s.AnsweredAt }
+
 // StartUnanswered records at now that a start got no answer, and reports whether this is a repeated failure. One that comes
 // within the time limit of a call after an earlier one belongs to the same failure.
 func (s *Server) StartUnanswered(now, callLimit time.Duration) (repeated bool) {
