--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -112,7 +112,7 @@
 	r.until(func() bool { return r.servers.totalRuns() == 1 && r.state("j") == ledger.Running })
 	s := r.d.session.Load()
 	h := &holdLoop{session: s, serverID: "a", born: 1}
-	h.processReport(HoldOrder{}, &HoldReport{Born: 1, ClockMS: r.servers.clock()}, asked, boottime.Now())
+	h.processReport(holdCall{}, &HoldReport{Born: 1, ClockMS: r.servers.clock()}, asked, boottime.Now())
 	time.Sleep(100 * time.Millisecond)
 	must.SliceLen(t, 1, r.servers.starts)
 	must.EqOp(t, ledger.Running, r.state("j"))
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -97,7 +97,7 @@
 		return h.wasInterrupted() || h.handleFailure(err, c.ctx.Err() == nil)
 	}
 	h.ackedEnd = max(h.ackedEnd, c.order.AckedEnd)
-	h.processReport(c.order, report, asked, heard)
+	h.processReport(c, report, asked, heard)
 	return true
 }
 
@@ -113,9 +113,11 @@
 
 // holdCall is a prepared hold call.
 type holdCall struct {
-	next   holdStep
-	to     Target
-	order  HoldOrder
+	next  holdStep
+	to    Target
+	order HoldOrder
+	// grants is set if the order carries a new deadline, not one that an earlier call carried.
+	grants bool
 	ctx    context.Context
 	cancel context.CancelFunc
 }
@@ -147,12 +149,15 @@
 	if !h.reportWanted {
 		o.WaitMS = h.holdWaitLocked().Milliseconds()
 	}
-	if h.renewal.MayGrant(boottime.Now()) {
-		o.DeadlineMS, _ = s.grantLeaseLocked(h.serverID)
+	grants := h.renewal.MayGrant(boottime.Now())
+	if grants {
+		o.DeadlineMS, grants = s.grantLeaseLocked(h.serverID)
+	} else {
+		o.DeadlineMS = server.LeaseDeadlineMS // granted already, so the lease isn't known to lapse any later
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout+time.Duration(o.WaitMS)*time.Millisecond)
 	h.cancel, h.interrupted, h.waiting = cancel, false, o.WaitMS > 0
-	return holdCall{to: Target{ID: h.serverID, Address: server.Address}, order: o, ctx: ctx, cancel: cancel}
+	return holdCall{to: Target{ID: h.serverID, Address: server.Address}, order: o, grants: grants, ctx: ctx, cancel: cancel}
 }
 
 // interruptHoldLocked aborts the current hold call to a server if it waits for ends, so that the next one asks at once what became
@@ -314,13 +319,13 @@
 }
 
 // processReport reconciles the ledger with a server's report.
-func (h *holdLoop) processReport(o HoldOrder, report *HoldReport, asked, heard time.Duration) {
+func (h *holdLoop) processReport(c holdCall, report *HoldReport, asked, heard time.Duration) {
 	s := h.session
-	server, ends, newest := h.reconcile(o, report, asked, heard)
+	server, ends, newest := h.reconcile(c, report, asked, heard)
 	if server == nil || newest <= h.committedEnd && len(ends) == 0 {
 		return
 	}
-	if o.DeadlineMS == 0 {
+	if !c.grants {
 		s.ends.add(ends...)
 		return // the lease is to be renewed first; the next report lists the ends again
 	}
@@ -339,7 +344,7 @@
 
 // reconcile updates the session by a report and returns the server, the ends to commit and the number of the newest end. The
 // server is nil if the report is of no use.
-func (h *holdLoop) reconcile(o HoldOrder, report *HoldReport, asked, heard time.Duration) (*fleet.Server, []ledger.End, int64) {
+func (h *holdLoop) reconcile(c holdCall, report *HoldReport, asked, heard time.Duration) (*fleet.Server, []ledger.End, int64) {
 	s := h.session
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
@@ -360,10 +365,10 @@
 		s.log.Info("backend server answers again", "server", h.serverID, "silent_for", ago(heard, server.AnsweredAt), "failed_calls", server.FailedCalls,
 			"granted_ago", ago(heard, server.LeaseGrantedAt))
 	}
-	h.last = callRecord{order: o, took: heard - asked, answeredAt: server.AnsweredAt, failed: server.FailedCalls}
+	h.last = callRecord{call: c, took: heard - asked, answeredAt: server.AnsweredAt, failed: server.FailedCalls}
 	server.Answered(heard)
-	h.renewal.Answered(o.DeadlineMS > 0)
-	server.ConfirmedDeadlineMS = max(server.ConfirmedDeadlineMS, o.DeadlineMS)
+	h.renewal.Answered(c.grants)
+	server.ConfirmedDeadlineMS = max(server.ConfirmedDeadlineMS, c.order.DeadlineMS)
 	server.AliveAt = max(server.AliveAt, asked)
 	server.Clock.Observe(report.ClockMS, asked, heard)
 	listed := make(map[runKey]bool, len(report.Running)+len(report.Finished))
@@ -376,8 +381,8 @@
 }
 
 // serverRestartedLocked handles a new incarnation under the ID of a known server. The runs of the earlier incarnation are
-// gone, but an order sent just before may have started a run, with a lease of up to maxServerLease, on the new one. Only a
-// report requested from now on tells which runs exist.
+// gone, but an order sent just before may have started a run on the new one, and any deadline on the clock of the earlier one gives it
+// a lease of up to maxServerLease. Only a report requested from now on tells which runs exist.
 //
 // before is what was known of the earlier incarnation.
 func (s *session) serverRestartedLocked(before *fleet.Server) {
@@ -395,10 +400,12 @@
 		}
 		o.since, o.stopping, o.percent = now, false, 0
 	}
+	if before.LeaseDeadlineMS > 0 || len(runs) > 0 {
+		s.fleet.Get(serverID).EarlierLeaseUntil = now + callTimeout + lease.MaxLapseTime(maxServerLease)
+	}
 	if len(runs) == 0 {
 		return
 	}
-	s.fleet.Get(serverID).EarlierLeaseUntil = now + lease.MaxLapseTime(maxServerLease)
 	s.ensureHoldLoopLocked(serverID)
 	s.interruptHoldLocked(serverID)
 }
--- a/internal/dispatch/lapse.go
+++ b/internal/dispatch/lapse.go
@@ -8,8 +8,8 @@
 
 // callRecord describes an answered hold call for the log.
 type callRecord struct {
-	order HoldOrder
-	took  time.Duration
+	call holdCall
+	took time.Duration
 	// answeredAt is when the server had answered a call before; failed counts the unanswered calls between the two.
 	answeredAt time.Duration
 	failed     int
@@ -33,5 +33,5 @@
 	}
 	h.session.log.Warn("lease lapsed on a server that answers", "task", f.Task, "run", f.Run, "server", h.serverID, "lasting", lasting,
 		"silent_for", ago(now, last.answeredAt), "failed_calls", last.failed, "refused", ago(now, server.RefusedAt), "granted_ago", ago(now, server.LeaseGrantedAt),
-		"since_confirmed_deadline", sinceDeadline, "call_took", last.took, "call_wait_ms", last.order.WaitMS, "call_renewed", last.order.DeadlineMS > 0)
+		"since_confirmed_deadline", sinceDeadline, "call_took", last.took, "call_wait_ms", last.call.order.WaitMS, "call_renewed", last.call.grants)
 }
--- a/internal/dispatch/malformed_test.go
+++ b/internal/dispatch/malformed_test.go
@@ -153,7 +153,7 @@
 	before := s.strayStops.Load()
 	for _, report := range malformedReports() {
 		h := &holdLoop{session: s, serverID: "b", born: 1}
-		h.processReport(HoldOrder{}, report, boottime.Now(), boottime.Now())
+		h.processReport(holdCall{}, report, boottime.Now(), boottime.Now())
 		must.LessEq(t, maxStraysPerReport, s.strayStops.Load()-before)
 		before = s.strayStops.Load()
 	}
--- a/internal/dispatch/renewal_test.go
+++ b/internal/dispatch/renewal_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/request/ledger"
 )
 
@@ -14,13 +15,17 @@
 type flakyHolds struct {
 	*fakeServers
 	silentHolds, refuses bool
+	// losesEverySecond is set while every second hold call gets no answer; calls counts them.
+	losesEverySecond bool
+	calls            int
 	// mutedOrders is set while starts are left unanswered and not carried out.
 	mutedOrders bool
 }
 
 func (f *flakyHolds) Hold(ctx context.Context, to Target, o HoldOrder) (*HoldReport, error) {
 	f.mu.Lock()
-	silent, refuses := f.silentHolds, f.refuses
+	f.calls++
+	silent, refuses := f.silentHolds || f.losesEverySecond && f.calls%2 == 0, f.refuses
 	f.mu.Unlock()
 	switch {
 	case silent:
@@ -94,6 +99,21 @@
 	}
 }
 
+// Guards against renewals of which each is lost: a call that found the server carried no deadline, and the next one, which did, got no
+// answer.
+func TestEverySecondLostHoldKeepsLease(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r, f := newFlakyRig(t)
+		f.mu.Lock()
+		f.losesEverySecond = true
+		f.mu.Unlock()
+		for range 100 {
+			time.Sleep(200 * time.Millisecond)
+			must.Greater(t, 2*time.Second, r.servers.leaseLeft("s0"))
+		}
+	})
+}
+
 // Guards against refusals that count as silence: the server answers, so each further call may renew its lease.
 func TestRefusedHoldIsNoSilence(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
@@ -137,3 +157,31 @@
 		}
 	})
 }
+
+// Guards against a task that runs twice: its server had restarted under its ID while no task ran there, and a repeated deadline on the
+// clock of the incarnation before gave it a lease that this leader, or the next one, didn't know of.
+func TestRestartedServerMayHoldLongestLease(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r := newRig(t, newFakeServers("a"))
+		s := r.d.session.Load()
+		s.engine.mu.Lock()
+		s.fleet.Get("a").LeaseDeadlineMS = 1_000_000
+		s.engine.mu.Unlock()
+		restarted := r.serverOf("a", 1000)
+		restarted.Born = time.Now().UnixMilli()
+		must.EqOp(t, OK, r.do(&Call{Op: OpAnnounce, Server: restarted}).Outcome)
+		lapsesBy := func(s *session) time.Duration {
+			s.engine.mu.Lock()
+			defer s.engine.mu.Unlock()
+			return s.fleet.Get("a").EarlierLeaseUntil
+		}
+		bound := boottime.Now() + maxServerLease
+		must.Greater(t, bound, lapsesBy(s))
+		r.log.lead(2)
+		r.until(func() bool {
+			s = r.d.session.Load()
+			return s != nil && s.holder.Fence == 2
+		})
+		must.Greater(t, bound, lapsesBy(s))
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -181,6 +181,10 @@
 	now := boottime.Now()
 	for _, known := range s.engine.ledger.KnownServers() {
 		s.fleet.Adopt(known, now)
+		if age := time.Duration(time.Now().UnixMilli()-known.Born) * time.Millisecond; age < lateOrderBound {
+			// An earlier leader may have repeated a deadline on the clock of the incarnation before (serverRestartedLocked).
+			s.fleet.Get(known.ID).EarlierLeaseUntil = now + lease.MaxLapseTime(maxServerLease)
+		}
 		s.ensureHoldLoopLocked(known.ID) // reads its clock and raises its fencing token
 	}
 	for _, id := range s.engine.ledger.ServersWithRuns() {
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -74,7 +74,7 @@
 	if s.renamed && s.incarnation > 1 {
 		s.id = fmt.Sprint(s.address, "-", s.incarnation)
 	}
-	s.born = s.startedAt.Milliseconds()
+	s.born = time.Now().UnixMilli()
 	s.running, s.highestRun, s.finished = make(map[runKey]*simRun), make(map[ledger.TaskID]int), nil
 }
 
--- a/internal/request/lease/renewal.go
+++ b/internal/request/lease/renewal.go
@@ -19,7 +19,7 @@
 }
 
 // MayGrant reports whether the next call may carry a new deadline. A renewal that reaches a server unnoticed postpones the lapse of
-// its lease, so at most one call without an answer carries one.
+// its lease, so of several calls without an answer only the first carries one. The others repeat it.
 func (r *Renewal) MayGrant(now time.Duration) bool {
 	return !r.unreached && !(r.refusing && now-r.refusedSince > RefusedGrantTime)
 }
--- a/internal/request/lease/renewal_test.go
+++ b/internal/request/lease/renewal_test.go
@@ -34,9 +34,9 @@
 	now    time.Duration
 	faults []span
 	aborts []time.Duration // reports are asked for at these times
-	// refusals is the share of all calls that are refused.
-	refusals float64
-	r        Renewal
+	// refusals and losses are the shares of all calls that are refused, and that don't arrive.
+	refusals, losses float64
+	r                Renewal
 	// deadline is the end of the server's lease; granted is the latest deadline that the caller has sent.
 	deadline, granted time.Duration
 	reachedAt         time.Duration // last time at which a call reached the server
@@ -58,9 +58,9 @@
 	if l.r.MayWait() {
 		wait = testWait
 	}
-	sent, deadline := l.now, l.now+testLease
+	sent := l.now
 	if granting {
-		l.granted = max(l.granted, deadline)
+		l.granted = max(l.granted, sent+testLease)
 	}
 	arrives := sent + time.Duration(l.random.Int64N(int64(testLatency)))
 	s, faulty := l.fault(arrives)
@@ -70,8 +70,8 @@
 		l.now += testRetry
 		return
 	}
-	if !faulty && granting {
-		l.deadline = max(l.deadline, deadline)
+	if faulty = faulty || l.random.Float64() < l.losses; !faulty {
+		l.deadline = max(l.deadline, l.granted)
 	}
 	if wait > 0 {
 		for _, at := range l.aborts {
@@ -141,6 +141,18 @@
 	}
 }
 
+// Guards against a lease that lapses on a server which answers most calls: a call that found the server, and then the next one, which
+// was to renew the lease, had to arrive.
+func TestServerThatMissesSomeCallsKeepsItsLease(t *testing.T) {
+	for seed := range uint64(300) {
+		l := &loop{random: rand.New(rand.NewPCG(seed, 1)), deadline: testLease, losses: 0.2}
+		for l.now < time.Minute {
+			l.call()
+			must.Less(t, l.deadline, l.now, must.Sprintf("seed %d", seed))
+		}
+	}
+}
+
 // Guards against tasks of a server that is gone, or refuses for good, which wait for ever to be started elsewhere: each call postpones
 // the lapse of their lease.
 func TestUnreachableServerGetsNoFurtherDeadlines(t *testing.T) {
