--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -165,7 +165,7 @@
 		s.engine.mu.Unlock()
 		must.False(t, stopping) // a stop could be carried out long after
 		r.until(func() bool { return r.running("b") == 2 })
-		must.Between(t, leaseTime, boottime.Now()-silentAt, 2*leaseTime)
+		must.Between(t, shortLeaseTime, boottime.Now()-silentAt, 2*shortLeaseTime)
 		r.servers.mu.Lock()
 		r.servers.silent["a"] = false
 		clear(r.servers.servers["a"].running) // their leases have lapsed
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -91,7 +91,7 @@
 		r.servers.mu.Lock()
 		r.servers.silent[busy] = true
 		r.servers.mu.Unlock()
-		time.Sleep(leaseTime - holdWait)
+		time.Sleep(shortLeaseTime - holdWait)
 		r.servers.mu.Lock()
 		r.servers.silent[busy] = false
 		r.servers.mu.Unlock()
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -60,6 +60,9 @@
 	h := &holdLoop{session: s, serverID: serverID}
 	if server := s.fleet.Get(serverID); server != nil {
 		h.born, h.committedEnd, h.ackedEnd = server.Born, server.CommittedEnd, server.CommittedEnd
+		if server.FailedCalls > 0 {
+			h.renewal.Unanswered()
+		}
 	}
 	s.holdLoops[serverID] = h
 	s.spawnLoop("hold", h.run)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -206,7 +206,7 @@
 		return 0, false
 	}
 	now := boottime.Now()
-	deadline, known := server.Clock.DeadlineAfter(now, leaseTime)
+	deadline, known := server.Clock.DeadlineAfter(now, s.leaseTimeLocked())
 	if known {
 		server.LeaseDeadlineMS, server.LeaseGrantedAt = max(server.LeaseDeadlineMS, deadline), now
 	}
--- a/internal/dispatch/renewal_test.go
+++ b/internal/dispatch/renewal_test.go
@@ -60,7 +60,7 @@
 // newFlakyRig returns a rig with a lasting task on the server "a".
 func newFlakyRig(t *testing.T) (*rig, *flakyHolds) {
 	f := &flakyHolds{}
-	r, _ := newWaveRig(t, 1, func(servers *fakeServers) Servers {
+	r, _ := newWaveRig(t, 2, func(servers *fakeServers) Servers {
 		f.fakeServers = servers
 		return f
 	})
@@ -94,7 +94,7 @@
 			time.Sleep(cut)
 			f.setHolds(false, false)
 			time.Sleep(contactBound)
-			must.Greater(t, leaseTime-contactBound, r.servers.leaseLeft("s0"), must.Sprintf("cut of %v", cut))
+			must.Greater(t, shortLeaseTime-contactBound, r.servers.leaseLeft("s0"), must.Sprintf("cut of %v", cut))
 		})
 	}
 }
@@ -123,7 +123,7 @@
 			time.Sleep(700 * time.Millisecond)
 			f.setHolds(false, false)
 			time.Sleep(150 * time.Millisecond) // one call
-			must.Greater(t, leaseTime-time.Second, r.servers.leaseLeft("s0"))
+			must.Greater(t, shortLeaseTime-time.Second, r.servers.leaseLeft("s0"))
 		}
 	})
 }
@@ -138,7 +138,7 @@
 			s.requestReportLocked("s0")
 			s.engine.mu.Unlock()
 			time.Sleep(5 * time.Millisecond)
-			must.Greater(t, leaseTime-2*time.Second, r.servers.leaseLeft("s0"))
+			must.Greater(t, shortLeaseTime-2*time.Second, r.servers.leaseLeft("s0"))
 		}
 	})
 }
@@ -153,7 +153,7 @@
 		r.submit("muted", ledger.Step{Count: 4, Need: ledger.Resources{CPU: 100}, EstimateMS: 500})
 		for range 200 {
 			time.Sleep(50 * time.Millisecond)
-			must.Greater(t, leaseTime-2*time.Second, r.servers.leaseLeft("s0"))
+			must.Greater(t, shortLeaseTime-2*time.Second, r.servers.leaseLeft("s0"))
 		}
 	})
 }
@@ -185,3 +185,43 @@
 		must.Greater(t, bound, lapsesBy(s))
 	})
 }
+
+// Guards against tasks that run twice after a change to a leader of an earlier version, which waits for shorter leases than this one
+// granted: long leases begin once the log's format says that no such member is left.
+func TestLongLeasesBeginOnceAllMembersKnowThem(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r, _ := newFlakyRig(t)
+		must.LessEq(t, shortLeaseTime, r.servers.leaseLeft("s0"))
+		_, err := r.d.session.Load().propose(&ledger.Command{Format: ledger.FormatLongLeases})
+		must.NoError(t, err)
+		time.Sleep(holdWait + 100*time.Millisecond)
+		must.Between(t, leaseTime-holdWait-100*time.Millisecond, r.servers.leaseLeft("s0"), leaseTime)
+	})
+}
+
+// Guards against lasting tasks of a server that is cut off for up to 5.3 s, which lapse although the server comes back, and against
+// tasks of a server that is gone for good, which start elsewhere later than the users demand.
+func TestLeaseOutlastsCutsButNotByMuch(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		r, f := newFlakyRig(t)
+		_, err := r.d.session.Load().propose(&ledger.Command{Format: ledger.FormatLongLeases})
+		must.NoError(t, err)
+		for offset := range 10 {
+			time.Sleep(3*time.Second + time.Duration(offset)*100*time.Millisecond)
+			f.setHolds(true, false)
+			time.Sleep(5300 * time.Millisecond)
+			must.Positive(t, r.servers.leaseLeft("s0"))
+			f.setHolds(false, false)
+			time.Sleep(contactBound)
+			must.Greater(t, leaseTime-contactBound, r.servers.leaseLeft("s0"))
+		}
+		f.setHolds(true, false)
+		gone := boottime.Now()
+		r.until(func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(f.starts) > 1
+		})
+		must.Less(t, 9*time.Second, boottime.Now()-gone)
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -28,10 +28,13 @@
 }
 
 const (
-	// leaseTime is how long runs continue without contact to a leader. It outlasts a change of leader (two election
-	// timeouts of 0.5 to 1 s and the first hold calls) and is well below hold_max_ms (10 s), so that tasks of unreachable
-	// servers restart elsewhere soon.
-	leaseTime = 5 * time.Second
+	// leaseTime is how long runs continue without contact to a leader. It outlasts a cut of 5.3 s that begins right before a
+	// renewal, with the time from contact to the next one (docs/design/platform.md). A task of a server that is gone for good
+	// works again elsewhere within 9 s, as the users demand of lasting tasks. hold_max_ms is 10 s.
+	leaseTime = 7 * time.Second
+	// shortLeaseTime is the same until the log has FormatLongLeases: members of earlier versions, if they lead, take leases of
+	// unreachable servers for lapsed after that.
+	shortLeaseTime = 5 * time.Second
 	// inheritedLeaseMargin is added to leaseTime for leases granted by an earlier leader, which may have granted more
 	// until it noticed that it no longer led.
 	inheritedLeaseMargin = 1500 * time.Millisecond
@@ -382,6 +385,14 @@
 	}
 }
 
+// leaseTimeLocked returns the length of the leases that this leader grants.
+func (s *session) leaseTimeLocked() time.Duration {
+	if s.engine.ledger.Format < ledger.FormatLongLeases {
+		return shortLeaseTime
+	}
+	return leaseTime
+}
+
 // inheritedLeaseEnd returns when the leases granted by earlier leaders have certainly lapsed.
 func (s *session) inheritedLeaseEnd() time.Duration {
 	return s.startedAt + lease.MaxLapseTime(leaseTime) + inheritedLeaseMargin
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -53,8 +53,10 @@
 	FormatCrashes = 2
 	// FormatGivenUp: a task that is given up or out of attempts doesn't fail its job while lasting tasks of the job go on.
 	FormatGivenUp = 3
+	// FormatLongLeases: leaders grant longer leases than members of earlier versions wait for.
+	FormatLongLeases = 4
 	// NewestFormat is the newest format that this version understands.
-	NewestFormat = FormatGivenUp
+	NewestFormat = FormatLongLeases
 )
 
 // OnlyJobs reports whether a command has no other parts than Submit, Cancel, their lists, Begun, Ends and Starts. Parts that
