--- a/internal/dispatch/machineorder.go
+++ b/internal/dispatch/machineorder.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"sync/atomic"
+	"time"
 
 	"laburnumrouter/internal/process/boottime"
 )
@@ -148,3 +149,28 @@
 		}
 	}
 }
+
+// inheritMachineOrdersLocked takes over the orders for machines that an earlier leader committed recently. It may have sent them until
+// its lease ended, and the platform may carry them out later. Their servers get no work until a list shows the result, or that none
+// can follow any more.
+func (s *session) inheritMachineOrdersLocked(now time.Duration) {
+	var moves, upkeeps int
+	for machine, intent := range s.engine.ledger.Intents() {
+		by := s.engine.ledger.OrderTerm(machine)
+		if by == s.holder.Fence || s.engine.timeSinceOrderLocked(machine) > lateOrderBound {
+			continue
+		}
+		if intent.Server != "" {
+			s.reserved[intent.Server] = true
+		}
+		if intent.Pool == "" {
+			upkeeps++
+			continue
+		}
+		moves++
+		s.movedAt[machine], s.movedTo[machine], s.moveUnanswered[machine] = now, intent.Pool, true
+	}
+	if moves+upkeeps > 0 {
+		s.log.Info("orders of an earlier leader may still be carried out", "moves", moves, "upkeeps", upkeeps)
+	}
+}
--- a/internal/dispatch/moves_test.go
+++ b/internal/dispatch/moves_test.go
@@ -97,6 +97,32 @@
 	})
 }
 
+// Guards against work that is cut on a server whose machine an earlier leader has ordered to move: the order is carried out after the
+// next leader has begun, and no list shows it yet.
+func TestNextLeaderKnowsOrdersForMachines(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		m := &unansweredMoves{&fakeMachines{list: []Machine{
+			{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}, {Name: "m2", Pool: "p", State: MachineUp, Server: "b"},
+		}}}
+		r := newMachineRig(t, m)
+		s := r.d.session.Load()
+		r.until(func() bool { return s.cachedMachines.lastRequested() > 0 })
+		s.engine.mu.Lock()
+		s.reserved["a"], s.movesInFlight["m1"] = true, "a"
+		s.engine.mu.Unlock()
+		must.True(t, s.commitMoves([]pools.Move{{Machine: "m1", From: "p", To: "off"}}))
+		r.log.lead(2)
+		r.until(func() bool {
+			s := r.d.session.Load()
+			return s != nil && s.holder.Fence == 2
+		})
+		beganAt := boottime.Now()
+		r.submit("j", ledger.Step{Count: 2, Lasting: true, Need: ledger.Resources{CPU: 8000}})
+		r.until(func() bool { return len(r.servers.runs("a")) == 1 })
+		must.Between(t, lateOrderBound-time.Second, boottime.Now()-beganAt, lateOrderBound+time.Second)
+	})
+}
+
 // Guards against a list of machines that is replaced by an older one, whose read took longer.
 func TestListOfMachinesIsNeverReplacedByOlderOne(t *testing.T) {
 	var cache machineCache
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -106,9 +106,11 @@
 // commitMoves commits planned moves before they are ordered, so that the next leader knows of them.
 func (s *session) commitMoves(moves []pools.Move) bool {
 	c := &ledger.Command{By: s.holder.Fence}
+	s.engine.mu.Lock()
 	for _, m := range moves {
-		c.Moves = append(c.Moves, ledger.MachineMove{Machine: m.Machine, Pool: m.To})
+		c.Moves = append(c.Moves, ledger.MachineMove{Machine: m.Machine, Pool: m.To, Server: s.movesInFlight[m.Machine]})
 	}
+	s.engine.mu.Unlock()
 	_, err := s.propose(c)
 	if err == nil {
 		return true
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -194,6 +194,7 @@
 		s.inheritPacesLocked(id)
 		s.ensureHoldLoopLocked(id)
 	}
+	s.inheritMachineOrdersLocked(now)
 	s.engine.mu.Unlock()
 	s.engine.setAfterApply(s.commandApplied)
 	s.spawnLoop("ends", s.ends.run)
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -392,7 +392,7 @@
 	}
 	c := &ledger.Command{By: s.holder.Fence}
 	for _, o := range orders {
-		c.Upkeep = append(c.Upkeep, ledger.UpkeepTransition{Wave: number, Machine: o.machine, Phase: ledger.UpkeepOrdered})
+		c.Upkeep = append(c.Upkeep, ledger.UpkeepTransition{Wave: number, Machine: o.machine, Phase: ledger.UpkeepOrdered, Server: o.server})
 	}
 	if _, err := s.propose(c); err != nil {
 		s.log.Warn("upkeep orders not committed", "wave", number, "machines", len(c.Upkeep), "error", err)
--- a/internal/dispatch/virtual_machines_test.go
+++ b/internal/dispatch/virtual_machines_test.go
@@ -59,7 +59,8 @@
 	return sleepFor(ctx, p.w.between(time.Millisecond, slow))
 }
 
-// call carries out f after a delay. f's result is lost with the simulation's share of lost answers.
+// call carries out f after two delays: the call may be given up before the first one ends, and is carried out once it has. f's result is
+// lost with the simulation's share of lost answers.
 func (p *simPlatform) call(ctx context.Context, f func()) error {
 	if err := p.delay(ctx); err != nil {
 		return err
@@ -67,15 +68,25 @@
 	if !Permitted(ctx) {
 		return errUnreachable
 	}
-	p.w.mu.Lock()
-	f()
-	lost := p.w.rng.Float64() < p.lost
-	p.w.mu.Unlock()
-	if lost {
-		<-ctx.Done()
+	answered := make(chan struct{})
+	p.w.spawn(func() {
+		if p.delay(p.w.ctx) != nil {
+			return
+		}
+		p.w.mu.Lock()
+		f()
+		lost := p.w.rng.Float64() < p.lost
+		p.w.mu.Unlock()
+		if !lost {
+			close(answered)
+		}
+	})
+	select {
+	case <-answered:
+		return p.delay(ctx)
+	case <-ctx.Done():
 		return errUnreachable
 	}
-	return p.delay(ctx)
 }
 
 // List implements Machines.
@@ -92,7 +103,10 @@
 			list = append(list, listed)
 		}
 	})
-	return list, "", err
+	if err != nil {
+		return nil, "", err
+	}
+	return list, "", nil
 }
 
 // Move implements Machines.
@@ -103,7 +117,10 @@
 			answer = p.restartLocked(m, "move", MachineMoving, moveTime, func() { m.pool = pool })
 		}
 	})
-	return answer, err
+	if err != nil {
+		return 0, err // answer may be set later
+	}
+	return answer, nil
 }
 
 // Upkeep implements Machines.
@@ -113,7 +130,10 @@
 			answer = p.restartLocked(m, "upkeep", MachineUpkeep, upkeepTime, func() { m.upkept = true })
 		}
 	})
-	return answer, err
+	if err != nil {
+		return 0, err // answer may be set later
+	}
+	return answer, nil
 }
 
 func (p *simPlatform) get(name string) *simMachine {
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -56,10 +56,14 @@
 		l.applyUpkeep(m)
 		if m.Phase == UpkeepOrdered {
 			l.Orders[m.Machine] = c.By
+			l.contents.Intents[m.Machine] = MachineIntent{Server: m.Server}
+		} else if m.Phase == UpkeepDone {
+			delete(l.contents.Intents, m.Machine)
 		}
 	}
 	for _, m := range c.Moves {
 		l.Orders[m.Machine] = c.By
+		l.contents.Intents[m.Machine] = MachineIntent{Pool: m.Pool, Server: m.Server}
 	}
 	for pool, n := range c.Sizes {
 		if _, known := l.Sizes[pool]; !known {
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -196,6 +196,8 @@
 	Wave    int64
 	Machine string
 	Phase   UpkeepPhase
+	// Server is the backend server that the machine carried when its upkeep was ordered; empty if there was none.
+	Server string `json:",omitempty"`
 }
 
 // EvacuationOrder takes a data centre out of service, or restores it.
@@ -210,9 +212,19 @@
 	After int64 `json:",omitempty"`
 }
 
-// MachineMove orders the move of a machine to a pool.
+// MachineMove orders the move of a machine to a pool. Server is the backend server that the machine carried when the move was
+// planned; empty if there was none.
 type MachineMove struct {
 	Machine, Pool string
+	Server        string `json:",omitempty"`
+}
+
+// MachineIntent is what a leader last ordered for a machine, whether or not the order was sent or carried out.
+type MachineIntent struct {
+	// Pool is the pool to which the machine was to move; empty for an upkeep.
+	Pool string `json:",omitempty"`
+	// Server is the backend server that the machine carried then; empty if there was none.
+	Server string `json:",omitempty"`
 }
 
 // Verdict is the outcome of applying a part of a command.
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -48,6 +48,8 @@
 	Waves   map[int64]*Wave   `json:",omitempty"`
 	// Orders holds, by machine, the term of the leader that last ordered its upkeep or its move to another pool.
 	Orders map[string]uint64 `json:",omitempty"`
+	// Intents holds, by machine, what was last ordered for it. Members of earlier versions don't have it; no command depends on it.
+	Intents map[string]MachineIntent `json:",omitempty"`
 	// Sizes holds, by pool, the number of machines that it had before any move. Later moves don't change it.
 	Sizes map[string]int `json:",omitempty"`
 	// Evacuations holds the state of each data centre for which there was an order.
@@ -90,7 +92,7 @@
 
 // New returns an empty ledger.
 func New() *Ledger {
-	l := &Ledger{contents: contents{Jobs: make(map[string]*Job), Servers: make(map[string]Server), Waves: make(map[int64]*Wave), Sizes: make(map[string]int), Orders: make(map[string]uint64), Evacuations: make(map[string]*Evacuation)}}
+	l := &Ledger{contents: contents{Jobs: make(map[string]*Job), Servers: make(map[string]Server), Waves: make(map[int64]*Wave), Sizes: make(map[string]int), Orders: make(map[string]uint64), Intents: make(map[string]MachineIntent), Evacuations: make(map[string]*Evacuation)}}
 	l.reindex()
 	return l
 }
@@ -115,6 +117,9 @@
 	if fresh.Jobs == nil || fresh.Servers == nil || fresh.Waves == nil || fresh.Sizes == nil || fresh.Orders == nil {
 		return Error.New("the snapshot lacks a part of the state")
 	}
+	if fresh.contents.Intents == nil {
+		fresh.contents.Intents = make(map[string]MachineIntent)
+	}
 	fresh.reindex()
 	*l = *fresh
 	return nil
@@ -310,6 +315,9 @@
 // OrderTerm returns the term of the leader that last ordered a machine's upkeep or move, or 0 if none did.
 func (l *Ledger) OrderTerm(machine string) uint64 { return l.Orders[machine] }
 
+// Intents returns what was last ordered for each machine; the caller must not change the map.
+func (l *Ledger) Intents() map[string]MachineIntent { return l.contents.Intents }
+
 // Wave returns the record of a wave, or nil if the number is unknown.
 func (l *Ledger) Wave(number int64) *Wave { return l.Waves[number] }
 
