--- a/internal/dispatch/avail_test.go
+++ b/internal/dispatch/avail_test.go
@@ -319,3 +319,71 @@
 		must.Less(t, boottime.Now()-time.Second, s.fleet.Get("s0").AnsweredAt)
 	})
 }
+
+// slowStop is a network on which the first stop takes 300 ms to be written, or to arrive. onFirst is called when it begins.
+type slowStop struct {
+	*fakeServers
+	writesLate bool
+	onFirst    func()
+	began      bool
+	// arrived lists the tasks, by index, whose stops arrived.
+	arrived []int
+}
+
+func (f *slowStop) Stop(ctx context.Context, to Target, o StopOrder) error {
+	f.mu.Lock()
+	first := !f.began
+	f.began = true
+	f.mu.Unlock()
+	if !f.writesLate && !Permitted(ctx) {
+		return errNoAnswer
+	}
+	if first {
+		f.onFirst()
+		time.Sleep(300 * time.Millisecond)
+	}
+	if f.writesLate && !Permitted(ctx) {
+		return errNoAnswer
+	}
+	f.mu.Lock()
+	f.arrived = append(f.arrived, o.Task.Index)
+	f.mu.Unlock()
+	return f.fakeServers.Stop(ctx, to, o)
+}
+
+// newSlowStopRig returns a rig with two tasks of a step, which may miss one, and the names of their servers.
+func newSlowStopRig(t *testing.T, f *slowStop) (r *rig, servers [2]string) {
+	r, _ = newWaveRig(t, 4, func(servers *fakeServers) Servers {
+		f.fakeServers = servers
+		return f
+	})
+	r.submit("j", ledger.Step{Count: 2, Spread: 1, MayMiss: 1, Lasting: true, Need: ledger.Resources{CPU: 100}})
+	r.until(func() bool { return r.servers.totalRuns() == 2 })
+	for _, id := range []string{"s0", "s1", "s2", "s3"} {
+		for _, k := range r.servers.runs(id) {
+			servers[k.task.Index] = id
+		}
+	}
+	return r, servers
+}
+
+// Guards against a stop that is sent after a pause of the process, and rests on reports from before it: another task of the step went
+// away meanwhile.
+func TestStopThatIsWrittenLateRestsOnRecentReports(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := &slowStop{writesLate: true}
+		r, servers := newSlowStopRig(t, f)
+		f.onFirst = func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.servers[servers[1]].end(key("j", 1, 1), ledger.EndFailed)
+			for _, s := range f.servers {
+				s.refuses = true
+			}
+		}
+		r.startWave([]string{"m" + servers[0][1:]}, 20*time.Second, 1)
+		time.Sleep(10 * time.Second)
+		must.True(t, f.began)
+		must.SliceEmpty(t, f.arrived)
+	})
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -295,7 +295,11 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	err := s.servers.Stop(ctx, to, StopOrder{Task: id, Run: run, Fence: s.holder.Fence})
+	err := s.servers.Stop(WithPermission(ctx, func() bool {
+		s.engine.mu.Lock()
+		defer s.engine.mu.Unlock()
+		return s.mayOrder() && permitted()
+	}), to, StopOrder{Task: id, Run: run, Fence: s.holder.Fence})
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	switch {
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -264,8 +264,8 @@
 // permissionKey is the context key of the function that Permitted calls.
 type permissionKey struct{}
 
-// WithPermission returns a context for an order that may be sent only while mayOrder allows it. It is used for orders for
-// machines: they carry no deadline, and the process may have been paused since the session last asked.
+// WithPermission returns a context for an order that may be sent only while mayOrder allows it. It is used for stops of tasks and for
+// orders for machines: they carry no deadline, and the process may have been paused since the session last asked.
 func WithPermission(ctx context.Context, mayOrder func() bool) context.Context {
 	return context.WithValue(ctx, permissionKey{}, mayOrder)
 }
