--- a/internal/dispatch/avail_test.go
+++ b/internal/dispatch/avail_test.go
@@ -387,3 +387,20 @@
 		must.SliceEmpty(t, f.arrived)
 	})
 }
+
+// Guards against two orders that end tasks of one step together: a stop within the budget is on its way, and the other task's server
+// begins to drain, whose tasks are stopped regardless of the budget.
+func TestDrainingWaitsForStopUnderWay(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := &slowStop{}
+		r, servers := newSlowStopRig(t, f)
+		f.onFirst = func() {
+			draining := r.serverOf(servers[1], 1000)
+			draining.Draining = true
+			go r.do(&Call{Op: OpAnnounce, Server: draining})
+		}
+		r.startWave([]string{"m" + servers[0][1:]}, 20*time.Second, 1)
+		time.Sleep(10 * time.Second)
+		must.Eq(t, []int{0, 1}, f.arrived[:2])
+	})
+}
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -112,7 +112,7 @@
 		j, t := s.engine.ledger.Task(id)
 		limit := max(1, j.Steps[id.Step].MayMiss)
 		if s.reportsFreshLocked(id, limit) && free.ReserveElsewhere(id) {
-			s.stopWhileLocked(id, t, "its data centre is evacuated", func() bool { return s.reportsFreshLocked(id, limit) })
+			s.stopWithinBudgetLocked(id, t, "its data centre is evacuated", limit)
 		}
 	}
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -44,6 +44,10 @@
 	// after the attempts were given up.
 	stopping          bool
 	stopPossibleUntil time.Duration
+	// budgeted is set if the stop is within the number of tasks that the step may miss. underWayUntil is when its present attempt is
+	// given up; 0 if none is under way.
+	budgeted      bool
+	underWayUntil time.Duration
 	// checkpoint is the newest one that the server reported.
 	checkpoint string
 	// percent is how much of the task was in operation at the last report; 100 if it worked in full. reportedAt is when that
@@ -249,6 +253,25 @@
 	})
 }
 
+// stopWithinBudgetLocked stops a lasting task as long as recent reports show that no more than limit tasks of its step are away then;
+// 0 means no limit.
+func (s *session) stopWithinBudgetLocked(id ledger.TaskID, t *ledger.Task, reason string, limit int) {
+	s.stopWhileLocked(id, t, reason, func() bool { return s.reportsFreshLocked(id, limit) })
+	s.orders[runKey{id, t.Run}].budgeted = true
+}
+
+// budgetedStopUnderWayLocked reports whether a stop of another task of a task's step was decided while that one worked, and is on its way.
+func (s *session) budgetedStopUnderWayLocked(id ledger.TaskID) bool {
+	now := boottime.Now()
+	for _, other := range s.othersAwayLocked(id, maxReportAge) {
+		_, t := s.engine.ledger.Task(other)
+		if o := s.orders[runKey{other, t.Run}]; o != nil && o.budgeted && now < o.underWayUntil {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *session) sendStop(serverID string, id ledger.TaskID, run int, permitted func() bool) {
 	for range maxStopAttempts {
 		if s.stopOnce(serverID, id, run, permitted) {
@@ -284,7 +307,8 @@
 	to := Target{ID: serverID, Address: server.Address}
 	send := o.state != orderPlanned && permitted() // else the start order is still being sent
 	if send {
-		o.stopPossibleUntil = boottime.Now() + callTimeout + lateOrderBound
+		o.underWayUntil = boottime.Now() + callTimeout
+		o.stopPossibleUntil = o.underWayUntil + lateOrderBound
 	}
 	s.engine.mu.Unlock()
 	if !send {
@@ -302,6 +326,7 @@
 	}), to, StopOrder{Task: id, Run: run, Fence: s.holder.Fence})
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
+	o.underWayUntil = 0
 	switch {
 	case err == nil: // possibly by a later incarnation with the same ID, so it is no sign of life
 		if o.state != orderTaken {
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -167,14 +167,15 @@
 	}
 }
 
-// evacuateLocked stops lasting tasks on draining servers, so that they restart elsewhere before the server ends.
+// evacuateLocked stops lasting tasks on draining servers, so that they restart elsewhere before the server ends. A stop within the
+// budget of their step that is on its way goes first: otherwise it could end a second task.
 func (s *session) evacuateLocked(_ time.Duration) {
 	for id, server := range s.fleet.All() {
 		if !server.Draining || server.Left {
 			continue
 		}
 		for task, t := range s.engine.ledger.LiveOn(id) {
-			if s.engine.ledger.Job(task.Job).Steps[task.Step].Lasting && s.orderSentLocked(task, t) {
+			if s.engine.ledger.Job(task.Job).Steps[task.Step].Lasting && s.orderSentLocked(task, t) && !s.budgetedStopUnderWayLocked(task) {
 				s.stopLocked(task, t, "its backend server leaves")
 			}
 		}
--- a/internal/dispatch/upkeep.go
+++ b/internal/dispatch/upkeep.go
@@ -272,7 +272,7 @@
 	for id, t := range s.engine.ledger.LiveOn(server) {
 		lasting := s.engine.ledger.Job(id.Job).Steps[id.Step].Lasting
 		if lasting && s.orderSentLocked(id, t) && s.mayStopLocked(id, t) && (s.stoppingLocked(id, t) || s.reportsFreshLocked(id, s.allowanceLocked(id))) && free.ReserveElsewhere(id) {
-			s.stopWhileLocked(id, t, "its machine has upkeep", func() bool { return s.reportsFreshLocked(id, s.allowanceLocked(id)) })
+			s.stopWithinBudgetLocked(id, t, "its machine has upkeep", s.allowanceLocked(id))
 		}
 	}
 }
