--- a/internal/request/schedule/gang.go
+++ b/internal/request/schedule/gang.go
@@ -70,7 +70,7 @@
 			if !fits || !withinSpread || r.trialOnly || !allow(r) || !r.carries(step, tasksOn[r.server.ID], r.free.Minus(allocated[r])) {
 				continue
 			}
-			if best == nil || preferable(step, r, best) {
+			if best == nil || preferable(step, nil, r, best) {
 				best = r
 			}
 		}
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -441,7 +441,7 @@
 // chooseServerAmong returns the best server for one more task of a step among those that allow accepts, or nil if none fits.
 func (p *planner) chooseServerAmong(c candidate, tasksOn map[string]int, allow func(*serverState) bool) *serverState {
 	step := &c.job.Steps[c.step]
-	need := step.CapacityUse()
+	need, crowding := step.CapacityUse(), p.crowdingOf(c, tasksOn)
 	var best *serverState
 	for _, r := range p.serversByPool[c.pool] {
 		if !allow(r) || !need.FitsIn(r.free) || (step.Label != "" && !r.server.Has(step.Label)) {
@@ -453,7 +453,7 @@
 		if r.trialOnly && r.planned > 0 || !r.carries(step, 0, r.free) {
 			continue
 		}
-		if best == nil || preferable(step, r, best) {
+		if best == nil || preferable(step, crowding, r, best) {
 			best = r
 		}
 	}
@@ -461,9 +461,9 @@
 }
 
 // preferable reports whether a is preferred to b. The criteria in order are: a server that isn't suspect, one that isn't
-// slow, the rack of the data, for lasting tasks one whose machine is not due for upkeep and then one that already runs
-// some, one that isn't cold, and the least free CPU, so that other servers stay empty for large tasks and for upkeep.
-func preferable(step *ledger.Step, a, b *serverState) bool {
+// slow, the rack of the data, for lasting tasks those of compareForLasting, one that isn't cold, and the least free CPU, so that
+// other servers stay empty for large tasks and for upkeep.
+func preferable(step *ledger.Step, crowding *crowding, a, b *serverState) bool {
 	if a.trialOnly != b.trialOnly {
 		return b.trialOnly
 	}
@@ -473,11 +473,10 @@
 	if step.Rack != "" && (a.server.Rack() == step.Rack) != (b.server.Rack() == step.Rack) {
 		return a.server.Rack() == step.Rack
 	}
-	if step.Lasting && a.due != b.due {
-		return b.due
-	}
-	if step.Lasting && a.hasLasting != b.hasLasting {
-		return a.hasLasting
+	if step.Lasting {
+		if c := crowding.compareForLasting(a, b); c != 0 {
+			return c < 0
+		}
 	}
 	if a.cold != b.cold {
 		return b.cold
