--- a/internal/dispatch/avail_test.go
+++ b/internal/dispatch/avail_test.go
@@ -383,6 +383,8 @@
 		}
 		r.startWave([]string{"m" + servers[0][1:]}, 20*time.Second, 1)
 		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		must.True(t, f.began)
 		must.SliceEmpty(t, f.arrived)
 	})
@@ -401,6 +403,8 @@
 		}
 		r.startWave([]string{"m" + servers[0][1:]}, 20*time.Second, 1)
 		time.Sleep(10 * time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		must.Eq(t, []int{0, 1}, f.arrived[:2])
 	})
 }
