--- a/internal/dispatch/departure_test.go
+++ b/internal/dispatch/departure_test.go
@@ -102,3 +102,18 @@
 		must.EqOp(t, "a", r.recorded("a").ID)
 	})
 }
+
+// Guards against working tasks that are stopped because of a departure which an earlier incarnation under the same ID announced: the
+// message names no incarnation, and arrived late. The server answers and never said that it drains.
+func TestLateDepartureStopsNoTasks(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		f := &slowStop{onFirst: func() {}}
+		r, servers := newSlowStopRig(t, f)
+		must.EqOp(t, OK, r.do(&Call{Op: OpLeave, Server: &ledger.Server{ID: servers[0]}}).Outcome)
+		time.Sleep(10 * time.Second)
+		must.Eq(t, []runKey{key("j", 0, 1)}, r.servers.runs(servers[0]))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		must.SliceEmpty(t, f.arrived)
+	})
+}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -171,8 +171,8 @@
 // budget of their step that is on its way goes first: otherwise it could end a second task.
 func (s *session) evacuateLocked(_ time.Duration) {
 	for id, server := range s.fleet.All() {
-		if !server.Draining || server.Left {
-			continue
+		if !server.Draining || server.Left || server.DrainingSince == 0 {
+			continue // one that has said that it ends now gains nothing by it, if it wasn't the incarnation before
 		}
 		for task, t := range s.engine.ledger.LiveOn(id) {
 			if s.engine.ledger.Job(task.Job).Steps[task.Step].Lasting && s.orderSentLocked(task, t) && !s.budgetedStopUnderWayLocked(task) {
