--- a/test/nearmiss/main.go
+++ b/test/nearmiss/main.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -41,8 +42,8 @@
 
 func main() {
 	for _, name := range os.Args[1:] {
-		p := &play{away: make(map[string]bool), lasting: make(map[string]bool), placed: make(map[string]int), ended: make(map[string]int), stops: make(map[int]int)}
-		if err := p.read(name); err != nil {
+		p := newPlay()
+		if err := p.readFile(name); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
@@ -50,13 +51,23 @@
 	}
 }
 
-func (p *play) read(name string) error {
+func newPlay() *play {
+	return &play{
+		away: make(map[string]bool), lasting: make(map[string]bool), placed: make(map[string]int), ended: make(map[string]int), stops: make(map[int]int),
+	}
+}
+
+func (p *play) readFile(name string) error {
 	f, err := os.Open(name)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = f.Close() }()
-	lines := bufio.NewScanner(f)
+	return p.read(f)
+}
+
+func (p *play) read(log io.Reader) error {
+	lines := bufio.NewScanner(log)
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
 		if m := message.FindStringSubmatch(lines.Text()); m != nil {
