--- a/internal/dispatch/moves_test.go
+++ b/internal/dispatch/moves_test.go
@@ -123,6 +123,32 @@
 	})
 }
 
+// throttledMoves is a platform that throttles all moves.
+type throttledMoves struct{ *fakeMachines }
+
+func (p *throttledMoves) Move(_ context.Context, _ Holder, machine, pool string) (MachineAnswer, error) {
+	p.order(machine, "move to "+pool)
+	return MachineThrottled, nil
+}
+
+// Guards against a fleet of which much gets no work after a change of the leader: the next one waited for the results of moves that
+// the platform had refused to the one before.
+func TestNextLeaderKnowsRefusedMoves(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T) {
+		m := &throttledMoves{&fakeMachines{list: []Machine{
+			{Name: "m1", Pool: "p", State: MachineUp, Server: "a"}, {Name: "m2", Pool: "p", State: MachineUp, Server: "b"},
+			{Name: "m3", Pool: "off", State: MachineUp},
+		}}}
+		r := newMachineRig(t, m)
+		r.submit("j", ledger.Step{Count: 19, Need: ledger.Resources{CPU: 1000}}) // needs three machines
+		r.until(func() bool { return len(m.ordered()) > 0 })
+		time.Sleep(moveRefusalBackoff / 2)
+		r.engine.mu.Lock()
+		defer r.engine.mu.Unlock()
+		must.MapEmpty(t, r.engine.ledger.Intents())
+	})
+}
+
 // Guards against a list of machines that is replaced by an older one, whose read took longer.
 func TestListOfMachinesIsNeverReplacedByOlderOne(t *testing.T) {
 	var cache machineCache
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"laburnumrouter/internal/process/boottime"
@@ -100,7 +101,27 @@
 	if len(moves) == 0 || !s.commitMoves(moves) {
 		return
 	}
-	inParallel(moves, s.moveMachine)
+	var mu sync.Mutex
+	var unmoved []ledger.MachineMove
+	inParallel(moves, func(m pools.Move) {
+		if s.moveMachine(m) {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		unmoved = append(unmoved, ledger.MachineMove{Machine: m.Machine, Pool: m.To})
+	})
+	s.commitUnmoved(unmoved)
+}
+
+// commitUnmoved commits which planned moves can't be carried out, so that the next leader doesn't wait for their results.
+func (s *session) commitUnmoved(moves []ledger.MachineMove) {
+	if len(moves) == 0 {
+		return
+	}
+	if _, err := s.propose(&ledger.Command{Unmoved: moves}); err != nil {
+		s.log.Warn("refused moves not committed", "moves", len(moves), "error", err)
+	}
 }
 
 // commitMoves commits planned moves before they are ordered, so that the next leader knows of them.
@@ -295,8 +316,8 @@
 	return s.idleLocked(m.Server)
 }
 
-// moveMachine orders the move of one machine to its new pool.
-func (s *session) moveMachine(m pools.Move) {
+// moveMachine orders the move of one machine to its new pool. It reports whether the move may be carried out.
+func (s *session) moveMachine(m pools.Move) bool {
 	s.engine.mu.Lock()
 	server := s.movesInFlight[m.Machine]
 	s.engine.mu.Unlock()
@@ -310,7 +331,7 @@
 	switch {
 	case errors.Is(err, errWithheld):
 		s.abandonMoveLocked(m.Machine, server)
-		return
+		return false
 	case err != nil:
 		s.moveUnanswered[m.Machine] = true
 		s.machineOrderUnansweredLocked()
@@ -320,7 +341,7 @@
 		s.abandonMoveLocked(m.Machine, server)
 		s.moveNotBefore[m.Machine] = boottime.Now() + moveRefusalBackoff
 		s.scheduleRefreshLocked(minRefreshInterval)
-		return
+		return false
 	}
 	delete(s.movesInFlight, m.Machine)
 	s.movedAt[m.Machine], s.movedTo[m.Machine] = boottime.Now(), m.To
@@ -328,4 +349,5 @@
 	if old := s.fleet.Get(server); old != nil && err == nil {
 		old.Left = true
 	}
+	return true
 }
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -65,6 +65,11 @@
 		l.Orders[m.Machine] = c.By
 		l.contents.Intents[m.Machine] = MachineIntent{Pool: m.Pool, Server: m.Server}
 	}
+	for _, m := range c.Unmoved {
+		if l.contents.Intents[m.Machine].Pool == m.Pool {
+			delete(l.contents.Intents, m.Machine)
+		}
+	}
 	for pool, n := range c.Sizes {
 		if _, known := l.Sizes[pool]; !known {
 			l.Sizes[pool] = n
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -37,6 +37,8 @@
 	Upkeep []UpkeepTransition `json:",omitempty"`
 	// Moves lists machines that the leader is about to move to another pool.
 	Moves []MachineMove `json:",omitempty"`
+	// Unmoved lists those of Moves that were not sent or were refused, so that they can't be carried out.
+	Unmoved []MachineMove `json:",omitempty"`
 	// By is the term, and so the fencing token, of the leader that orders Upkeep and Moves.
 	By uint64 `json:",omitempty"`
 	// Sizes holds, by pool, the number of machines before any was moved. Only the first value of a pool is recorded.
