--- a/review/standin/history.go
+++ b/review/standin/history.go
@@ -135,3 +135,13 @@
 	defer h.mu.Unlock()
 	return append([]string{}, h.ends[task]...)
 }
+
+// runsOn returns the minion on which a task runs, or "".
+func (h *history) runsOn(task string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for minion := range h.active[task] {
+		return minion
+	}
+	return ""
+}
--- a/review/standin/link.go
+++ b/review/standin/link.go
@@ -14,6 +14,10 @@
 
 	mu   sync.Mutex
 	open chan struct{} // closed while the link passes data
+
+	listener net.Listener
+	conns    map[net.Conn]bool
+	closed   bool
 }
 
 func startLink(address, target string) (*link, error) {
@@ -21,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{address: l.Addr().String(), target: target, open: make(chan struct{})}
+	k := &link{address: l.Addr().String(), target: target, open: make(chan struct{}), listener: l, conns: make(map[net.Conn]bool)}
 	close(k.open)
 	go func() {
 		for {
@@ -54,6 +58,18 @@
 
 func (k *link) serve(from net.Conn) {
 	defer func() { _ = from.Close() }()
+	k.mu.Lock()
+	if k.closed {
+		k.mu.Unlock()
+		return
+	}
+	k.conns[from] = true
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.conns, from)
+	}()
 	k.wait()
 	to, err := net.Dial("tcp", k.target)
 	if err != nil {
@@ -81,3 +97,14 @@
 	go pass(from, to)
 	<-done
 }
+
+// close ends the link with all its connections.
+func (k *link) close() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed = true
+	_ = k.listener.Close()
+	for c := range k.conns {
+		_ = c.Close()
+	}
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,12 +18,14 @@
 
 var scenarios = map[string]func(*world) (broken bool, err error){
 	"many-ends": manyEnds, "foreign-heartbeat": foreignHeartbeat, "removed-route": removedRoute,
+	"sick-gang": gangOnSickMinion, "lasting-crashes": lastingCrashes,
 }
 
 // world is what a scenario runs in.
 type world struct {
 	rec      *record
 	history  *history
+	gangs    *gangs
 	platform *platform
 	cluster  *cluster
 	// trouble is unset if the scenario is to run without its disruption.
@@ -50,7 +52,7 @@
 	if err != nil {
 		return exitNotRun
 	}
-	w := &world{rec: rec, history: newHistory(), trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{rec: rec, history: newHistory(), gangs: newGangs(), trouble: os.Getenv("TROUBLE") != "0"}
 	rec.say("scenario %s, trouble %v, %s/%s", os.Args[1], w.trouble, runtime.GOOS, runtime.GOARCH)
 	if w.platform, err = startPlatform(); err == nil {
 		w.cluster, err = startCluster(rec, root, 3, 2, w.platform.address)
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -27,6 +27,7 @@
 	endsAt   time.Time
 	how      string
 	stopping bool
+	gang     *gang // nil for a task that works alone
 }
 
 // end is an end that a minion lists until it is acknowledged.
@@ -67,6 +68,8 @@
 	link      *link // all calls to the minion and its heartbeats pass it
 	seq       int64
 	stopBeats chan struct{}
+	gangs     *gangs
+	sick      bool // every run fails as it starts
 }
 
 // startMinion starts a minion with a capacity of cpu thousandths of a core. needs returns what a task takes.
@@ -75,7 +78,11 @@
 		rec: rec, history: h, id: id, service: service, zone: zone, rack: "r-" + zone, control: control, born: time.Now(), needs: needs,
 		changed: make(chan struct{}), running: make(map[string]*run), ended: make(map[string]int), free: cpu, stopBeats: make(chan struct{}),
 	}
-	l, err := net.Listen("tcp", address)
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return nil, err
 	}
@@ -107,6 +114,7 @@
 	m.mu.Unlock()
 	close(m.stopBeats)
 	_ = m.server.Close()
+	m.link.close()
 	m.rec.add("minion %s crashed", m.id)
 }
 
@@ -155,6 +163,13 @@
 	return m.leader
 }
 
+// setSick makes every later run fail as it starts, or ends that.
+func (m *minion) setSick(sick bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sick = sick
+}
+
 // runs returns the number of runs on the minion.
 func (m *minion) runs() int {
 	m.mu.Lock()
@@ -187,6 +202,16 @@
 	return time.Duration(base) * time.Millisecond, int(fails)
 }
 
+// gangSize returns the number after "gang=" in a spec, or 0.
+func gangSize(spec string) (n int) {
+	for _, word := range strings.Fields(spec) {
+		if value, ok := strings.CutPrefix(word, "gang="); ok {
+			_, _ = fmt.Sscan(value, &n)
+		}
+	}
+	return n
+}
+
 // work ends runs whose time is over, and all of them once the lease has lapsed.
 func (m *minion) work() {
 	for {
@@ -203,10 +228,16 @@
 			m.rec.add("minion %s lease lapsed, %d runs", m.id, len(m.running))
 		}
 		for _, r := range m.running {
+			if r.gang != nil {
+				if how, over := r.gang.state(now); over {
+					m.endLocked(r, how)
+					continue
+				}
+			}
 			switch {
 			case lapsed:
 				m.endLocked(r, "lapsed")
-			case !now.Before(r.endsAt):
+			case r.gang == nil && !now.Before(r.endsAt) || r.stopping && !now.Before(r.endsAt):
 				m.endLocked(r, r.how)
 			}
 		}
@@ -220,6 +251,9 @@
 	m.ended[r.task] = max(m.ended[r.task], r.run)
 	delete(m.running, r.task)
 	m.free += r.need
+	if r.gang != nil {
+		r.gang.ended(how)
+	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 	m.history.ended(m.id, m.nextEnd, r.task, r.run, how)
@@ -315,6 +349,13 @@
 	m.running[o.Task] = &run{task: o.Task, run: o.Run, need: need, endsAt: time.Now().Add(took), how: how}
 	m.rec.add("minion %s starts %s run %d", m.id, o.Task, o.Run)
 	m.history.started(m.id, o.Task, o.Run)
+	r := m.running[o.Task]
+	if size := gangSize(o.Spec); size > 0 {
+		r.gang = m.gangs.join(o.Task, o.Run, size, took)
+	}
+	if m.sick {
+		m.endLocked(r, "failed")
+	}
 	return 200, ""
 }
 
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -23,6 +23,7 @@
 		if err != nil {
 			return nil, err
 		}
+		m.gangs = w.gangs
 		w.platform.add(fmt.Sprintf("m-%d", i+1), poolName, zone, id, wholeCPU)
 		list = append(list, m)
 	}
@@ -217,3 +218,102 @@
 	w.rec.say("status %d, state %q; no task has more than %d runs that ended failed, of the 3 of max_attempts", status, state, failed)
 	return state == "failed" && failed < 3, nil
 }
+
+// gangOnSickMinion: a gang is started, and one of the minions fails all that it starts.
+func gangOnSickMinion(w *world) (bool, error) {
+	const tasks, cpu = 8, 8000
+	minions, err := w.minions(9, cpu)
+	if err != nil {
+		return false, err
+	}
+	if err := w.cluster.putConfig(configuration(3, []object{route("r-check", testPrefix, poolName, 3)}, []object{service(poolName)})); err != nil {
+		return false, err
+	}
+	if err := announced(minions); err != nil {
+		return false, err
+	}
+	if w.trouble {
+		w.rec.say("%s fails all that it starts from now on", minions[0].id)
+		minions[0].setSick(true)
+	}
+	const id = "5c0e7a21d94b36f8"
+	job := object{"spec": fmt.Sprintf("ms=2000 gang=%d", tasks), "phases": []object{{"count": tasks, "cpu": cpu, "mem_mb": 256, "estimate_ms": 2000, "gang": true}}}
+	if !w.cluster.submit(testPrefix, id, job) {
+		return false, errors.New("the job was not accepted")
+	}
+	state := ""
+	waitFor(30*time.Second, func() bool {
+		state, _ = w.cluster.state(testPrefix, id)
+		time.Sleep(500 * time.Millisecond)
+		return state == "completed" || state == "failed"
+	})
+	most, runs := 0, 0
+	for i := range tasks {
+		failed, all := 0, w.history.endsOf(fmt.Sprintf("%s.0.0.%d", id, i))
+		for _, how := range all {
+			if how == "failed" {
+				failed++
+			}
+		}
+		w.rec.say("task %d: its runs ended %v", i, all)
+		most, runs = max(most, failed), max(runs, len(all))
+	}
+	w.rec.say("state %q after %d runs of the gang; no task has more than %d runs that ended failed, of the 3 of max_attempts", state, runs, most)
+	return state == "failed" && runs < 3, nil
+}
+
+// lastingCrashes: minions crash one after the other, each a while after it has started the same lasting task.
+func lastingCrashes(w *world) (bool, error) {
+	const (
+		cpu, tasks = 2000, 3
+		crashes    = 4
+		worksFor   = 2500 * time.Millisecond // from the start to the crash
+		downFor    = 4500 * time.Millisecond
+		watchFor   = 15 * time.Second
+	)
+	minions, err := w.minions(9, cpu)
+	if err != nil {
+		return false, err
+	}
+	if err := w.cluster.putConfig(configuration(3, []object{route("r-check", testPrefix, poolName, 3)}, []object{service(poolName)})); err != nil {
+		return false, err
+	}
+	if err := announced(minions); err != nil {
+		return false, err
+	}
+	const id = "5c0e7a21d94b36f8"
+	job := object{"spec": "ms=600000", "phases": []object{{"count": tasks, "cpu": cpu, "mem_mb": 256, "estimate_ms": 1000, "long_running": true, "anti_affinity": 1, "image": "w1"}}}
+	if !w.cluster.submit(testPrefix, id, job) {
+		return false, errors.New("the job was not accepted")
+	}
+	first := id + ".0.0.0"
+	host := func() string { return w.history.runsOn(first) }
+	if !waitFor(10*time.Second, func() bool { return host() != "" }) {
+		return false, errors.New("the task was not started")
+	}
+	for n := 0; w.trouble && n < crashes; n++ {
+		time.Sleep(worksFor)
+		at := host()
+		for i, m := range minions {
+			if m.id != at {
+				continue
+			}
+			w.rec.say("crash %d: %s, which runs %s", n+1, m.id, first)
+			m.crash()
+			time.Sleep(downFor)
+			if minions[i], err = startMinion(w.rec, w.history, m.id, poolName, m.zone, m.address, w.cluster.controlAddresses(), wholeCPU,
+				func(string) int64 { return cpu }); err != nil {
+				return false, err
+			}
+		}
+		if n < crashes-1 && !waitFor(15*time.Second, func() bool { return host() != "" }) {
+			w.rec.say("the task was not started again after crash %d", n+1)
+			break
+		}
+	}
+	// The rule leaves a task that lasts 6 s after its last run, and 3 s more.
+	again := waitFor(watchFor, func() bool { return host() != "" })
+	state, _ := w.cluster.state(testPrefix, id)
+	w.rec.say("%s runs: %v; its runs ended %v; the job is shown as %q; nobody has cancelled it", first, again, w.history.endsOf(first), state)
+	return !again || state == "failed", nil
+}
