--- a/review/standin/history.go
+++ b/review/standin/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 )
@@ -34,12 +35,13 @@
 	late    []lateStart
 	overlap []string
 	ends    map[string][]string // how the runs of a task ended
+	values  map[string][]string // checkpoints that the starts of a run of a step carried
 }
 
 func newHistory() *history {
 	return &history{
 		starts: make(map[string]int), active: make(map[string]map[string]int), done: make(map[string]*doneRun),
-		byEnd: make(map[string]map[int64]*doneRun), ends: make(map[string][]string),
+		byEnd: make(map[string]map[int64]*doneRun), ends: make(map[string][]string), values: make(map[string][]string),
 	}
 }
 
@@ -145,3 +147,26 @@
 	}
 	return ""
 }
+
+// carried records the checkpoint that a start carried.
+func (h *history) carried(task string, run int, checkpoint string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	key := fmt.Sprintf("%s run %d", task[:strings.LastIndex(task, ".")], run)
+	h.values[key] = append(h.values[key], checkpoint)
+}
+
+// mixed returns the runs of steps whose starts carried different checkpoints.
+func (h *history) mixed() (list []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for key, values := range h.values {
+		for _, v := range values[1:] {
+			if v != values[0] {
+				list = append(list, fmt.Sprintf("%s: %q", key, values))
+				break
+			}
+		}
+	}
+	return list
+}
