--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,7 +17,8 @@
 )
 
 var scenarios = map[string]func(*world) (broken bool, err error){
-	"many-ends": manyEnds, "foreign-heartbeat": foreignHeartbeat, 	"sick-gang": gangOnSickMinion, "gang-crash": gangAfterCrash,
+	"many-ends": manyEnds, "foreign-heartbeat": foreignHeartbeat, "sick-gang": gangOnSickMinion, "gang-crash": gangAfterCrash, "one-crash": oneCrash,
+	"removed-route": removedRoute,
 }
 
 // world is what a scenario runs in.
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -104,8 +104,14 @@
 	return m, nil
 }
 
-// crash ends a minion at once, without a word.
+// crash ends a minion at once, without a word: its address refuses connections.
 func (m *minion) crash() {
+	m.crashBehindCut()
+	m.link.close()
+}
+
+// crashBehindCut ends a minion that is cut off: its address stays silent until its link is closed.
+func (m *minion) crashBehindCut() {
 	m.mu.Lock()
 	m.down = true
 	for key, r := range m.running {
@@ -118,7 +124,6 @@
 	m.mu.Unlock()
 	close(m.stopBeats)
 	_ = m.server.Close()
-	m.link.close()
 	m.rec.add("minion %s crashed", m.id)
 }
 
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -276,3 +276,126 @@
 		len(mixed), ends, alone, state)
 	return alone > 0, nil
 }
+
+// oneCrash: a minion is cut off and crashes behind the cut, after the run there has ended; then the minion of the next run crashes.
+func oneCrash(w *world) (bool, error) {
+	const cpu = 2000
+	minions, err := w.minions(9, cpu)
+	if err != nil {
+		return false, err
+	}
+	if err := w.cluster.putConfig(configuration(3, []object{route("r-check", testPrefix, poolName, 3)}, []object{service(poolName)})); err != nil {
+		return false, err
+	}
+	if err := announced(minions); err != nil {
+		return false, err
+	}
+	const id = "5c0e7a21d94b36f8"
+	job := object{"spec": "ms=400", "phases": []object{{"count": 1, "cpu": cpu, "mem_mb": 256, "estimate_ms": 400}}}
+	if !w.cluster.submit(testPrefix, id, job) {
+		return false, errors.New("the job was not accepted")
+	}
+	first := id + ".0.0.0"
+	find := func(id string) int {
+		for i, m := range minions {
+			if m.id == id {
+				return i
+			}
+		}
+		return -1
+	}
+	restart := func(i int) error {
+		old := minions[i]
+		minions[i], err = startMinion(w.rec, w.history, old.id, poolName, old.zone, old.address, w.cluster.controlAddresses(), wholeCPU, func(string) int64 { return cpu })
+		return err
+	}
+	if !waitFor(5*time.Second, func() bool { return w.history.runsOn(first) != "" }) {
+		return false, errors.New("the task was not started")
+	}
+	if w.trouble {
+		i := find(w.history.runsOn(first))
+		time.Sleep(100 * time.Millisecond)
+		w.rec.say("%s is cut off while it runs the task", minions[i].id)
+		minions[i].link.cut(5 * time.Second)
+		time.Sleep(time.Second)
+		w.rec.say("the run has ended %v there; the minion crashes behind the cut", w.history.endsOf(first))
+		minions[i].crashBehindCut()
+		time.Sleep(2 * time.Second)
+		minions[i].link.close()
+		if err := restart(i); err != nil {
+			return false, err
+		}
+		if !waitFor(15*time.Second, func() bool { return w.history.runsOn(first) != "" }) {
+			return false, errors.New("the task was not started again")
+		}
+		i = find(w.history.runsOn(first))
+		time.Sleep(200 * time.Millisecond)
+		w.rec.say("%s crashes while it runs the task", minions[i].id)
+		minions[i].crash()
+		time.Sleep(4500 * time.Millisecond)
+		if err := restart(i); err != nil {
+			return false, err
+		}
+	}
+	state := ""
+	waitFor(20*time.Second, func() bool {
+		state, _ = w.cluster.state(testPrefix, id)
+		time.Sleep(500 * time.Millisecond)
+		return state == "completed" || state == "failed"
+	})
+	w.rec.say("the runs of the task ended %v, and one minion crashed under one; the job is shown as %q", w.history.endsOf(first), state)
+	return state == "failed", nil
+}
+
+// removedRoute: the operator removes a route and adds it again while a job of it runs; one run of its task fails meanwhile.
+func removedRoute(w *world) (bool, error) {
+	if _, err := w.minions(3, 2000); err != nil {
+		return false, err
+	}
+	const other = "/other/"
+	both := []object{route("r-check", testPrefix, poolName, 3), route("r-other", other, poolName, 3)}
+	if err := w.cluster.putConfig(configuration(3, both, []object{service(poolName)})); err != nil {
+		return false, err
+	}
+	time.Sleep(3 * time.Second)
+	const id = "5c0e7a21d94b36f8"
+	// The first run of each task fails after 5 s; later ones succeed.
+	job := object{"spec": "ms=5000 fails=1", "phases": []object{{"count": 2, "cpu": 2000, "mem_mb": 256, "estimate_ms": 5000}}}
+	if !w.cluster.submit(testPrefix, id, job) {
+		return false, errors.New("the job was not accepted")
+	}
+	if !waitFor(10*time.Second, func() bool { n, _, _ := w.history.count(); return n == 2 }) {
+		return false, errors.New("the tasks were not started")
+	}
+	time.Sleep(time.Second)
+	if w.trouble {
+		if err := w.cluster.putConfig(configuration(7, both[1:], []object{service(poolName)})); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(7 * time.Second)
+	if w.trouble {
+		if err := w.cluster.putConfig(configuration(12, both, []object{service(poolName)})); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(4 * time.Second) // config_apply_ms is 2 s
+	state, status := "", 0
+	waitFor(20*time.Second, func() bool {
+		state, status = w.cluster.state(testPrefix, id)
+		time.Sleep(500 * time.Millisecond)
+		return state == "completed" || state == "failed"
+	})
+	failed := 0
+	for i := range 2 {
+		n := 0
+		for _, how := range w.history.endsOf(fmt.Sprintf("%s.0.0.%d", id, i)) {
+			if how == "failed" {
+				n++
+			}
+		}
+		failed = max(failed, n)
+	}
+	w.rec.say("status %d, state %q; no task has more than %d runs that ended failed, of the 3 of max_attempts", status, state, failed)
+	return state == "failed" && failed < 3, nil
+}
