A full list of ends says nothing about the runs that it lacks

Cause: a report lists 500 ends at most, and the leader took a run that is in neither list of a report for lost. The stand-in's record shows 1,200 ends and a report of 500; the leader logged 700 times 'run is lost' at that moment. Lapsed leases and early acknowledgements are ruled out: no lapse was logged, and no listed end started again.

A report with MaxReportedEnds ends is now inconclusive for other runs, with the leader that started them and with the next one.

--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -239,7 +239,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	r := &HoldReport{ClockMS: f.clock(), Born: s.born, Finished: slices.Clone(s.finished)}
+	r := &HoldReport{ClockMS: f.clock(), Born: s.born, Finished: slices.Clone(s.finished[:min(len(s.finished), MaxReportedEnds)])}
 	for key := range s.running {
 		r.Running = append(r.Running, RunningTask{Task: key.task, Run: key.run, Percent: 100, Figure: f.figures[key.task]})
 	}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -107,24 +107,13 @@
 	s.engine.mu.Lock()
 	s.nextRefreshAt = 0 // reset before the read, so that a change made during it schedules another one
 	s.engine.mu.Unlock()
-	var list []Machine
-	for page := ""; ; {
-		ctx, cancel := context.WithTimeout(s.ctx, machineTimeout)
-		rows, next, err := s.machines.List(ctx, page)
-		cancel()
-		s.stats.machineCalls.Inc(1)
-		if err != nil {
-			s.log.Warn("platform's list of machines can't be read", "error", err)
-			s.engine.mu.Lock()
-			s.scheduleRefreshLocked(minRefreshInterval)
-			s.engine.mu.Unlock()
-			return false
-		}
-		list = append(list, rows...)
-		if next == "" {
-			break
-		}
-		page = next
+	list, err := s.readMachines()
+	if err != nil {
+		s.log.Warn("platform's list of machines can't be read", "error", err)
+		s.engine.mu.Lock()
+		s.scheduleRefreshLocked(minRefreshInterval)
+		s.engine.mu.Unlock()
+		return false
 	}
 	byName := make(map[string]Machine, len(list))
 	pending := false
@@ -148,6 +137,37 @@
 	return true
 }
 
+// readMachines reads all pages of the platform's list. A machine may change its page during the read; it is returned once, as it was
+// listed last. Pages that lead back to an earlier one have no end, which is an error.
+func (s *session) readMachines() ([]Machine, error) {
+	var list []Machine
+	position, pages := make(map[string]int), make(map[string]bool)
+	for page := ""; ; {
+		ctx, cancel := context.WithTimeout(s.ctx, machineTimeout)
+		rows, next, err := s.machines.List(ctx, page)
+		cancel()
+		s.stats.machineCalls.Inc(1)
+		if err != nil {
+			return nil, err
+		}
+		for _, m := range rows {
+			if n, listed := position[m.Name]; listed {
+				list[n] = m
+				continue
+			}
+			position[m.Name] = len(list)
+			list = append(list, m)
+		}
+		if next == "" {
+			return list, nil
+		}
+		if pages[next] {
+			return nil, Error.New("page %q of the list of machines leads back to itself", next)
+		}
+		pages[next], page = true, next
+	}
+}
+
 // recordPoolSizes commits how many machines each pool has initially, before any is moved.
 func (s *session) recordPoolSizes(list []Machine) {
 	sizes := make(map[string]int)
--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -355,3 +356,37 @@
 		return !known && kept
 	})
 }
+
+// pagedMachines lists machines in pages. The token of a page is its number.
+type pagedMachines struct {
+	fakeMachines
+	pages [][]Machine
+	next  []string
+}
+
+func (f *pagedMachines) List(_ context.Context, token string) ([]Machine, string, error) {
+	page, _ := strconv.Atoi(token)
+	return f.pages[page], f.next[page], nil
+}
+
+// Guards against a machine that counts twice because it changed its page while the list was read, and against a read without end of
+// pages that lead back to an earlier one.
+func TestPagesOfMachinesAreReadOnce(t *testing.T) {
+	one, two := Machine{Name: "m1", Pool: "p", State: MachineUp}, Machine{Name: "m2", Pool: "p", State: MachineUp}
+	moved := Machine{Name: "m1", Pool: "p", State: MachineMoving}
+	for _, c := range []struct {
+		pages [][]Machine
+		next  []string
+		want  []Machine
+	}{
+		{[][]Machine{{one}, {two}}, []string{"1", ""}, []Machine{one, two}},
+		{[][]Machine{{one, two}, {moved}}, []string{"1", ""}, []Machine{moved, two}},
+		{[][]Machine{{one}, {two}}, []string{"1", "1"}, nil},
+		{[][]Machine{{one}, {two}, {}}, []string{"1", "2", "1"}, nil},
+	} {
+		s := &session{ctx: t.Context(), machines: &pagedMachines{pages: c.pages, next: c.next}, stats: newStats(tally.NoopScope)}
+		list, err := s.readMachines()
+		must.Eq(t, c.want, list)
+		must.EqOp(t, c.want == nil, err != nil)
+	}
+}
--- a/internal/dispatch/ports.go
+++ b/internal/dispatch/ports.go
@@ -85,6 +85,10 @@
 	WaitMS int64
 }
 
+// MaxReportedEnds is the largest number of ends in a report (section Running tasks of the protocol document PROTOCOL). A server lists
+// further ends once these are acknowledged.
+const MaxReportedEnds = 500
+
 // HoldReport is a server's answer to a HoldOrder.
 type HoldReport struct {
 	ClockMS int64
@@ -94,6 +98,9 @@
 	Finished []FinishedTask
 }
 
+// listsAllEnds reports whether a run that the report lacks has neither ended nor is live on the server.
+func (r *HoldReport) listsAllEnds() bool { return len(r.Finished) < MaxReportedEnds }
+
 // RunningTask is a live run on a server.
 type RunningTask struct {
 	Task       ledger.TaskID
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -70,7 +70,12 @@
 	listed := make(map[runKey]bool, len(report.Running)+len(report.Finished))
 	ends, newest := h.collectEndsLocked(report, server, listed, heard)
 	h.processRunningLocked(report, listed, asked)
-	h.handleUnlistedRunsLocked(listed, asked)
+	if report.listsAllEnds() {
+		h.handleUnlistedRunsLocked(listed, asked)
+	} else {
+		s.log.Info("report lists as many ends as it can hold; runs that it lacks may have ended too", "server", h.serverID,
+			"running", len(report.Running), "open", len(s.engine.ledger.LiveOn(h.serverID)), "newest_end", newest)
+	}
 	s.updatePacesLocked(h.serverID, report, heard)
 	server.HoldAnswered = true
 	return server, ends, newest
@@ -218,7 +223,8 @@
 	})
 }
 
-// handleUnlistedRunsLocked handles live runs that are missing from a report. asked is when the report was requested.
+// handleUnlistedRunsLocked handles live runs that are missing from a report that lists all ends. asked is when the report was
+// requested.
 func (h *holdLoop) handleUnlistedRunsLocked(listed map[runKey]bool, asked time.Duration) {
 	s := h.session
 	for id, t := range s.engine.ledger.LiveOn(h.serverID) {
