Announcements and departures that contradict a server are confirmed by its address

Cause: an announcement was taken for the word of the server that it names. The leader logged 'backend server is gone ... another backend server has announced itself at its address' and closed its runs; an announcement in the server's own name with a later birth had the same effect, a departure took it out of use for good, and a false clock or sequence number harmed it. That the pool matters, or that the address had answered for another, is ruled out by the log and by the same case with the queue's own pool.

Such an announcement now counts once the announced address answers under the announced ID and birth; a departure of a server that hasn't announced that it drains is asked about too. An answer that another incarnation is there, and an accepted move, concern the incarnation that was called. Readings of clocks in announcements are checked by the server's own answers. The log and the messages between processes are as before.

A test of a server that ends before it can be asked is narrower now: what its announcement said can't be confirmed, and the lease decides.

--- a/internal/dispatch/announce_test.go
+++ b/internal/dispatch/announce_test.go
@@ -28,17 +28,18 @@
 	must.True(t, r.recorded("a").Draining)
 }
 
-// Guards against a server that gets tasks from the next leader although its departure was acknowledged: with tasks still
-// running, only the leader's memory knew of it. The next leader knows the server from the log's state alone.
+// Guards against a server that gets tasks from the next leader although its departure was acknowledged: its draining wasn't
+// committed when it announced it, and only the leader's memory knew of it. The next leader knows the server from the log's state alone.
 func TestDepartureWithRunsIsCommittedBeforeAcknowledgement(t *testing.T) {
 	r := newRig(t, newFakeServers("a"))
 	r.submit("j", small)
 	r.until(func() bool { return len(r.servers.runs("a")) == 1 })
-	r.log.lead(2)
-	r.until(func() bool {
-		s := r.d.session.Load()
-		return s != nil && s.holder.Fence == 2
-	})
+	r.changeLeader(2)
+	announcement := r.serverOf("a", 1000)
+	announcement.Draining = true
+	r.log.loseNext()
+	must.NotEq(t, OK, r.do(&Call{Op: OpAnnounce, Server: announcement}).Outcome)
+	must.False(t, r.recorded("a").Draining)
 	must.EqOp(t, OK, r.do(&Call{Op: OpLeave, Server: &ledger.Server{ID: "a"}}).Outcome)
 	must.True(t, r.recorded("a").Draining)
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -69,7 +69,7 @@
 }
 
 // Guards against runs that wait for the lapse of their leases although another server has begun at their server's address,
-// which shows that theirs is gone. It may be gone itself before a call reaches it.
+// which shows that theirs is gone. Calls to the old server get no answer.
 func TestServerEndsOnceAnotherBeginsAtItsAddress(t *testing.T) {
 	inVirtualTime(t, func(t *testing.T) {
 		f := newFakeServers("a")
@@ -88,6 +88,7 @@
 		time.Sleep(time.Second)
 		must.EqOp(t, 1, live())
 		at := boottime.Now()
+		f.restart("later", 2)
 		r.do(&Call{Op: OpAnnounce, Server: &ledger.Server{ID: "later", Pool: "off", Address: "a", Born: 2, Seq: 1}})
 		r.until(func() bool { return live() == 0 })
 		must.Less(t, time.Second, boottime.Now()-at)
--- a/internal/dispatch/departure_test.go
+++ b/internal/dispatch/departure_test.go
@@ -37,19 +37,22 @@
 	}
 	announce(5, 1)
 	must.True(t, known())
+	draining := server(5, 2)
+	draining.Draining = true
+	r.do(&Call{Op: OpAnnounce, Server: draining})
 	must.EqOp(t, OK, r.do(&Call{Op: OpLeave, Server: &ledger.Server{ID: "a"}}).Outcome)
-	announce(5, 2)
+	announce(5, 3)
 	must.False(t, known())
 
 	r.changeLeader(2)
-	announce(5, 3)
+	announce(5, 4)
 	must.False(t, known())
 
 	data, err := r.engine.Snapshot()
 	must.NoError(t, err)
 	must.NoError(t, r.engine.Restore(100, data))
 	r.changeLeader(3)
-	announce(5, 4)
+	announce(5, 5)
 	must.False(t, known())
 
 	announce(6, 1)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -241,7 +241,18 @@
 // announce records what a backend server reports about itself. Changes that other replicas rely on are committed before
 // the reply.
 func (s *session) announce(c *Call) (*Reply, error) {
-	announced, mustCommit, left := s.recordAnnouncement(c)
+	if err := c.Server.Check(); err != nil {
+		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
+	}
+	var announced ledger.Server
+	var mustCommit, left bool
+	for contested := true; contested; {
+		refusal, confirmed := s.checkAnnouncement(c.Server)
+		if refusal != nil {
+			return refusal, nil
+		}
+		announced, mustCommit, left, contested = s.recordAnnouncement(c, confirmed)
+	}
 	if left {
 		return &Reply{Outcome: OK, Reason: "this incarnation has left"}, nil
 	}
@@ -255,12 +266,16 @@
 }
 
 // recordAnnouncement updates the session by an announcement. It returns what the server announced last, whether that must be
-// committed, and whether the incarnation has left, so that the announcement has no effect.
-func (s *session) recordAnnouncement(c *Call) (announced ledger.Server, mustCommit, left bool) {
+// committed, and whether the incarnation has left, so that the announcement has no effect. One that contradicts what is known
+// isn't recorded unless its address has confirmed it; contested is set then.
+func (s *session) recordAnnouncement(c *Call, confirmed bool) (announced ledger.Server, mustCommit, left, contested bool) {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	if s.engine.ledger.HasLeft(c.Server.ID, c.Server.Born) {
-		return ledger.Server{}, false, true
+		return ledger.Server{}, false, true, false
+	}
+	if _, reason := s.contradictedLocked(c.Server); reason != "" && !confirmed {
+		return ledger.Server{}, false, false, true // another announcement has come in between
 	}
 	now := boottime.Now()
 	before := s.fleet.Get(c.Server.ID)
@@ -277,7 +292,7 @@
 		s.replacedByLocked(*c.Server)
 	}
 	if change != fleet.Stale {
-		server.Clock.Observe(c.Server.ClockMS, now, now)
+		server.Clock.ObserveAnnounced(c.Server.ClockMS, now)
 		if server.FailedCalls > 0 {
 			s.ensureHoldLoopLocked(c.Server.ID) // the server may be reachable again
 		}
@@ -292,10 +307,11 @@
 		s.log.Info("backend server announced", "server", announced.ID, "pool", announced.Pool, "address", announced.Address,
 			"data_centre", announced.DataCentre, "born", announced.Born, "draining", announced.Draining)
 	}
-	return announced, mustCommit, false
+	return announced, mustCommit, false, false
 }
 
-// replacedByLocked handles the first announcement of an incarnation: whichever server was at its address before is gone.
+// replacedByLocked handles the first announcement of an incarnation: whichever server was at its address before is gone. The address
+// has confirmed it (checkAnnouncement).
 func (s *session) replacedByLocked(a ledger.Server) {
 	if a.Address == "" {
 		return
@@ -308,55 +324,14 @@
 }
 
 // uncommittedLocked returns what a server announced last, and whether the log's state lacks a part that other replicas
-// rely on.
+// rely on. The sequence number is no lower than the recorded one, below which the log's state doesn't change.
 func (s *session) uncommittedLocked(server *fleet.Server) (announced ledger.Server, lacks bool) {
+	announced = server.Server
 	recorded, known := s.engine.ledger.KnownServers()[server.ID]
+	if known && recorded.Born == server.Born {
+		announced.Seq = max(announced.Seq, recorded.Seq)
+	}
 	lacks = !known || recorded.Born != server.Born || recorded.Draining != server.Draining || recorded.Pool != server.Pool ||
 		recorded.Address != server.Address || recorded.DataCentre != server.DataCentre || recorded.Capacity != server.Capacity
-	return server.Server, lacks
-}
-
-// leave records that a backend server shuts down. Its live runs stay until they end, or until its lease has lapsed or
-// another incarnation answers; the log's state then shows it as draining.
-func (s *session) leave(c *Call) (*Reply, error) {
-	s.engine.mu.Lock()
-	server := s.fleet.Get(c.Server.ID)
-	if server == nil {
-		s.engine.mu.Unlock()
-		return &Reply{Outcome: OK}, nil
-	}
-	server.Draining = true
-	gone := ledger.Incarnation{ID: server.ID, Born: server.Born}
-	draining, mustCommit := s.uncommittedLocked(server)
-	if recorded := s.engine.ledger.KnownServers()[server.ID]; recorded.Born == server.Born {
-		draining.Seq = max(draining.Seq, recorded.Seq) // a server adopted from the log's state has no sequence number
-	}
-	runs := len(s.engine.ledger.LiveOn(server.ID))
-	if runs == 0 {
-		server.Left = true
-	}
-	s.engine.mu.Unlock()
-	if runs > 0 {
-		return s.commitDraining(draining, mustCommit)
-	}
-	left := []ledger.Incarnation{gone}
-	if _, err := s.propose(&ledger.Command{Gone: left, Left: left}); err != nil {
-		return nil, err
-	}
-	s.engine.mu.Lock()
-	if now := s.fleet.Get(gone.ID); now != nil && now.Born == gone.Born {
-		s.fleet.Remove(gone.ID)
-	}
-	s.engine.mu.Unlock()
-	return &Reply{Outcome: OK}, nil
-}
-
-// commitDraining answers a server that shuts down while it has live runs.
-func (s *session) commitDraining(draining ledger.Server, mustCommit bool) (*Reply, error) {
-	if mustCommit {
-		if _, err := s.propose(&ledger.Command{Servers: []ledger.Server{draining}}); err != nil {
-			return nil, err
-		}
-	}
-	return &Reply{Outcome: OK, Reason: "runs are open"}, nil
+	return announced, lacks
 }
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -148,8 +149,12 @@
 		return nil, ErrMisdirected
 	case f.silent[to.ID]:
 		return nil, errNoAnswer
+	case f.servers[to.ID] != nil:
+		return f.servers[to.ID], nil
+	case f.servers[to.Address] != nil && !f.silent[to.Address]:
+		return nil, ErrMisdirected
 	}
-	return f.servers[to.ID], nil
+	return nil, errNoAnswer
 }
 
 func (f *fakeServers) Start(_ context.Context, to Target, o StartOrder) (StartAnswer, int64, error) {
@@ -269,6 +274,13 @@
 	return -1
 }
 
+// restart lets a server start anew as another incarnation under its ID, or start for the first time.
+func (f *fakeServers) restart(id string, born int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servers[id] = newFakeServer(born)
+}
+
 // losePaces lets the next n pace calls get no answer.
 func (f *fakeServers) losePaces(n int) {
 	f.mu.Lock()
@@ -348,18 +360,18 @@
 	for id := range r.servers.servers {
 		r.announce(id, 1)
 	}
-	go r.announceLoop(ctx)
+	go r.announceLoop(ctx, slices.Collect(maps.Keys(r.servers.servers)))
 }
 
-// announceLoop announces every server once a second, as the servers themselves would.
-func (r *rig) announceLoop(ctx context.Context) {
+// announceLoop announces servers once a second, as the servers themselves would.
+func (r *rig) announceLoop(ctx context.Context, ids []string) {
 	for seq := int64(2); ; seq++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(time.Second):
 		}
-		for id := range r.servers.servers {
+		for _, id := range ids {
 			_, _ = r.d.Do(ctx, &Call{Op: OpAnnounce, Server: r.serverOf(id, seq)}) // a missed announcement does no harm
 		}
 	}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -94,7 +94,7 @@
 		return false
 	}
 	if err != nil {
-		return h.wasInterrupted() || h.handleFailure(err, c.ctx.Err() == nil)
+		return h.wasInterrupted() || h.handleFailure(c, err)
 	}
 	h.ackedEnd = max(h.ackedEnd, c.order.AckedEnd)
 	h.processReport(c, report, asked, heard)
@@ -115,6 +115,7 @@
 type holdCall struct {
 	next  holdStep
 	to    Target
+	born  int64 // of the incarnation that is called
 	order HoldOrder
 	// grants is set if the order carries a new deadline, not one that an earlier call carried.
 	grants bool
@@ -157,7 +158,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout+time.Duration(o.WaitMS)*time.Millisecond)
 	h.cancel, h.interrupted, h.waiting = cancel, false, o.WaitMS > 0
-	return holdCall{to: Target{ID: h.serverID, Address: server.Address}, order: o, grants: grants, ctx: ctx, cancel: cancel}
+	return holdCall{to: Target{ID: h.serverID, Address: server.Address}, born: server.Born, order: o, grants: grants, ctx: ctx, cancel: cancel}
 }
 
 // interruptHoldLocked aborts the current hold call to a server if it waits for ends, so that the next one asks at once what became
@@ -240,14 +241,14 @@
 	return lasting && o.state == orderTaken && o.percent < 100 && boottime.Now()-o.since < startupTime
 }
 
-// handleFailure records a failed hold call and waits. atOnce is set if the call failed before its time limit. It reports whether
-// to call again.
-func (h *holdLoop) handleFailure(err error, atOnce bool) bool {
-	h.recordFailure(err, atOnce)
+// handleFailure records a failed hold call and waits. It reports whether to call again.
+func (h *holdLoop) handleFailure(c holdCall, err error) bool {
+	h.recordFailure(c, err, c.ctx.Err() == nil)
 	return h.pause()
 }
 
-func (h *holdLoop) recordFailure(err error, atOnce bool) {
+// recordFailure records a failed hold call. atOnce is set if it failed before its time limit.
+func (h *holdLoop) recordFailure(c holdCall, err error, atOnce bool) {
 	s := h.session
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
@@ -258,7 +259,7 @@
 	}
 	switch {
 	case errors.Is(err, ErrMisdirected):
-		s.incarnationGoneLocked(h.serverID, "another incarnation answers at its address")
+		s.misdirectedLocked(incarnationAt{c.to, c.born})
 		return
 	case errors.Is(err, ErrFenced):
 		s.log.Warn("hold refused: another leader has a higher fencing token", "server", h.serverID)
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -141,7 +141,7 @@
 		s.ensureHoldLoopLocked(st.Worker)
 	case StartMisdirected:
 		s.ends.add(ledger.End{Task: st.Task, Run: st.Run, Worker: st.Worker, How: ledger.EndRefused}) // before those of the other runs
-		s.incarnationGoneLocked(st.Worker, "another incarnation answers at its address")
+		s.misdirectedLocked(incarnationAt{to, st.Born})
 	default:
 		s.handleRefusalLocked(st, answer, heard)
 	}
@@ -304,7 +304,7 @@
 		s.engine.mu.Unlock()
 		return true
 	}
-	to := Target{ID: serverID, Address: server.Address}
+	to := incarnationOf(server)
 	send := o.state != orderPlanned && permitted() // else the start order is still being sent
 	if send {
 		o.underWayUntil = boottime.Now() + callTimeout
@@ -323,7 +323,7 @@
 		s.engine.mu.Lock()
 		defer s.engine.mu.Unlock()
 		return s.mayOrder() && permitted()
-	}), to, StopOrder{Task: id, Run: run, Fence: s.holder.Fence})
+	}), to.Target, StopOrder{Task: id, Run: run, Fence: s.holder.Fence})
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	o.underWayUntil = 0
@@ -335,7 +335,7 @@
 		}
 		return true
 	case errors.Is(err, ErrMisdirected):
-		s.incarnationGoneLocked(serverID, "another incarnation answers at its address")
+		s.misdirectedLocked(to)
 		return true
 	}
 	s.log.Warn("stop failed", "task", id, "run", run, "server", serverID, "error", err)
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -318,8 +318,12 @@
 
 // moveMachine orders the move of one machine to its new pool. It reports whether the move may be carried out.
 func (s *session) moveMachine(m pools.Move) bool {
+	var moved incarnationAt
 	s.engine.mu.Lock()
 	server := s.movesInFlight[m.Machine]
+	if known := s.fleet.Get(server); known != nil {
+		moved = incarnationOf(known)
+	}
 	s.engine.mu.Unlock()
 	answer, err := s.orderMachine(machineOrder{machine: m.Machine, server: server}, func(ctx context.Context) (MachineAnswer, error) {
 		return s.machines.Move(ctx, s.holder, m.Machine, m.To)
@@ -346,7 +350,8 @@
 	delete(s.movesInFlight, m.Machine)
 	s.movedAt[m.Machine], s.movedTo[m.Machine] = boottime.Now(), m.To
 	s.scheduleRefreshLocked(refreshDelay)
-	if old := s.fleet.Get(server); old != nil && err == nil {
+	// A server may have started anew under the ID before the answer came.
+	if old := s.fleet.Get(server); old != nil && err == nil && incarnationOf(old) == moved {
 		old.Left = true
 	}
 	return true
--- a/internal/dispatch/renewal_test.go
+++ b/internal/dispatch/renewal_test.go
@@ -169,6 +169,7 @@
 		s.engine.mu.Unlock()
 		restarted := r.serverOf("a", 1000)
 		restarted.Born = time.Now().UnixMilli()
+		r.servers.restart("a", restarted.Born)
 		must.EqOp(t, OK, r.do(&Call{Op: OpAnnounce, Server: restarted}).Outcome)
 		lapsesBy := func(s *session) time.Duration {
 			s.engine.mu.Lock()
--- a/internal/request/fleet/fleet.go
+++ b/internal/request/fleet/fleet.go
@@ -95,15 +95,19 @@
 	Leaving
 )
 
-// Announce records an announcement that arrived at now and returns its effect.
+// maxTransitTime is longer than any announcement is in transit (12 s).
+const maxTransitTime = 13 * time.Second
+
+// Announce records an announcement that arrived at now and returns its effect. Sequence numbers tell late announcements from new
+// ones. If none that is newer has come for maxTransitTime, one with a lower number isn't late, and the held number was wrong.
 func (t *Table) Announce(a ledger.Server, now time.Duration) Change {
 	s := t.servers[a.ID]
-	if s != nil && (a.Born < s.Born || (a.Born == s.Born && a.Seq <= s.Seq)) {
+	if s != nil && (a.Born < s.Born || (a.Born == s.Born && a.Seq <= s.Seq && now-s.AnnouncedAt < maxTransitTime)) {
 		return Stale
 	}
 	if s == nil || a.Born > s.Born {
 		s = &Server{Server: a, AnnouncedAt: now, AppearedAt: now}
-		s.Clock.Observe(a.ClockMS, now, now)
+		s.Clock.ObserveAnnounced(a.ClockMS, now)
 		t.servers[a.ID] = s
 		if a.Draining {
 			s.DrainingSince = now
--- a/internal/request/lease/lease.go
+++ b/internal/request/lease/lease.go
@@ -8,6 +8,9 @@
 // (PROTOCOL, Running tasks); another 0.1% allows for the error of our own clock.
 const minClockRate = 0.979
 
+// clockSlackMS widens the bounds of a clock for the rounding of readings.
+const clockSlackMS = 20
+
 // Clock holds a reading of a backend server's monotonic clock, from which it derives a lower bound for what that clock
 // shows later. The zero value has no reading.
 type Clock struct {
@@ -16,15 +19,40 @@
 	// receivedAt, when its response arrived. Both are on our clock.
 	lastReadingMS      int64
 	sentAt, receivedAt time.Duration
+	// answered is set if the reading came with the answer to a call. An announcement may have been in transit for long.
+	answered bool
 }
 
-// Observe records a reading of the server's clock in milliseconds, taken at some moment between sentAt and receivedAt.
-// A reading that gives a lower bound below the present one, because it was delayed on its way, is ignored.
+// Observe records a reading that came with the answer to a call, in milliseconds, taken at some moment between sentAt and receivedAt.
+// A reading that gives a lower bound below the present one, because it was delayed on its way, is ignored. One that the clock can't
+// have shown after the call was sent, if the present reading is right, replaces it.
 func (c *Clock) Observe(readingMS int64, sentAt, receivedAt time.Duration) {
-	if c.known && c.lowerBoundMS(receivedAt) > readingMS {
+	if c.known && c.lowerBoundMS(receivedAt) > readingMS && c.leastAtMS(sentAt) <= readingMS {
+		return
+	}
+	*c = Clock{known: true, lastReadingMS: readingMS, sentAt: sentAt, receivedAt: receivedAt, answered: true}
+}
+
+// ObserveAnnounced records the reading of an announcement that arrived at now. It is ignored if it was delayed, and if the clock can't
+// show it yet by the reading of an answer: others may send announcements in the name of a server.
+func (c *Clock) ObserveAnnounced(readingMS int64, now time.Duration) {
+	if c.known && (c.lowerBoundMS(now) > readingMS || c.answered && c.upperBoundMS(now) < readingMS) {
 		return
 	}
-	*c = Clock{known: true, lastReadingMS: readingMS, sentAt: sentAt, receivedAt: receivedAt}
+	*c = Clock{known: true, lastReadingMS: readingMS, sentAt: now, receivedAt: now}
+}
+
+// leastAtMS returns the least value that the server's clock can have shown at a moment that may precede the reading.
+func (c *Clock) leastAtMS(at time.Duration) int64 {
+	if at >= c.receivedAt {
+		return c.lowerBoundMS(at)
+	}
+	return c.lastReadingMS - int64(float64((c.receivedAt-at).Milliseconds())/minClockRate) - clockSlackMS
+}
+
+// upperBoundMS returns the greatest value that the server's clock can show at now by the reading of an answer.
+func (c *Clock) upperBoundMS(now time.Duration) int64 {
+	return c.lastReadingMS + int64(float64((now-c.sentAt).Milliseconds())/minClockRate) + clockSlackMS
 }
 
 // Known reports whether there is a reading of the clock.
--- a/internal/request/lease/lease_test.go
+++ b/internal/request/lease/lease_test.go
@@ -36,12 +36,38 @@
 	}
 }
 
-// A reading that was delayed on its way is older than it seems and must not lower the bound.
+// A reading that was delayed on its way, as an announcement or as an answer, is older than it seems and must not lower the bound.
 func TestDelayedReadingDoesNotLowerBound(t *testing.T) {
 	var c Clock
 	c.Observe(10_000, time.Second, time.Second)
 	before, _ := c.DeadlineAfter(2*time.Second, 0)
-	c.Observe(9_000, 2*time.Second, 2*time.Second)
+	c.ObserveAnnounced(9_000, 2*time.Second)
+	c.Observe(9_500, 500*time.Millisecond, 2*time.Second)
 	after, _ := c.DeadlineAfter(2*time.Second, 0)
 	must.EqOp(t, before, after)
 }
+
+// Guards against a lease that is taken for lapsed, or granted for too short a time, because another writer announced a false clock in the
+// server's name: what the server answers counts.
+func TestFalseAnnouncedClockHasNoEffect(t *testing.T) {
+	const now = 2 * time.Second
+	for _, announced := range []int64{0, 11_500, 1 << 40} {
+		var c Clock
+		c.Observe(10_000, time.Second, time.Second)
+		before, _ := c.DeadlineAfter(now, 0)
+		c.ObserveAnnounced(announced, now)
+		after, _ := c.DeadlineAfter(now, 0)
+		must.EqOp(t, before, after)
+
+		c = Clock{}
+		c.ObserveAnnounced(announced, time.Second)
+		c.Observe(11_000, now, now)
+		after, _ = c.DeadlineAfter(now, 0)
+		must.EqOp(t, 11_000, after)
+	}
+	var c Clock
+	c.Observe(10_000, time.Second, time.Second)
+	c.ObserveAnnounced(11_000, now)
+	after, _ := c.DeadlineAfter(now, 0)
+	must.EqOp(t, 11_000, after)
+}
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -164,6 +164,34 @@
 	ClockMS int64 `json:",omitempty"`
 }
 
+const (
+	// maxNumber bounds the times and sequence numbers of an announcement, so that sums with them don't overflow.
+	maxNumber = 1 << 53
+	// maxLabels and maxTextBytes bound the texts of an announcement, which every replica keeps.
+	maxLabels    = 64
+	maxTextBytes = 512
+)
+
+// Check validates an announcement and returns an error for the first fault found.
+func (s *Server) Check() error {
+	c := s.Capacity
+	if min(c.CPU, c.MemMB, c.GPU) < 0 || max(c.CPU, c.MemMB, c.GPU) > maxNeed {
+		return Error.New("the capacity of a backend server must be 0 to %d of each resource", int64(maxNeed))
+	}
+	if min(s.Born, s.Seq, s.ClockMS, s.RemainingMS) < 0 || max(s.Born, s.Seq, s.ClockMS, s.RemainingMS) > maxNumber {
+		return Error.New("the times and the sequence number of a backend server must be 0 to %d", int64(maxNumber))
+	}
+	if len(s.Labels) > maxLabels {
+		return Error.New("a backend server may have at most %d labels", maxLabels)
+	}
+	for _, text := range append([]string{s.ID, s.Pool, s.Address, s.DataCentre}, s.Labels...) {
+		if len(text) > maxTextBytes {
+			return Error.New("a name of a backend server is longer than %d bytes", maxTextBytes)
+		}
+	}
+	return nil
+}
+
 // Incarnation identifies one start of a backend server: a restart with the same ID is a new incarnation.
 type Incarnation struct {
 	ID   string
