A failed run of a gang uses up one attempt, whichever members failed

Cause: each member's end counted as an attempt, without regard to the run's number, and a queue that the configuration lacked allowed one attempt.

A failed run now counts once, by its number. While a job's queue isn't configured no task of it is given up; the configuration that has the queue again decides, and one with fewer attempts too. When the format is raised, each replica derives the number of failed runs from state that the last release has too.

--- a/internal/dispatch/schedules_test.go
+++ b/internal/dispatch/schedules_test.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// TestGangSchedules plays half as many schedules with gangs of which some members fail, several of one run together, beside all other
+// faults. It checks that a gang has as many failed runs as its queue allows, and neither fewer nor more.
+func TestGangSchedules(t *testing.T) {
+	for n := range (*schedules + 1) / 2 {
+		seed := *firstSeed + uint64(n)
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runSchedule(t, seed, (*simulation).drawFailingGangs) })
+		})
+	}
+}
+
 // runSchedule plays the schedule of a seed. more draws further events of their own.
 func runSchedule(t *testing.T, seed uint64, more func(w *simulation, draw *rand.Rand)) {
 	ctx, cancel := context.WithCancel(t.Context())
@@ -240,6 +251,22 @@
 	}
 }
 
+// drawFailingGangs submits one to three gangs and lets members of gangs fail.
+func (w *simulation) drawFailingGangs(draw *rand.Rand) {
+	w.mu.Lock()
+	w.gangFaults = rand.New(rand.NewPCG(draw.Uint64(), 4))
+	w.mu.Unlock()
+	for n := range 1 + draw.IntN(3) {
+		id := fmt.Sprint("gang", n)
+		submit := w.drawJob(id, draw)
+		w.mu.Lock()
+		w.jobs[id].submission.Steps = []ledger.Step{{Count: 2 + draw.IntN(3), Need: ledger.Resources{CPU: 800, MemMB: 100}, EstimateMS: 400, Gang: true, Spread: 2}}
+		w.jobs[id].submission.Times = 0
+		w.mu.Unlock()
+		w.spawn(submit)
+	}
+}
+
 // drawEvacuations evacuates each data centre up to three times, in one of four schedules all at the same times.
 func (w *simulation) drawEvacuations(draw *rand.Rand) {
 	type evacuation struct{ pause, length, copyDelay time.Duration }
@@ -426,16 +453,8 @@
 
 // mayFail reports whether a task, or a gang as a whole, has used up its attempts, or two servers crashed under a task.
 func (j *simJob) mayFail() bool {
-	fails := make(map[ledger.TaskID]int)
 	for id, t := range j.tasks {
-		if t.crashes >= 2 {
-			return true
-		}
-		step := id
-		if j.submission.Steps[id.Step].Gang {
-			step.Index = 0
-		}
-		if fails[step] += t.fails; fails[step] >= rigAttempts {
+		if t.crashes >= 2 || j.failsOf(id) >= rigAttempts {
 			return true
 		}
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -337,7 +337,7 @@
 			s.ensureHoldLoopLocked(st.Worker)
 		}
 	}
-	if c.Cancel != "" || len(c.Cancels) > 0 || len(r.Ended) > 0 || len(r.GivenUp) > 0 {
+	if c.Cancel != "" || len(c.Cancels) > 0 || len(r.Ended) > 0 || len(r.GivenUp) > 0 || len(r.Exhausted) > 0 {
 		s.jobsFinishedLocked(c, r)
 	}
 	s.notify()
@@ -358,6 +358,10 @@
 	for _, g := range r.GivenUp {
 		ids[g.Task.Job] = true
 	}
+	for _, id := range r.Exhausted {
+		s.log.Info("task is given up: the configuration leaves it no attempt", "task", id)
+		ids[id.Job] = true
+	}
 	for id := range ids {
 		j := s.engine.ledger.Job(id)
 		if j == nil || !j.State.Final() {
--- a/internal/dispatch/virtual_server_test.go
+++ b/internal/dispatch/virtual_server_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -209,6 +210,7 @@
 	}
 	if how == ledger.EndFailed {
 		t.fails++
+		addRun(&s.w.jobs[key.task.Job].failedRuns, key.task, key.run)
 	}
 	s.w.breakGangLocked(key, at)
 }
@@ -222,7 +224,11 @@
 	for _, s := range w.servers {
 		for other := range s.running {
 			if s.up && sameStep(other.task, key.task) && other.run == key.run {
-				s.endLocked(other, ledger.EndGangFailed, at)
+				how := ledger.EndGangFailed
+				if r := s.running[other]; r != nil && r.how == ledger.EndFailed && r.ends <= at {
+					how = ledger.EndFailed // at the same moment
+				}
+				s.endLocked(other, how, at)
 			}
 		}
 	}
@@ -342,6 +348,20 @@
 	for _, m := range members {
 		m.ends, m.how = w.now()+time.Duration(step.EstimateMS)*time.Millisecond, ledger.EndDone
 	}
+	w.drawGangFault(members, step.EstimateMS)
+}
+
+// drawGangFault lets some members of half of the runs fail at one moment, before the run has lasted for estimateMS.
+func (w *simulation) drawGangFault(members []*simRun, estimateMS int64) {
+	if w.gangFaults == nil || w.gangFaults.IntN(2) == 0 {
+		return
+	}
+	slices.SortFunc(members, func(a, b *simRun) int { return cmp.Compare(a.began, b.began) }) // servers are listed in any order
+	at := w.now() + time.Duration(1+w.gangFaults.Int64N(estimateMS-1))*time.Millisecond
+	for range 1 + w.gangFaults.IntN(len(members)) {
+		m := members[w.gangFaults.IntN(len(members))]
+		m.ends, m.how = at, ledger.EndFailed
+	}
 }
 
 // checkStartLocked checks the guarantees to callers when a task starts.
@@ -386,7 +406,7 @@
 	if t.doneAcked {
 		w.recordViolation("TWICE: %v starts on %s after its end was acknowledged", o.Task, at.id)
 	}
-	if t.failsAcked >= rigAttempts && !step.Lasting {
+	if j.ackedFailsOf(o.Task) >= rigAttempts && !step.Lasting {
 		w.recordViolation("BUDGET: %v starts run %d after its attempts were used up", o.Task, o.Run)
 	}
 	if j.isDeadly(o.Task) && t.crashes >= 3 && w.now()-w.coreDisturbedAt >= contactTime {
@@ -429,6 +449,7 @@
 			t.doneAcked = true
 		case ledger.EndFailed:
 			t.failsAcked++
+			addRun(&s.w.jobs[f.Task.Job].failedRunsAcked, f.Task, f.Run)
 		}
 	}
 	s.finished = slices.Clip(keep)
--- a/internal/dispatch/virtual_test.go
+++ b/internal/dispatch/virtual_test.go
@@ -95,6 +95,8 @@
 	refuses bool
 	// startup is how long a lasting task has run before it works in full.
 	startup time.Duration
+	// gangFaults draws the members of gangs that fail; nil if none does.
+	gangFaults *rand.Rand
 }
 
 type simJob struct {
@@ -108,6 +110,39 @@
 	tasks          map[ledger.TaskID]*simTask
 	// deadly is the task, in each occurrence, that crashes every server which starts it; nil if there is none.
 	deadly *stepIndex
+	// failedRuns and failedRunsAcked are the runs of gangs of which a member ended failed, by the first task of the gang. The second
+	// are those of which such an end was acknowledged while its server's lease held.
+	failedRuns, failedRunsAcked map[ledger.TaskID]map[int]bool
+}
+
+// addRun adds the run of a gang to a set.
+func addRun(set *map[ledger.TaskID]map[int]bool, id ledger.TaskID, run int) {
+	id.Index = 0
+	if *set == nil {
+		*set = make(map[ledger.TaskID]map[int]bool)
+	}
+	if (*set)[id] == nil {
+		(*set)[id] = make(map[int]bool)
+	}
+	(*set)[id][run] = true
+}
+
+// failsOf returns how many runs of a task, or of its gang, ended failed.
+func (j *simJob) failsOf(id ledger.TaskID) int {
+	if j.submission.Steps[id.Step].Gang {
+		id.Index = 0
+		return len(j.failedRuns[id])
+	}
+	return j.tasks[id].fails
+}
+
+// ackedFailsOf returns how many of these are known to the leader.
+func (j *simJob) ackedFailsOf(id ledger.TaskID) int {
+	if j.submission.Steps[id.Step].Gang {
+		id.Index = 0
+		return len(j.failedRunsAcked[id])
+	}
+	return j.tasks[id].failsAcked
 }
 
 // stepIndex names a task of any occurrence of a job.
--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -13,7 +13,7 @@
 	r := &Result{}
 	l.ClockMS = max(l.ClockMS, c.NowMS)
 	if c.Config != nil {
-		r.Config = l.applyConfig(c.Config)
+		r.Config = l.applyConfig(c.Config, r)
 	}
 	if c.Submit != nil {
 		r.Submit = l.applySubmit(c.Submit)
@@ -30,7 +30,7 @@
 	if c.Evacuation != nil {
 		r.Evacuation, r.EvacuationNumber = l.applyEvacuation(c.Evacuation)
 	}
-	l.Format = max(l.Format, c.Format)
+	l.raiseFormat(c.Format)
 	l.applyBegun(c.Begun)
 	for _, e := range c.Ends {
 		if l.applyEnd(e, r) {
@@ -82,7 +82,7 @@
 
 // applyConfig puts a configuration in force if its version is higher than the present one. A lower version has no effect
 // and is reported as superseded; different content under the present version is a conflict.
-func (l *Ledger) applyConfig(c *accepted.Config) Verdict {
+func (l *Ledger) applyConfig(c *accepted.Config, r *Result) Verdict {
 	if l.Config != nil && c.Version <= l.Config.Version {
 		if c.Version < l.Config.Version {
 			return Superseded
@@ -92,8 +92,12 @@
 		}
 		return Conflict
 	}
+	fewer := queuesWithFewerAttempts(l.index, c)
 	l.Config = c
 	l.index = accepted.NewIndex(c)
+	if l.Format >= FormatGangRuns && len(fewer) > 0 {
+		l.giveUpExhausted(fewer, r)
+	}
 	return Accepted
 }
 
@@ -364,31 +368,6 @@
 	delete(l.unresolved, id)
 }
 
-// taskFailed counts a failed run. The failures of a gang are counted together, in the record of its first task. A task
-// whose attempts are used up is given up; lasting tasks have no limit of attempts.
-func (l *Ledger) taskFailed(j *Job, id TaskID, t *Task) {
-	counter := t
-	if j.Steps[id.Step].Gang {
-		counter = &j.Occurrences[id.Occurrence].Steps[id.Step].Tasks[0]
-	}
-	counter.Fails++
-	if j.Steps[id.Step].Lasting || j.State.Final() {
-		return
-	}
-	if counter.Fails >= l.maxAttempts(j) {
-		l.giveUp(j, id)
-	}
-}
-
-// maxAttempts returns the number of failed runs of a task after which the job fails.
-func (l *Ledger) maxAttempts(j *Job) int {
-	const fallback = 1 // for a queue that was removed from the configuration
-	if l.index == nil || l.index.Queue(j.Queue) == nil {
-		return fallback
-	}
-	return max(1, l.index.Queue(j.Queue).MaxAttempts)
-}
-
 func (l *Ledger) applyWave(w *WaveOrder) Verdict {
 	if existing := l.Waves[w.Number]; existing != nil {
 		if slices.Equal(existing.Machines, w.Machines) && existing.DurationMS == w.DurationMS && existing.Bound == w.Bound {
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -57,8 +57,11 @@
 	FormatGivenUp = 3
 	// FormatLongLeases: leaders grant longer leases than members of earlier versions wait for.
 	FormatLongLeases = 4
+	// FormatGangRuns: a failed run of a gang counts once, whichever members failed, and a job whose queue isn't configured doesn't fail
+	// for its attempts.
+	FormatGangRuns = 5
 	// NewestFormat is the newest format that this version understands.
-	NewestFormat = FormatLongLeases
+	NewestFormat = FormatGangRuns
 )
 
 // OnlyJobs reports whether a command has no other parts than Submit, Cancel, their lists, Begun, Ends and Starts. Parts that
@@ -295,4 +298,6 @@
 	Ended []End `json:",omitempty"`
 	// GivenUp lists the tasks that were given up because backend servers crashed under them. Their jobs have failed.
 	GivenUp []GivenUpTask `json:",omitempty"`
+	// Exhausted lists the tasks that were given up because a configuration leaves them no attempt.
+	Exhausted []TaskID `json:",omitempty"`
 }
--- a/internal/request/ledger/job.go
+++ b/internal/request/ledger/job.go
@@ -248,8 +248,10 @@
 	// Worker and Born identify the incarnation of the backend server of the newest run.
 	Worker string `json:",omitempty"`
 	Born   int64  `json:",omitempty"`
-	// Fails counts the runs that ended with EndFailed; for a gang, its first task counts those of all tasks.
-	Fails int `json:",omitempty"`
+	// Fails counts the runs that ended with EndFailed; for a gang, its first task counts the runs of the gang, each once. FailedRun is
+	// the newest of these.
+	Fails     int `json:",omitempty"`
+	FailedRun int `json:",omitempty"`
 	// Crashes counts the backend servers that crashed under a run of the task soon after its start, UnclearCrashes those on which
 	// the run may not have begun, and Suspicions those of Crashes that the task is suspected of. Unresolved lists runs that may
 	// get counted later.
