--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -272,11 +272,7 @@
 // configure puts a configuration with one open queue in force.
 func (c *cluster) configure() {
 	c.t.Helper()
-	must.EqOp(c.t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: &accepted.Config{
-		Version: 1, Raw: []byte(`{"version":1}`),
-		Queues: []accepted.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 2, Open: true}},
-		Pools:  []accepted.Pool{{Name: "p", Guards: true}},
-	}}).Outcome)
+	must.EqOp(c.t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: rollingConfig(1)}).Outcome)
 }
 
 func (c *cluster) submit(id string) {
@@ -409,6 +405,44 @@
 	}
 }
 
+// Guards against changes that stay refused or unanswered after disks were full in turn, one right after the other, while changes came:
+// the leader's among them, three rounds. After the last disk has room again, changes are taken and none of the acknowledged is lost.
+func TestChangesAreTakenAfterDisksWereFullInTurn(t *testing.T) {
+	c := newCluster(t, http.NotFoundHandler())
+	c.configure()
+	config := rollingConfig(1)
+	for round := range 3 {
+		for i := range founders {
+			failed := c.log.count("journal failed")
+			c.disks[i].full.Store(true)
+			c.waitUntil(func() bool {
+				config = rollingConfig(config.Version + 1)
+				ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+				defer cancel()
+				c.client.Do(ctx, &dispatch.Call{Op: dispatch.OpPutConfig, Config: config}) // it may stay unanswered
+				return c.log.count("journal failed") > failed+round
+			})
+			c.disks[i].full.Store(false)
+		}
+		config = rollingConfig(config.Version + 1)
+		must.EqOp(t, dispatch.OK, c.do(&dispatch.Call{Op: dispatch.OpPutConfig, Config: config}).Outcome)
+		must.Eq(t, config.Raw, c.do(&dispatch.Call{Op: dispatch.OpGetConfig}).Config)
+		c.submit(fmt.Sprint("j", round))
+	}
+	for round := range 3 {
+		c.waitUntil(func() bool { return c.completed(fmt.Sprint("j", round)) })
+	}
+}
+
+// rollingConfig is the configuration of configure under another version.
+func rollingConfig(version int64) *accepted.Config {
+	return &accepted.Config{
+		Version: version, Raw: fmt.Appendf(nil, `{"version":%d}`, version),
+		Queues: []accepted.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", TimeoutMS: 1000, MaxAttempts: 2, Open: true}},
+		Pools:  []accepted.Pool{{Name: "p", Guards: true}},
+	}
+}
+
 // An instance whose disk is full at its first start retries until there is space.
 func TestStartIsRetriedWhileDiskIsFull(t *testing.T) {
 	c := newCluster(t, http.NotFoundHandler(), 2)
--- a/internal/process/journal/fakefs_test.go
+++ b/internal/process/journal/fakefs_test.go
@@ -6,9 +6,11 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 )
 
-var errDisk = errors.New("no space left on device")
+// errDisk is the error of a full disk.
+var errDisk error = syscall.ENOSPC
 
 // fakeFS is a file system in memory. A crash keeps only synced state: the synced content of each file, and the
 // names in each folder at its last sync.
@@ -19,6 +21,8 @@
 	// failAfter is the number of operations that succeed before all later ones fail; negative means that none fails.
 	failAfter  int
 	operations int
+	// failUntil is the number of operations after which they succeed again; 0 means never.
+	failUntil int
 }
 
 type fakeContent struct {
@@ -33,7 +37,7 @@
 // countOperation counts an operation and returns an error if failAfter is exceeded.
 func (f *fakeFS) countOperation() error {
 	f.operations++
-	if f.failAfter >= 0 && f.operations > f.failAfter {
+	if f.failAfter >= 0 && f.operations > f.failAfter && (f.failUntil == 0 || f.operations <= f.failUntil) {
 		return errDisk
 	}
 	return nil
--- a/internal/process/journal/journal_test.go
+++ b/internal/process/journal/journal_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -179,6 +180,60 @@
 	}
 }
 
+// fillFolder appends 40 entries one by one, saves a snapshot every 10 and installs one at 25, which replaces the log. It opens the folder
+// again after each failure, and returns the number of opens that failed.
+func fillFolder(t *testing.T, fs *fakeFS) (failedOpens int) {
+	t.Helper()
+	acked := uint64(0)
+	for attempt := 0; acked < 40; attempt++ {
+		must.Less(t, 200, attempt)
+		j, c, err := Open(fs, testDir, testOptions)
+		if err != nil {
+			must.ErrorIs(t, err, syscall.ENOSPC) // any other error would end the process
+			failedOpens++
+			continue
+		}
+		held := c.Snapshot.Index
+		if n := len(c.Entries); n > 0 {
+			held = max(held, c.Entries[n-1].Index)
+		}
+		must.GreaterEq(t, acked, held)
+		for i := acked + 1; i <= 40 && err == nil; i++ {
+			meta := &laburnumv1.SnapshotMeta{Index: i, Term: 1, Size: 5}
+			if i == 25 {
+				err = j.InstallSnapshot(&laburnumv1.HardState{Term: 1}, meta, []byte("state"))
+			} else {
+				err = j.Append(&laburnumv1.HardState{Term: 1, Commit: i}, entries(i, i, 1))
+			}
+			if err == nil {
+				acked = i
+				if i%10 == 0 {
+					err = j.SaveSnapshot(meta, []byte("state"), i-5)
+				}
+			}
+		}
+		_ = j.Close(&laburnumv1.HardState{Term: 1}) // fails while the disk is full
+	}
+	return failedOpens
+}
+
+// Guards against a folder that can't be opened, or lacks what was acknowledged, after its disk was full for a while: whichever
+// operations failed, at the start too, it is used again once there is room.
+func TestFolderIsUsedAgainAfterFullDisk(t *testing.T) {
+	whole := newFakeFS()
+	must.Zero(t, fillFolder(t, whole))
+	for first := range whole.operations {
+		for _, length := range []int{1, 2, 3, 5, 8, 20} {
+			fs := newFakeFS()
+			fs.failAfter, fs.failUntil = first, first+length
+			fillFolder(t, fs)
+			fs.failAfter = -1
+			_, c := mustOpen(t, fs)
+			must.EqOp(t, 40, max(c.Snapshot.Index, c.Entries[len(c.Entries)-1].Index))
+		}
+	}
+}
+
 func TestDamagedSegmentIsRefusedWithFileAndOffset(t *testing.T) {
 	fs := newFakeFS()
 	j, _ := mustOpen(t, fs)
