A test of a gang with a missing member no longer races with its own start order

Traced by printing the state of a failed play: the test let server b answer starts again before the order to it had arrived, so that both members ran, and the end 'alone' that it then reported for the other one can't happen. It waits until b has ignored the order: 0 of 4,500 plays fail.

--- a/internal/dispatch/pending_test.go
+++ b/internal/dispatch/pending_test.go
@@ -121,7 +121,11 @@
 		f.servers["b"].ignoresStarts = true
 		r := newRig(t, f)
 		r.submit("gang", ledger.Step{Count: 2, Gang: true, Need: ledger.Resources{CPU: 5000}})
-		r.until(func() bool { return len(f.runs("a")) == 1 })
+		r.until(func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return len(f.servers["a"].running) == 1 && f.servers["b"].ignored == 1
+		})
 		must.EqOp(t, 1, r.pending())
 		f.mu.Lock()
 		f.servers["b"].ignoresStarts = false
