--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -18,8 +18,7 @@
 			changed := r.serverOf("a", 1000) // later than those of the rig's loop
 			changed.Capacity.CPU = capacity
 			r.do(&Call{Op: OpAnnounce, Server: changed})
-			r.log.lead(2)
-			r.until(func() bool { return r.d.Leads() && r.d.session.Load().holder.Fence == 2 })
+			r.changeLeader(2)
 			r.submit("j", ledger.Step{Count: 8, Need: ledger.Resources{CPU: 1000}})
 			r.until(func() bool { return len(r.servers.runs("a")) > 0 })
 			time.Sleep(100 * time.Millisecond)
--- a/internal/dispatch/machineorder_test.go
+++ b/internal/dispatch/machineorder_test.go
@@ -95,8 +95,7 @@
 		r.d.machineLease = 3 * time.Second
 		r.startWave([]string{"m1"}, 10*time.Second, 1)
 		r.until(func() bool { return len(m.ordered()) > 0 })
-		r.log.lead(2)
-		r.until(func() bool { return r.d.Leads() && r.d.session.Load().holder.Fence == 2 })
+		r.changeLeader(2)
 		r.until(func() bool { return r.d.session.Load().cachedMachines.lastRequested() > 0 })
 		time.Sleep(2 * waveCheckInterval)
 		before := len(m.ordered())
