--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -414,9 +414,15 @@
 	must.EqOp(r.t, OK, r.do(&Call{Op: OpSubmit, Host: "h", Path: "/q/" + id, Job: &ledger.Submission{Spec: "s", Steps: steps}}).Outcome)
 }
 
+// state returns the state of a job; empty while the instance doesn't lead.
 func (r *rig) state(id string) ledger.JobState {
 	r.t.Helper()
-	return r.do(&Call{Op: OpState, Host: "h", Path: "/q/" + id}).State
+	reply, err := r.d.Do(context.Background(), &Call{Op: OpState, Host: "h", Path: "/q/" + id})
+	if errors.Is(err, ErrNotLeader) {
+		return ""
+	}
+	must.NoError(r.t, err)
+	return reply.State
 }
 
 // until waits for a condition. The timeout is much longer than any test needs.
