Log of elections: who answered, why votes and promotions are refused

The record of a lost quorum doesn't tell voters that are gone from voters that refuse each other, nor how far a learner is behind that isn't promoted. A campaign now reports its voters and their answers, a voter its refusals with the reason, a refused promotion what the learner holds and when it last answered; gauges voters and voters_answering. Decisions are unchanged: the conditions of both votes are the same, in another form.

--- a/internal/jobcontrol/participant.go
+++ b/internal/jobcontrol/participant.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -235,13 +236,29 @@
 	}
 }
 
-// reportSizes keeps the gauges of what the log takes up in memory and on disk.
+// answeringVoters returns how many voters a leader hears, itself included.
+func answeringVoters(s replica.Status) int {
+	answering := 1
+	for _, name := range s.Active {
+		if slices.Contains(s.Voters, name) {
+			answering++
+		}
+	}
+	return answering
+}
+
+// reportSizes keeps the gauges of the log's voters and of what it takes up in memory and on disk.
 func (p *participant) reportSizes(ctx context.Context) {
 	scope := p.metrics.Scope().SubScope("log")
 	ticker := time.NewTicker(sizesInterval)
 	defer ticker.Stop()
 	for {
-		size := p.node.Status().Sizes
+		status := p.node.Status()
+		size := status.Sizes
+		scope.Gauge("voters").Update(float64(len(status.Voters)))
+		if status.IsLeader {
+			scope.Gauge("voters_answering").Update(float64(answeringVoters(status)))
+		}
 		scope.Gauge("entries_kept").Update(float64(size.Entries))
 		scope.Gauge("entry_bytes_kept").Update(float64(size.EntryBytes))
 		scope.Gauge("queued_bytes").Update(float64(size.QueuedBytes))
--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -110,6 +110,9 @@
 	Committed []*laburnumv1.LogEntry
 	// Reads are the reads that may be served once Committed is applied.
 	Reads []Read
+	// Elections are this replica's campaigns that have ended, Refusals the votes that it refused. They need no action.
+	Elections []Election
+	Refusals  []Refusal
 }
 
 // Write is state that must become durable in one step, after all earlier writes.
@@ -168,6 +171,8 @@
 	heartbeatElapsed int
 
 	votes            map[string]bool
+	elections        []Election
+	refusals         []Refusal
 	progress         map[string]*progress
 	heartbeatRound   uint64
 	sendsDue         bool          // Ready has to look for entries and commit indexes to send
@@ -230,13 +235,13 @@
 // HasReady reports whether Ready would return any work.
 func (c *Core) HasReady() bool {
 	return c.role == Leader && c.sendsDue || c.hardStateChanged() || c.pendingSnapshot != nil || c.log.unwrittenCount() > 0 || len(c.messages) > 0 ||
-		len(c.afterWrite) > 0 || c.log.commit > c.log.applied || len(c.readyReads) > 0
+		len(c.afterWrite) > 0 || c.log.commit > c.log.applied || len(c.readyReads) > 0 || len(c.elections) > 0 || len(c.refusals) > 0
 }
 
 // Ready returns the work that is pending. The caller must do it and then call Advance.
 func (c *Core) Ready() Ready {
 	c.sendDueAppends()
-	r := Ready{Snapshot: c.pendingSnapshot, Reads: c.readyReads}
+	r := Ready{Snapshot: c.pendingSnapshot, Reads: c.readyReads, Elections: c.elections, Refusals: c.refusals}
 	w := &Write{
 		Snapshot: c.pendingSnapshot, Entries: c.log.unwrittenEntries(), Messages: c.afterWrite,
 		truncations: c.log.truncations, begunAt: c.now, begunTime: c.time,
@@ -273,6 +278,7 @@
 	}
 	c.pendingSnapshot = nil
 	c.messages, c.afterWrite, c.readyReads = nil, nil, nil
+	c.elections, c.refusals = nil, nil
 	c.log.applied = max(c.log.applied, c.log.applying)
 }
 
--- a/internal/process/replica/core/election.go
+++ b/internal/process/replica/core/election.go
@@ -2,8 +2,60 @@
 
 import laburnumv1 "laburnumrouter/proto/laburnum/v1"
 
+// Election is a campaign of this replica that has ended.
+type Election struct {
+	// Term is the term that the replica campaigned for. Pre is set if it only asked whether it would win.
+	Term uint64
+	Pre  bool
+	// Won is set if a quorum granted its vote.
+	Won bool
+	// Voters are the names of all voters. Granted and Refused are those that answered, in the order of Voters.
+	Voters, Granted, Refused []string
+}
+
+// Refusal is a vote that this replica refused.
+type Refusal struct {
+	Candidate string
+	Term      uint64
+	Pre       bool
+	Reason    RefusalReason
+}
+
+// RefusalReason states why a vote was refused.
+type RefusalReason string
+
+// Reasons to refuse a vote.
+const (
+	refusedForLeader  RefusalReason = "a leader was in contact, or this replica has just started"
+	refusedForVote    RefusalReason = "another candidate has the vote of this term"
+	refusedForTerm    RefusalReason = "the term is not newer"
+	refusedForLog     RefusalReason = "the candidate's log is behind"
+	refusedForLostLog RefusalReason = "this replica may have lost its log"
+)
+
+// reportElection reports how the current campaign ended; without one it does nothing.
+func (c *Core) reportElection(won bool) {
+	if c.role != PreCandidate && c.role != Candidate {
+		return
+	}
+	e := Election{Term: c.term, Pre: c.role == PreCandidate, Won: won, Voters: c.members.voterNames()}
+	if e.Pre {
+		e.Term++
+	}
+	for _, name := range e.Voters {
+		switch granted, answered := c.votes[name]; {
+		case granted:
+			e.Granted = append(e.Granted, name)
+		case answered:
+			e.Refused = append(e.Refused, name)
+		}
+	}
+	c.elections = append(c.elections, e)
+}
+
 // preCampaign asks the voters whether this replica would win an election, without changing any term.
 func (c *Core) preCampaign() {
+	c.reportElection(false)
 	c.role, c.leader, c.transferCampaign = PreCandidate, "", false
 	c.votes = make(map[string]bool)
 	c.requestVotes(laburnumv1.ConsensusType_CONSENSUS_TYPE_PRE_VOTE, c.term+1)
@@ -62,23 +114,54 @@
 }
 
 func (c *Core) stepPreVote(m Message) {
-	grant := m.Term > c.term && c.candidateUpToDate(m) && !c.mayHaveLostLog(m) && !c.withholdsVote()
-	resp := &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_PRE_VOTE_RESPONSE, Reject: !grant}
-	if grant {
+	refusal := c.refusalForLog(m)
+	switch {
+	case m.Term <= c.term:
+		refusal = refusedForTerm
+	case c.withholdsVote():
+		refusal = refusedForLeader
+	}
+	c.reportRefusal(m, true, refusal)
+	resp := &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_PRE_VOTE_RESPONSE, Reject: refusal != ""}
+	if refusal == "" {
 		resp.Term = m.Term
 	}
 	c.send(m.From, resp)
 }
 
 func (c *Core) stepVote(m Message) {
-	canVote := c.vote == m.From || (c.vote == "" && c.leader == "")
-	grant := canVote && c.candidateUpToDate(m) && !c.mayHaveLostLog(m)
-	if grant {
+	refusal := c.refusalForLog(m)
+	switch {
+	case c.vote != "" && c.vote != m.From:
+		refusal = refusedForVote
+	case c.vote == "" && c.leader != "":
+		refusal = refusedForLeader
+	}
+	c.reportRefusal(m, false, refusal)
+	if refusal == "" {
 		c.vote = m.From
 		c.tookPartInFirstElection = c.tookPartInFirstElection || c.log.last() == 0
 		c.resetElectionTimer()
 	}
-	c.sendAfterWrite(m.From, &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_VOTE_RESPONSE, Reject: !grant})
+	c.sendAfterWrite(m.From, &laburnumv1.ConsensusMessage{Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_VOTE_RESPONSE, Reject: refusal != ""})
+}
+
+// refusalForLog returns why the state of the logs forbids to vote for a candidate, or "".
+func (c *Core) refusalForLog(m Message) RefusalReason {
+	switch {
+	case !c.candidateUpToDate(m):
+		return refusedForLog
+	case c.mayHaveLostLog(m):
+		return refusedForLostLog
+	}
+	return ""
+}
+
+// reportRefusal reports that a vote was refused for a reason; "" means that it wasn't.
+func (c *Core) reportRefusal(m Message, pre bool, reason RefusalReason) {
+	if reason != "" {
+		c.refusals = append(c.refusals, Refusal{Candidate: m.From, Term: m.Term, Pre: pre, Reason: reason})
+	}
 }
 
 func (c *Core) stepPreVoteResponse(m Message) {
@@ -87,8 +170,10 @@
 	}
 	switch c.countVote(m.From, !m.Reject) {
 	case electionWon:
+		c.reportElection(true)
 		c.campaign()
 	case electionLost:
+		c.reportElection(false)
 		c.becomeFollower(c.term, "")
 	}
 }
@@ -99,8 +184,10 @@
 	}
 	switch c.countVote(m.From, !m.Reject) {
 	case electionWon:
+		c.reportElection(true)
 		c.becomeLeader()
 	case electionLost:
+		c.reportElection(false)
 		c.becomeFollower(c.term, "")
 	}
 }
--- a/internal/process/replica/core/members.go
+++ b/internal/process/replica/core/members.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"fmt"
+
 	"google.golang.org/protobuf/proto"
 
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
@@ -122,7 +124,7 @@
 	p := c.progress[name]
 	if c.role == Leader && (p.folderID == 0 || p.match < c.log.commit || !p.active(c.now, c.cfg.ElectionTicks)) {
 		p.promptUntil = c.now + uint64(c.cfg.ElectionTicks) // a paced learner would rarely hold everything
-		return 0, 0, ErrNotCaughtUp
+		return 0, 0, c.describeLag(p)
 	}
 	next := c.cloneMembers()
 	for _, m := range next {
@@ -133,6 +135,12 @@
 	return c.proposeMembership(next)
 }
 
+// describeLag returns ErrNotCaughtUp with what the learner holds.
+func (c *Core) describeLag(p *progress) error {
+	return fmt.Errorf("%w: it holds index %d of %d committed, last answered %d ticks ago, receives a snapshot: %t",
+		ErrNotCaughtUp, p.match, c.log.commit, c.now-p.lastResponse, p.sendingSnapshot != nil)
+}
+
 // Remove proposes to remove a member. The active voters that remain must be a quorum of all voters that remain.
 func (c *Core) Remove(name string) (index, term uint64, err error) {
 	if c.members.get(name) == nil {
--- a/internal/process/replica/core/step.go
+++ b/internal/process/replica/core/step.go
@@ -63,6 +63,7 @@
 		return true
 	case laburnumv1.ConsensusType_CONSENSUS_TYPE_VOTE:
 		if c.withholdsVote() && !m.Transfer {
+			c.reportRefusal(m, false, refusedForLeader)
 			return false
 		}
 		c.becomeFollower(m.Term, "")
--- a/internal/process/replica/node.go
+++ b/internal/process/replica/node.go
@@ -133,6 +133,7 @@
 	nextRead        uint64
 	appliedWaiters  []appliedWaiter
 	dropReasons     map[string]core.DropReason
+	electionLog     electionLog
 }
 
 var _ Log = (*Node)(nil)
--- a/internal/process/replica/process.go
+++ b/internal/process/replica/process.go
@@ -15,6 +15,7 @@
 	for n.core.HasReady() {
 		r := n.core.Ready()
 		n.send(r.Messages)
+		n.logElections(r)
 		if r.Write != nil {
 			n.storage.enqueue(storageTask{write: r.Write})
 		}
