--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -91,8 +91,9 @@
 // disk is a file system whose writes fail with ENOSPC while full is set.
 type disk struct {
 	journal.OS
-	full    atomic.Bool
-	refused atomic.Int64 // writes that failed
+	full     atomic.Bool
+	refused  atomic.Int64  // writes that failed
+	syncTime time.Duration // what a sync takes longer; set before an instance uses the disk
 }
 
 func (d *disk) Create(path string) (journal.File, error) {
@@ -118,6 +119,11 @@
 	return f.File.Write(p)
 }
 
+func (f diskFile) Sync() error {
+	time.Sleep(f.disk.syncTime)
+	return f.File.Sync()
+}
+
 // logBuffer collects the log output of the instances.
 type logBuffer struct {
 	mu   sync.Mutex
--- /dev/null
+++ b/internal/process/replica/core/catchup_test.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// delayAnswers lets ticks pass in each of which commands are committed, while the answers of a member arrive only after the next
+// ones have been committed. It stops early once done returns true.
+func (n *network) delayAnswers(t *testing.T, a *peer, member string, ticks int, done func() bool) {
+	t.Helper()
+	var delayed []Message
+	for range ticks {
+		for i := range busyRounds + 1 {
+			_, _, err := n.propose(a, i, 1)
+			must.NoError(t, err)
+			for len(n.inFlight) > 0 {
+				m := n.inFlight[0]
+				if m.From == member {
+					n.inFlight, delayed = n.inFlight[1:], append(delayed, m)
+					continue
+				}
+				n.deliver(0)
+			}
+		}
+		if done() {
+			return
+		}
+		n.inFlight, delayed = delayed, nil
+		n.deliverAll()
+		for _, name := range n.names {
+			n.tick(n.peers[name])
+		}
+		n.deliverAll()
+	}
+}
+
+// Guards against a lost voter that is never replaced: on a log that is never idle, a learner whose answers take a little longer than
+// a commit holds every entry soon, but never all of them at one moment. Two more losses then leave no quorum.
+func TestLearnerThatKeepsUpIsPromotedThoughNeverLevel(t *testing.T) {
+	n, a := newElectedNetwork(t, "a", "b", "c")
+	n.run(4 * testHeartbeatTicks)
+	n.add("d", nil, 0)
+	_, _, err := a.core.AddLearner("d", "")
+	must.NoError(t, err)
+	n.processReady(a)
+	n.deliverAll()
+	err = ErrNotCaughtUp
+	n.delayAnswers(t, a, "d", 20*testElectionTicks, func() bool {
+		must.Less(t, a.core.log.commit, a.core.progress["d"].match, must.Sprint("never level"))
+		_, _, err = a.core.Promote("d")
+		return err == nil
+	})
+	must.NoError(t, err)
+	n.processReady(a)
+	n.deliverAll()
+	must.True(t, a.core.members.isVoter("d"))
+	n.requireInvariants(t)
+}
