A learner that keeps up is promoted; the leader promotes none that is behind

Cause: a lost voter keeps its place until a learner can be promoted, and that took a moment at which the learner holds every committed entry. On a log that is never idle there is hardly any: answers take a network round trip and a sync, and the next commit is there before. The leader tried one learner, chosen without regard to its log, for 3 s at a time. So losses within the tolerance add up: of five voters two are gone, two more are lost, three of five can't answer. The class is a repair that waits for a moment of rest, and so can't be done under the load that makes it necessary.

Change: the leader measures rounds. A round ends when a learner holds what the log held when it began; a learner whose last round took less than an election timeout has caught up. The status names those, electorate.Next promotes only them, and says what it waits for if there is none. The pacing of a learner isn't lifted any more, as it need not be level. Safety is untouched: any member may become a voter at any time; the round bounds how long the new voter holds up a commit that needs it.

TestLearnerThatFallsBehindIsNotPromoted guards the other side.

--- a/internal/jobcontrol/members.go
+++ b/internal/jobcontrol/members.go
@@ -55,7 +55,8 @@
 	seedPeers    func() []string
 	// checkRoom returns an error if the data folder can't be written.
 	checkRoom func() error
-	noRoom    bool // checkRoom returned an error last; used by run only
+	noRoom    bool   // checkRoom returned an error last; used by run only
+	waitsFor  string // the reason that logWait logged last; used by run only
 	http      *http.Client
 	log       hclog.Logger
 
@@ -195,7 +196,8 @@
 	}
 	list, joiners := m.electorateInput(s)
 	action := electorate.Next(list, joiners, m.targetVoters)
-	if action == (electorate.Action{}) {
+	if action.Empty() {
+		m.logWait(s, action.Reason)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
@@ -213,6 +215,14 @@
 		"reason", action.Reason, "voters", len(s.Voters), "error", err)
 }
 
+// logWait logs what the next change of the membership waits for, when that changes.
+func (m *members) logWait(s replica.Status, reason string) {
+	if m.waitsFor != reason {
+		m.waitsFor = reason
+		m.log.Warn("membership of the log", "waits_for", reason, "voters", s.Voters, "answering", s.Active, "caught_up", s.CaughtUp)
+	}
+}
+
 // electorateInput returns the state of the members and the pending join requests for electorate.Next. A member not seen
 // before in this term counts as active now.
 func (m *members) electorateInput(s replica.Status) ([]electorate.Member, []electorate.Joiner) {
@@ -237,7 +247,7 @@
 		}
 		list = append(list, electorate.Member{
 			Name: member.Name, Address: member.Address, Learner: member.Learner, Self: member.Name == m.name,
-			Silent: now - m.lastActive[member.Name],
+			Silent: now - m.lastActive[member.Name], CaughtUp: slices.Contains(s.CaughtUp, member.Name),
 		})
 	}
 	var joiners []electorate.Joiner
--- a/internal/process/electorate/electorate.go
+++ b/internal/process/electorate/electorate.go
@@ -28,6 +28,8 @@
 	Self bool
 	// Silent is the time since the member last answered.
 	Silent time.Duration
+	// CaughtUp is set on a learner that holds enough of the log to vote.
+	CaughtUp bool
 }
 
 // Joiner is an instance that asked to join.
@@ -39,7 +41,8 @@
 
 // Action is one change of the membership.
 type Action struct {
-	// Add, Promote and Remove name a member; one of them is set, or none if nothing is to be done.
+	// Add, Promote and Remove name a member; one of them is set, or none if nothing is to be done. Then Reason tells what the next
+	// change waits for; it is empty if the membership is as it should be.
 	Add, Promote, Remove string
 	// Address is that of Add.
 	Address string
@@ -52,13 +55,24 @@
 func Next(members []Member, joiners []Joiner, voters int) Action {
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	for _, step := range []func([]Member, []Joiner, int) Action{addJoiner, promoteMissingVoter, promoteReplacement, removeExtraVoter, removeSilentLearner} {
-		if a := step(members, joiners, voters); a != (Action{}) {
+		if a := step(members, joiners, voters); !a.Empty() {
 			return a
 		}
 	}
+	if votersMissing(members, voters) {
+		return Action{Reason: "no learner has caught up that could become a voter"}
+	}
 	return Action{}
 }
 
+// Empty reports whether nothing is to be done.
+func (a Action) Empty() bool { return a.Add == "" && a.Promote == "" && a.Remove == "" }
+
+// votersMissing reports whether there are too few voters that answer.
+func votersMissing(members []Member, voters int) bool {
+	return count(members, func(m Member) bool { return !m.Learner && !needsReplacement(m, members) }) < voters
+}
+
 // addJoiner adds an instance that asked to join.
 func addJoiner(members []Member, joiners []Joiner, _ int) Action {
 	for _, j := range joiners {
@@ -94,7 +108,7 @@
 	return !m.Learner && !m.Self && (m.Silent >= deadAfter || lostDataFolder(m, members))
 }
 
-// bestLearner returns the name of the learner that answered most recently, or "" if none has answered within deadAfter.
+// bestLearner returns the name of the learner that has caught up and answered most recently, or "" if none has answered within deadAfter.
 func bestLearner(members []Member) string {
 	best := slices.MinFunc(append([]Member{{Silent: deadAfter}}, members...), func(a, b Member) int {
 		return cmp.Compare(promotionRank(a), promotionRank(b))
@@ -104,7 +118,7 @@
 
 // promotionRank returns the rank of m as a new voter, lower is better; deadAfter means that it is unsuitable.
 func promotionRank(m Member) time.Duration {
-	if !m.Learner || m.Silent >= deadAfter {
+	if !m.Learner || !m.CaughtUp || m.Silent >= deadAfter {
 		return deadAfter
 	}
 	return m.Silent
--- a/internal/process/electorate/electorate_test.go
+++ b/internal/process/electorate/electorate_test.go
@@ -12,12 +12,13 @@
 }
 
 func learner(name string, silent time.Duration) Member {
-	return Member{Name: name, Address: name, Silent: silent, Learner: true}
+	return Member{Name: name, Address: name, Silent: silent, Learner: true, CaughtUp: true}
 }
 
 func TestNext(t *testing.T) {
 	threeVoters := []Member{voter("a", 0), voter("b", 0), voter("c", 0)}
-	replaced := Member{Name: "c/1", Address: "c", Learner: true}
+	replaced := Member{Name: "c/1", Address: "c", Learner: true, CaughtUp: true}
+	behind := Member{Name: "d", Address: "d", Learner: true}
 	cases := []struct {
 		name    string
 		members []Member
@@ -31,6 +32,8 @@
 		{"too few voters", []Member{voter("a", 0), learner("b", 0)}, nil, Action{Promote: "b"}},
 		{"a silent learner gets no vote", []Member{voter("a", 0), learner("b", deadAfter)}, nil, Action{}},
 		{"a dead voter is replaced", append(threeVoters[:2:2], voter("c", deadAfter), learner("d", 0)), nil, Action{Promote: "d"}},
+		{"a learner that is behind doesn't keep another one from the vote", append(threeVoters[:2:2], voter("c", deadAfter), behind, learner("e", time.Second)), nil,
+			Action{Promote: "e"}},
 		{"a short silence is tolerated", append(threeVoters[:2:2], voter("c", time.Second), learner("d", 0)), nil, Action{}},
 		{"a voter that lost its data folder is replaced at once", append(threeVoters[:2:2], voter("c", time.Second), replaced), nil, Action{Promote: "c/1"}},
 		{"a dead voter is removed once replaced", append(threeVoters[:2:2], voter("c", deadAfter), voter("d", 0)), nil, Action{Remove: "c"}},
--- a/internal/process/replica/core/catchup_test.go
+++ b/internal/process/replica/core/catchup_test.go
@@ -58,3 +58,26 @@
 	must.True(t, a.core.members.isVoter("d"))
 	n.requireInvariants(t)
 }
+
+// Guards against a new voter that holds up every commit: a learner that answers, but whose disk is slow or hangs, isn't promoted on a
+// busy log until it keeps up again.
+func TestLearnerThatFallsBehindIsNotPromoted(t *testing.T) {
+	n, a := newElectedNetwork(t, "a", "b", "c")
+	d := n.add("d", nil, 0)
+	_, _, err := a.core.AddLearner("d", "")
+	must.NoError(t, err)
+	n.processReady(a)
+	n.deliverAll()
+	n.load(t, a, 2*testElectionTicks, nil)
+	must.True(t, a.core.caughtUp("d"))
+	n.setSlow(d, true)
+	n.load(t, a, testElectionTicks+1, nil)
+	must.True(t, a.core.progress["d"].active(a.core.now, testElectionTicks))
+	_, _, err = a.core.Promote("d")
+	must.ErrorIs(t, err, ErrNotCaughtUp)
+	n.setSlow(d, false)
+	n.load(t, a, 3, nil)
+	_, _, err = a.core.Promote("d")
+	must.NoError(t, err)
+	n.requireInvariants(t)
+}
--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -404,6 +404,8 @@
 	// Active lists the other members that answered this leader within the election timeout. It is empty on replicas
 	// that don't lead.
 	Active []string
+	// CaughtUp lists the learners that Promote makes voters. It is empty on replicas that don't lead.
+	CaughtUp []string
 }
 
 // Status returns the current status.
@@ -416,9 +418,14 @@
 	if c.role != Leader {
 		return s
 	}
-	for _, name := range c.peers() {
-		if p := c.progress[name]; p != nil && p.folderID != 0 && p.active(c.now, c.cfg.ElectionTicks) {
-			s.Active = append(s.Active, name)
+	for _, m := range c.members.current() {
+		p := c.progress[m.Name]
+		if p == nil || p.folderID == 0 || !p.active(c.now, c.cfg.ElectionTicks) {
+			continue
+		}
+		s.Active = append(s.Active, m.Name)
+		if m.Learner && c.holdsEnough(p) {
+			s.CaughtUp = append(s.CaughtUp, m.Name)
 		}
 	}
 	return s
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -38,11 +38,11 @@
 
 	paced        bool          // appends are sent once per tick (see selectPaced)
 	inQuorum     bool          // the fastest quorum needs this member (see selectPaced)
-	promptUntil  uint64        // tick until which appends are sent at once even if paced is set
 	waitingSince uint64        // tick since which the oldest of inflight is unanswered
 	responseTime time.Duration // average time from an append to its answer; 0 if not measured
 	timedIndex   uint64        // the answer that covers this index is measured; 0 if none
 	timedSince   time.Duration // when the message up to timedIndex was sent
+	round        catchUpRound
 }
 
 // inflightMessage is an unanswered message with entries.
@@ -276,6 +276,7 @@
 	if p.sendingSnapshot != nil {
 		return
 	}
+	p.round.answered(p.match, c.log.last(), c.now, c.cfg.ElectionTicks)
 	p.probing = false
 	p.next = max(p.next, p.match+1)
 	if c.transferee == m.From && c.maybeSendTimeoutNow() {
--- a/internal/process/replica/core/members.go
+++ b/internal/process/replica/core/members.go
@@ -111,8 +111,7 @@
 	return c.proposeMembership(next)
 }
 
-// Promote proposes to make a learner a voter. It fails with ErrNotCaughtUp until the learner is active and holds all
-// committed entries.
+// Promote proposes to make a learner a voter. It fails with ErrNotCaughtUp until the learner has caught up (see catchUpRound).
 func (c *Core) Promote(name string) (index, term uint64, err error) {
 	member := c.members.get(name)
 	if member == nil {
@@ -121,10 +120,8 @@
 	if !member.Learner {
 		return 0, 0, ErrMemberExists
 	}
-	p := c.progress[name]
-	if c.role == Leader && (p.folderID == 0 || p.match < c.log.commit || !p.active(c.now, c.cfg.ElectionTicks)) {
-		p.promptUntil = c.now + uint64(c.cfg.ElectionTicks) // a paced learner would rarely hold everything
-		return 0, 0, c.describeLag(p)
+	if c.role == Leader && !c.caughtUp(name) {
+		return 0, 0, c.describeLag(c.progress[name])
 	}
 	next := c.cloneMembers()
 	for _, m := range next {
--- a/internal/process/replica/core/pacing.go
+++ b/internal/process/replica/core/pacing.go
@@ -26,7 +26,7 @@
 
 // due reports whether a member is to be sent appends now.
 func (c *Core) due(name string, p *progress) bool {
-	return !p.paced || c.tickDue || name == c.transferee || c.now < p.promptUntil || c.log.exceeds(p.next-1, c.cfg.MaxAppendBytes)
+	return !p.paced || c.tickDue || name == c.transferee || c.log.exceeds(p.next-1, c.cfg.MaxAppendBytes)
 }
 
 // silent reports whether an append has been unanswered for silentTicks.
--- a/internal/process/replica/core/replacement_test.go
+++ b/internal/process/replica/core/replacement_test.go
@@ -159,7 +159,7 @@
 		}
 		list = append(list, electorate.Member{
 			Name: m.Name, Address: address(m.Name), Learner: m.Learner, Self: m.Name == p.name,
-			Silent: time.Duration(f.now-f.lastActive[m.Name]) * simTick,
+			Silent: time.Duration(f.now-f.lastActive[m.Name]) * simTick, CaughtUp: slices.Contains(s.CaughtUp, m.Name),
 		})
 	}
 	var joiners []electorate.Joiner
--- a/internal/process/replica/process.go
+++ b/internal/process/replica/process.go
@@ -188,7 +188,7 @@
 	s := n.core.Status()
 	next := Status{
 		Node: n.opts.Name, Leader: s.Leader, Term: s.Term, Committed: s.Committed, Applied: n.applied,
-		IsLeader: s.Role == core.Leader, QuorumAlive: s.QuorumAlive, Members: s.Members, Active: s.Active,
+		IsLeader: s.Role == core.Leader, QuorumAlive: s.QuorumAlive, Members: s.Members, Active: s.Active, CaughtUp: s.CaughtUp,
 		Sizes: n.sizes(s),
 	}
 	for _, m := range s.Members {
--- a/internal/process/replica/replica.go
+++ b/internal/process/replica/replica.go
@@ -59,7 +59,9 @@
 	// leader within the election timeout; it is empty on replicas that don't lead.
 	Members []*laburnumv1.Member
 	Active  []string
-	Sizes   Sizes
+	// CaughtUp names the learners that may be promoted. It is empty on replicas that don't lead.
+	CaughtUp []string
+	Sizes    Sizes
 	// Failure is the error that stopped the replica for good, or empty.
 	Failure string
 }
