A new leader doesn't remove a voter that answers in place of a lost one

While a lost voter is being replaced there is one voter too many for a moment. If the leader changes then, the new one counts all silences from its own start, finds no voter that is lost, and removed the last one by name, which works; the lost one kept its vote and was replaced 3 s later again. With two more losses meanwhile no quorum is left.

Change: of too many voters, one that has been silent for a second goes first; one that answers goes only once all have answered the present leader, as then the one that was to be replaced is back. TestNewLeaderKeepsVotersThatAnswer fails before (it removes at once).

--- a/internal/jobcontrol/members.go
+++ b/internal/jobcontrol/members.go
@@ -64,7 +64,8 @@
 	joiners        map[string]joiner
 	learned        []string                 // addresses of members from replies to requests to join
 	lastActive     map[string]time.Duration // boottime.Now() when each member was last active; used on the leader only
-	lastActiveTerm uint64                   // the term to which lastActive belongs
+	heard          map[string]bool          // the members that were active in lastActiveTerm
+	lastActiveTerm uint64                   // the term to which lastActive and heard belong
 }
 
 type joiner struct {
@@ -230,14 +231,15 @@
 	defer m.mu.Unlock()
 	now := boottime.Now()
 	if m.lastActiveTerm != s.Term {
-		m.lastActiveTerm, m.lastActive = s.Term, make(map[string]time.Duration)
+		m.lastActiveTerm, m.lastActive, m.heard = s.Term, make(map[string]time.Duration), make(map[string]bool)
 	}
 	for _, name := range s.Active {
-		m.lastActive[name] = now
+		m.lastActive[name], m.heard[name] = now, true
 	}
 	for name := range m.lastActive {
 		if !slices.ContainsFunc(s.Members, func(o *laburnumv1.Member) bool { return o.Name == name }) {
 			delete(m.lastActive, name)
+			delete(m.heard, name)
 		}
 	}
 	var list []electorate.Member
@@ -247,7 +249,7 @@
 		}
 		list = append(list, electorate.Member{
 			Name: member.Name, Address: member.Address, Learner: member.Learner, Self: member.Name == m.name,
-			Silent: now - m.lastActive[member.Name], CaughtUp: slices.Contains(s.CaughtUp, member.Name),
+			Silent: now - m.lastActive[member.Name], Heard: m.heard[member.Name], CaughtUp: slices.Contains(s.CaughtUp, member.Name),
 		})
 	}
 	var joiners []electorate.Joiner
--- a/internal/process/electorate/electorate.go
+++ b/internal/process/electorate/electorate.go
@@ -13,6 +13,9 @@
 	// deadAfter is how long a voter must be silent before it is replaced. It is longer than a restart or a short freeze
 	// of a machine usually takes, and shorter than the 4 s after which a second loss must be survived (catch_up_s).
 	deadAfter = 3 * time.Second
+	// extraSilentAfter is how long one of too many voters must be silent before it is removed instead of one that answers: a new
+	// leader hears from all that run within a few heartbeats.
+	extraSilentAfter = time.Second
 	// removeLearnerAfter is how long a learner may be silent before it is removed. It asks to join again when it is
 	// back.
 	removeLearnerAfter = 30 * time.Second
@@ -28,6 +31,8 @@
 	Self bool
 	// Silent is the time since the member last answered.
 	Silent time.Duration
+	// Heard is set once the member has answered the present leader.
+	Heard bool
 	// CaughtUp is set on a learner that holds enough of the log to vote.
 	CaughtUp bool
 }
@@ -55,7 +60,7 @@
 func Next(members []Member, joiners []Joiner, voters int) Action {
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	for _, step := range []func([]Member, []Joiner, int) Action{addJoiner, promoteMissingVoter, promoteReplacement, removeExtraVoter, removeSilentLearner} {
-		if a := step(members, joiners, voters); !a.Empty() {
+		if a := step(members, joiners, voters); a != (Action{}) {
 			return a
 		}
 	}
@@ -156,6 +161,19 @@
 			return Action{Remove: m.Name, Reason: "another voter has taken its place"}
 		}
 	}
+	unheard := false
+	for _, m := range members {
+		if m.Learner || m.Self {
+			continue
+		}
+		if m.Silent >= extraSilentAfter {
+			return Action{Remove: m.Name, Reason: "there are too many voters, and it does not answer"}
+		}
+		unheard = unheard || !m.Heard
+	}
+	if unheard {
+		return Action{Reason: "there are too many voters, and one has not answered this leader yet"}
+	}
 	// All voters answer, so the replaced one is back. The last one by name is removed, but never the leader.
 	for _, m := range slices.Backward(members) {
 		if !m.Learner && !m.Self {
--- a/internal/process/electorate/electorate_test.go
+++ b/internal/process/electorate/electorate_test.go
@@ -1,6 +1,7 @@
 package electorate
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -8,7 +9,7 @@
 )
 
 func voter(name string, silent time.Duration) Member {
-	return Member{Name: name, Address: name, Silent: silent, Self: name == "a"}
+	return Member{Name: name, Address: name, Silent: silent, Self: name == "a", Heard: true}
 }
 
 func learner(name string, silent time.Duration) Member {
@@ -50,3 +51,22 @@
 		})
 	}
 }
+
+// Guards against a new leader that removes a voter that works and keeps the lost one: it has just begun to listen, so that no voter has
+// been silent for long, while one too many is a voter because the leader before it was about to replace the lost one.
+func TestNewLeaderKeepsVotersThatAnswer(t *testing.T) {
+	members := func(silent time.Duration, heard ...string) (list []Member) {
+		for _, name := range []string{"a", "b", "c", "d"} {
+			m := voter(name, silent)
+			if m.Heard = slices.Contains(heard, name); m.Heard {
+				m.Silent = 0
+			}
+			list = append(list, m)
+		}
+		return list
+	}
+	must.True(t, Next(members(0), nil, 3).Empty())
+	must.True(t, Next(members(250*time.Millisecond, "a", "c", "d"), nil, 3).Empty(), must.Sprint("b may answer yet"))
+	must.Eq(t, "b", Next(members(extraSilentAfter, "a", "c", "d"), nil, 3).Remove)
+	must.Eq(t, "d", Next(members(0, "a", "b", "c", "d"), nil, 3).Remove, must.Sprint("the one that was to be replaced is back"))
+}
--- a/internal/process/replica/core/replacement_test.go
+++ b/internal/process/replica/core/replacement_test.go
@@ -31,6 +31,7 @@
 	targetVoters int
 	seeds        map[string][]string // by member
 	lastActive   map[string]uint64   // tick at which the leader last heard a member
+	heard        map[string]bool     // members that the leader of activeTerm has heard
 	activeTerm   uint64
 	learned      map[string][]string          // addresses that a member was told in answers to its requests to join
 	joiners      map[string]map[string]uint64 // tick of the last request to join, by receiver and sender
@@ -147,10 +148,10 @@
 	}
 	s := p.core.Status()
 	if f.activeTerm != s.Term {
-		f.activeTerm, f.lastActive = s.Term, make(map[string]uint64)
+		f.activeTerm, f.lastActive, f.heard = s.Term, make(map[string]uint64), make(map[string]bool)
 	}
 	for _, name := range s.Active {
-		f.lastActive[name] = f.now
+		f.lastActive[name], f.heard[name] = f.now, true
 	}
 	var list []electorate.Member
 	for _, m := range s.Members {
@@ -159,7 +160,7 @@
 		}
 		list = append(list, electorate.Member{
 			Name: m.Name, Address: address(m.Name), Learner: m.Learner, Self: m.Name == p.name,
-			Silent: time.Duration(f.now-f.lastActive[m.Name]) * simTick, CaughtUp: slices.Contains(s.CaughtUp, m.Name),
+			Silent: time.Duration(f.now-f.lastActive[m.Name]) * simTick, Heard: f.heard[m.Name], CaughtUp: slices.Contains(s.CaughtUp, m.Name),
 		})
 	}
 	var joiners []electorate.Joiner
