A new leader counts the time without a leader as silence of the voters that it doesn't hear

A leader that is lost was silent for the whole election, and its successor began to count at zero: with three of five voters left each election needs all three, takes several terms on slow or unlucky machines, and only then the 3 s begin after which a lost voter is replaced. Two more losses, allowed 4 to 6 s after the first are back, then leave no quorum.

Change: a replica knows for how long it has heard no leader. A voter that hasn't answered the new leader within a second is counted as silent for that time, too. What the leader knows of its members is now one type, electorate.Contacts, used by the tests of the core as well.

--- a/internal/jobcontrol/members.go
+++ b/internal/jobcontrol/members.go
@@ -15,7 +15,6 @@
 	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/process/electorate"
 	"laburnumrouter/internal/process/replica"
-	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
 
 const (
@@ -60,12 +59,10 @@
 	http      *http.Client
 	log       hclog.Logger
 
-	mu             sync.Mutex
-	joiners        map[string]joiner
-	learned        []string                 // addresses of members from replies to requests to join
-	lastActive     map[string]time.Duration // boottime.Now() when each member was last active; used on the leader only
-	heard          map[string]bool          // the members that were active in lastActiveTerm
-	lastActiveTerm uint64                   // the term to which lastActive and heard belong
+	mu       sync.Mutex
+	joiners  map[string]joiner
+	learned  []string            // addresses of members from replies to requests to join
+	contacts electorate.Contacts // used on the leader only
 }
 
 type joiner struct {
@@ -224,32 +221,18 @@
 	}
 }
 
-// electorateInput returns the state of the members and the pending join requests for electorate.Next. A member not seen
-// before in this term counts as active now.
+// electorateInput returns the state of the members and the pending join requests for electorate.Next.
 func (m *members) electorateInput(s replica.Status) ([]electorate.Member, []electorate.Joiner) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := boottime.Now()
-	if m.lastActiveTerm != s.Term {
-		m.lastActiveTerm, m.lastActive, m.heard = s.Term, make(map[string]time.Duration), make(map[string]bool)
-	}
-	for _, name := range s.Active {
-		m.lastActive[name], m.heard[name] = now, true
-	}
-	for name := range m.lastActive {
-		if !slices.ContainsFunc(s.Members, func(o *laburnumv1.Member) bool { return o.Name == name }) {
-			delete(m.lastActive, name)
-			delete(m.heard, name)
-		}
-	}
+	m.contacts.Update(now, s.Term, s.Leaderless, slices.Concat(s.Voters, s.Learners), s.Active)
 	var list []electorate.Member
 	for _, member := range s.Members {
-		if _, ok := m.lastActive[member.Name]; !ok {
-			m.lastActive[member.Name] = now
-		}
+		silent, heard := m.contacts.Silent(member.Name)
 		list = append(list, electorate.Member{
 			Name: member.Name, Address: member.Address, Learner: member.Learner, Self: member.Name == m.name,
-			Silent: now - m.lastActive[member.Name], Heard: m.heard[member.Name], CaughtUp: slices.Contains(s.CaughtUp, member.Name),
+			Silent: silent, Heard: heard, CaughtUp: slices.Contains(s.CaughtUp, member.Name),
 		})
 	}
 	var joiners []electorate.Joiner
--- a/internal/jobcontrol/participant.go
+++ b/internal/jobcontrol/participant.go
@@ -85,7 +85,7 @@
 	p.members = &members{
 		node: p.node, name: name, address: s.PeerListen, targetVoters: 2*s.Losses + 1, seedPeers: c.currentSeeds, checkRoom: c.checkRoom,
 		http: &http.Client{Timeout: joinInterval}, log: log.Named("members"),
-		joiners: make(map[string]joiner), lastActive: make(map[string]time.Duration),
+		joiners: make(map[string]joiner),
 	}
 	return p, nil
 }
--- a/internal/process/electorate/electorate.go
+++ b/internal/process/electorate/electorate.go
@@ -1,5 +1,5 @@
 // Package electorate decides, on the leader of a replicated log, which member is added, promoted to voter or removed
-// next. It has no state, reads no clock and does no I/O.
+// next. It reads no clock and does no I/O.
 package electorate
 
 import (
--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -160,8 +160,10 @@
 	leader  string
 	// heardByLeader is set on a follower if its leader reports that it receives the follower's answers.
 	heardByLeader bool
-	log           log
-	members       membershipHistory
+	// ledUntil is the tick until which this replica led or heard a leader. leaderless is, on a leader, how long there was none before.
+	ledUntil, leaderless uint64
+	log                  log
+	members              membershipHistory
 	// tookPartInFirstElection is set if this replica is known to have voted, with this data folder, before it had a log.
 	tookPartInFirstElection bool
 
@@ -355,7 +357,7 @@
 		c.term, c.vote = term, ""
 	}
 	if c.role == Leader {
-		c.reads = nil
+		c.reads, c.ledUntil = nil, c.now
 	}
 	c.role, c.leader, c.heardByLeader = Follower, leader, false
 	c.transferee, c.transferCampaign, c.abdicating = "", false, false
@@ -404,6 +406,8 @@
 	// Active lists the other members that answered this leader within the election timeout. It is empty on replicas
 	// that don't lead.
 	Active []string
+	// LeaderlessTicks is the time for which this leader heard no other before it began to lead; 0 on replicas that don't lead.
+	LeaderlessTicks uint64
 	// CaughtUp lists the learners that Promote makes voters. It is empty on replicas that don't lead.
 	CaughtUp []string
 }
@@ -418,6 +422,7 @@
 	if c.role != Leader {
 		return s
 	}
+	s.LeaderlessTicks = c.leaderless
 	for _, m := range c.members.current() {
 		p := c.progress[m.Name]
 		if p == nil || p.folderID == 0 || !p.active(c.now, c.cfg.ElectionTicks) {
--- a/internal/process/replica/core/election.go
+++ b/internal/process/replica/core/election.go
@@ -226,7 +226,7 @@
 }
 
 func (c *Core) becomeLeader() {
-	c.role, c.leader = Leader, c.cfg.Name
+	c.role, c.leader, c.leaderless = Leader, c.cfg.Name, c.now-c.ledUntil
 	c.votes, c.transferee, c.transferCampaign, c.abdicating = nil, "", false, false
 	c.heartbeatElapsed = 0
 	c.rounds, c.roundsLastTick, c.lastRound, c.allPromptUntil = 0, 0, c.log.last(), 0
--- a/internal/process/replica/core/follower.go
+++ b/internal/process/replica/core/follower.go
@@ -15,7 +15,7 @@
 		c.becomeFollower(c.term, m.From)
 	}
 	c.heardByLeader = m.Answered
-	c.electionElapsed = 0
+	c.electionElapsed, c.ledUntil = 0, c.now
 }
 
 // stepAppend appends the leader's entries if the log matches the leader's at the entry before them.
--- a/internal/process/replica/core/replacement_test.go
+++ b/internal/process/replica/core/replacement_test.go
@@ -29,10 +29,8 @@
 type fleet struct {
 	*network
 	targetVoters int
-	seeds        map[string][]string // by member
-	lastActive   map[string]uint64   // tick at which the leader last heard a member
-	heard        map[string]bool     // members that the leader of activeTerm has heard
-	activeTerm   uint64
+	seeds        map[string][]string          // by member
+	contacts     electorate.Contacts          // of the leader
 	learned      map[string][]string          // addresses that a member was told in answers to its requests to join
 	joiners      map[string]map[string]uint64 // tick of the last request to join, by receiver and sender
 	now          uint64
@@ -50,7 +48,7 @@
 	founders := []string{"m0", "m1", "m2"}
 	f := &fleet{
 		network: newNetwork(seed, founders...), targetVoters: 2*tolerated + 1, seeds: make(map[string][]string),
-		lastActive: make(map[string]uint64), joiners: make(map[string]map[string]uint64), learned: make(map[string][]string), nextAddress: 3, removed: make(map[string]bool),
+		joiners: make(map[string]map[string]uint64), learned: make(map[string][]string), nextAddress: 3, removed: make(map[string]bool),
 	}
 	for _, name := range founders {
 		f.seeds[name] = founders
@@ -147,20 +145,17 @@
 		return
 	}
 	s := p.core.Status()
-	if f.activeTerm != s.Term {
-		f.activeTerm, f.lastActive, f.heard = s.Term, make(map[string]uint64), make(map[string]bool)
-	}
-	for _, name := range s.Active {
-		f.lastActive[name], f.heard[name] = f.now, true
+	now, names := time.Duration(f.now)*simTick, []string{}
+	for _, m := range s.Members {
+		names = append(names, m.Name)
 	}
+	f.contacts.Update(now, s.Term, time.Duration(s.LeaderlessTicks)*simTick, names, s.Active)
 	var list []electorate.Member
 	for _, m := range s.Members {
-		if _, ok := f.lastActive[m.Name]; !ok {
-			f.lastActive[m.Name] = f.now
-		}
+		silent, heard := f.contacts.Silent(m.Name)
 		list = append(list, electorate.Member{
 			Name: m.Name, Address: address(m.Name), Learner: m.Learner, Self: m.Name == p.name,
-			Silent: time.Duration(f.now-f.lastActive[m.Name]) * simTick, Heard: f.heard[m.Name], CaughtUp: slices.Contains(s.CaughtUp, m.Name),
+			Silent: silent, Heard: heard, CaughtUp: slices.Contains(s.CaughtUp, m.Name),
 		})
 	}
 	var joiners []electorate.Joiner
--- a/internal/process/replica/process.go
+++ b/internal/process/replica/process.go
@@ -189,7 +189,8 @@
 	next := Status{
 		Node: n.opts.Name, Leader: s.Leader, Term: s.Term, Committed: s.Committed, Applied: n.applied,
 		IsLeader: s.Role == core.Leader, QuorumAlive: s.QuorumAlive, Members: s.Members, Active: s.Active, CaughtUp: s.CaughtUp,
-		Sizes: n.sizes(s),
+		Leaderless: time.Duration(s.LeaderlessTicks) * n.opts.Tick,
+		Sizes:      n.sizes(s),
 	}
 	for _, m := range s.Members {
 		if m.Learner {
--- a/internal/process/replica/replica.go
+++ b/internal/process/replica/replica.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -61,7 +62,9 @@
 	Active  []string
 	// CaughtUp names the learners that may be promoted. It is empty on replicas that don't lead.
 	CaughtUp []string
-	Sizes    Sizes
+	// Leaderless is how long this leader heard no other before it began to lead; 0 on replicas that don't lead.
+	Leaderless time.Duration
+	Sizes      Sizes
 	// Failure is the error that stopped the replica for good, or empty.
 	Failure string
 }
