A learner keeps up while its rounds take at most four election timeouts

With a third of the processor learners keep up with rounds of more than half a second for spans, and a lost voter waits for them ('no learner has caught up' for ten seconds and more). A commit that needs the new voter is held up for a round at most, once, as the next change removes the lost one; a lost voter that keeps its vote may cost the quorum.

--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -276,7 +276,7 @@
 	if p.sendingSnapshot != nil {
 		return
 	}
-	p.round.answered(p.match, c.log.last(), c.now, c.cfg.ElectionTicks)
+	p.round.answered(p.match, c.log.last(), c.now, c.maxRoundTicks())
 	p.probing = false
 	p.next = max(p.next, p.match+1)
 	if c.transferee == m.From && c.maybeSendTimeoutNow() {
