Log of failed streams to members and of what each member holds

A learner that doesn't catch up looked the same whether it is slow, isn't sent anything or loses what it is sent. While a change of the membership waits, the leader logs every 5 s what it knows of each member's log; a link logs a stream that failed, with the size of the batch, the time that it took and the error, once a second at most.

--- a/internal/connection/replication/link.go
+++ b/internal/connection/replication/link.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
 
 	"laburnumrouter/internal/connection/peer"
 	"laburnumrouter/internal/process/settings"
@@ -31,6 +32,8 @@
 	// stepPeriod is how long Step is used for a peer that doesn't know streams before it is asked again. It may have been
 	// replaced by a newer version meanwhile.
 	stepPeriod = 10 * time.Second
+	// failureLogInterval is the least time between lines about streams to one peer that failed.
+	failureLogInterval = time.Second
 )
 
 // link is the connection to one peer and the queue of messages to it. One goroutine sends one batch at a time, in order,
@@ -41,6 +44,7 @@
 	dial    func() *peer.Dialer
 	// maxBytes bounds the queue in bytes; 0 means no limit.
 	maxBytes int
+	log      hclog.Logger
 	wake     chan struct{} // holds an element if the queue is not empty
 
 	mu      sync.Mutex
@@ -56,10 +60,13 @@
 	stream     *stream
 	streaming  bool      // the peer is known to support streams
 	stepUntil  time.Time // Step is used until then
+	// failureLoggedAt is when a failed stream was last logged, failuresOmitted how many were not since.
+	failureLoggedAt time.Time
+	failuresOmitted int
 }
 
 func newLink(address string, dial func() *peer.Dialer, maxBytes int) *link {
-	l := &link{id: rand.Uint64() | 1, address: address, dial: dial, maxBytes: maxBytes, wake: make(chan struct{}, 1)}
+	l := &link{id: rand.Uint64() | 1, address: address, dial: dial, maxBytes: maxBytes, log: hclog.NewNullLogger(), wake: make(chan struct{}, 1)}
 	l.redial()
 	return l
 }
@@ -135,10 +142,12 @@
 			return
 		}
 		opened := l.stream == nil
+		began := time.Now()
 		err := l.sendOnStream(batch)
 		if err == nil {
 			return
 		}
+		l.logFailure(batch, time.Since(began), opened, err)
 		l.closeStream()
 		// A connection that worked may be dead, and one on which nothing moves is.
 		if !opened || errors.Is(err, context.Canceled) {
@@ -213,6 +222,22 @@
 	return err
 }
 
+// logFailure logs that a stream has failed, at most once in failureLogInterval.
+func (l *link) logFailure(batch []*laburnumv1.ReplicaMessage, took time.Duration, opened bool, err error) {
+	now := time.Now()
+	if now.Sub(l.failureLoggedAt) < failureLogInterval {
+		l.failuresOmitted++
+		return
+	}
+	bytes := 0
+	for _, m := range batch {
+		bytes += len(m.Data)
+	}
+	l.log.Info("stream to a member failed; what it lacks is sent again", "address", l.address, "messages", len(batch), "bytes", bytes,
+		"took", took, "new", opened, "omitted", l.failuresOmitted, "error", err)
+	l.failureLoggedAt, l.failuresOmitted = now, 0
+}
+
 func (l *link) closeStream() {
 	if l.stream != nil {
 		l.stream.cancel()
--- a/internal/connection/replication/replication.go
+++ b/internal/connection/replication/replication.go
@@ -4,6 +4,8 @@
 import (
 	"sync"
 
+	"github.com/hashicorp/go-hclog"
+
 	"laburnumrouter/internal/connection/peer"
 	"laburnumrouter/internal/process/settings"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
@@ -14,6 +16,7 @@
 	dial            func() *peer.Dialer
 	configuredPeers map[string]settings.Peer // by member name; their addresses take precedence over those in the log
 	queueBytes      int
+	log             hclog.Logger
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -23,13 +26,16 @@
 // take precedence over those in the log. queueBytes bounds what is queued for one member; 0 means no limit in bytes. A single
 // larger batch is still sent.
 func NewLinks(dial func() *peer.Dialer, peers []settings.Peer, queueBytes int) *Links {
-	t := &Links{dial: dial, queueBytes: queueBytes, configuredPeers: make(map[string]settings.Peer), links: make(map[string]*link)}
+	t := &Links{dial: dial, queueBytes: queueBytes, log: hclog.NewNullLogger(), configuredPeers: make(map[string]settings.Peer), links: make(map[string]*link)}
 	for _, p := range peers {
 		t.configuredPeers[p.Name] = p
 	}
 	return t
 }
 
+// LogTo makes the links log the streams that fail. It must be called before they are used.
+func (t *Links) LogTo(log hclog.Logger) { t.log = log }
+
 // Send queues messages for a member; it never blocks.
 func (t *Links) Send(to *laburnumv1.Member, messages []*laburnumv1.ReplicaMessage) {
 	if l := t.link(to); l != nil {
@@ -60,6 +66,7 @@
 	l := t.links[to.Name]
 	if l == nil || l.address != address {
 		l = newLink(address, t.dial, t.queueBytes)
+		l.log = t.log
 		t.links[to.Name] = l
 	}
 	return l
--- a/internal/jobcontrol/members.go
+++ b/internal/jobcontrol/members.go
@@ -26,6 +26,8 @@
 	membershipCheckInterval = 250 * time.Millisecond
 	// changeTimeout bounds one change of the membership, which waits for a commit or for a learner to catch up.
 	changeTimeout = 3 * time.Second
+	// waitLogInterval is the time between lines about a change of the membership that waits.
+	waitLogInterval = 5 * time.Second
 	// maxJoinReplyBytes bounds the size of a reply to a join request.
 	maxJoinReplyBytes = 64 << 10
 )
@@ -54,10 +56,12 @@
 	seedPeers    func() []string
 	// checkRoom returns an error if the data folder can't be written.
 	checkRoom func() error
-	noRoom    bool   // checkRoom returned an error last; used by run only
-	waitsFor  string // the reason that logWait logged last; used by run only
-	http      *http.Client
-	log       hclog.Logger
+	noRoom    bool // checkRoom returned an error last; used by run only
+	// waitsFor is the reason that logWait logged last, at waitLoggedAt; used by run only.
+	waitsFor     string
+	waitLoggedAt time.Duration
+	http         *http.Client
+	log          hclog.Logger
 
 	mu       sync.Mutex
 	joiners  map[string]joiner
@@ -195,7 +199,7 @@
 	list, joiners := m.electorateInput(s)
 	action := electorate.Next(list, joiners, m.targetVoters)
 	if action.Empty() {
-		m.logWait(s, action.Reason)
+		m.logWait(ctx, s, action.Reason)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
@@ -213,12 +217,17 @@
 		"reason", action.Reason, "voters", len(s.Voters), "error", err)
 }
 
-// logWait logs what the next change of the membership waits for, when that changes.
-func (m *members) logWait(s replica.Status, reason string) {
-	if m.waitsFor != reason {
-		m.waitsFor = reason
-		m.log.Warn("membership of the log", "waits_for", reason, "voters", s.Voters, "answering", s.Active, "caught_up", s.CaughtUp)
+// logWait logs what the next change of the membership waits for: when that changes, and every waitLogInterval.
+func (m *members) logWait(ctx context.Context, s replica.Status, reason string) {
+	now := boottime.Now()
+	if m.waitsFor == reason && (reason == "" || now-m.waitLoggedAt < waitLogInterval) {
+		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, membershipCheckInterval)
+	defer cancel()
+	m.waitsFor, m.waitLoggedAt = reason, now
+	m.log.Warn("membership of the log", "waits_for", reason, "voters", s.Voters, "answering", s.Active, "caught_up", s.CaughtUp,
+		"progress", m.node.DescribeMembers(ctx))
 }
 
 // electorateInput returns the state of the members and the pending join requests for electorate.Next.
--- a/internal/jobcontrol/participant.go
+++ b/internal/jobcontrol/participant.go
@@ -58,9 +58,11 @@
 	seedPeers := PeerAddresses(s.Seeds, s.PeerListen)
 	engine := dispatch.NewEngine(log.Named("engine"))
 	p := &participant{control: c}
+	links := replication.NewLinks(peer.NewDialer, nil, c.budget.QueueBytes)
+	links.LogTo(log.Named("link"))
 	p.node, err = replica.Open(replica.Options{
 		Voters: initialVoters(seedPeers, founder), Join: !founder, Name: name, Dir: s.DataDir, FS: c.deps.FS, Machine: engine,
-		Transport: transport{replication.NewLinks(peer.NewDialer, nil, c.budget.QueueBytes)}, Log: log.Named("log"),
+		Transport: transport{links}, Log: log.Named("log"),
 		Tick: tickInterval, ElectionTicks: electionTicks, SnapshotEvery: snapshotEntries, KeepEntries: snapshotEntries, LeaderLease: true,
 		Budget: c.budget, Room: c.outage.room(),
 		HandoverTicks: handoverTicks, BeforeHandover: func() { p.dispatcher.Yield() },
--- a/internal/process/replica/core/members.go
+++ b/internal/process/replica/core/members.go
@@ -134,8 +134,22 @@
 
 // describeLag returns ErrNotCaughtUp with what the learner holds.
 func (c *Core) describeLag(p *progress) error {
-	return fmt.Errorf("%w: it holds index %d of %d committed, last answered %d ticks ago, receives a snapshot: %t",
-		ErrNotCaughtUp, p.match, c.log.commit, c.now-p.lastResponse, p.sendingSnapshot != nil)
+	return fmt.Errorf("%w: it holds %s", ErrNotCaughtUp, c.describeProgress(p))
+}
+
+func (c *Core) describeProgress(p *progress) string {
+	return fmt.Sprintf("index %d of %d committed, answered %d ticks ago, round of %d ticks, probing %t, unanswered %d, snapshot %t",
+		p.match, c.log.commit, c.now-p.lastResponse, c.now-p.round.since, p.probing, len(p.inflight), p.sendingSnapshot != nil)
+}
+
+// DescribeMembers tells for each other member what this leader knows of its log; nil on replicas that don't lead.
+func (c *Core) DescribeMembers() (list []string) {
+	for _, name := range c.peers() {
+		if p := c.progress[name]; c.role == Leader && p != nil {
+			list = append(list, name+": "+c.describeProgress(p))
+		}
+	}
+	return list
 }
 
 // Remove proposes to remove a member. The active voters that remain must be a quorum of all voters that remain.
--- a/internal/process/replica/voters.go
+++ b/internal/process/replica/voters.go
@@ -81,6 +81,22 @@
 	}
 }
 
+// DescribeMembers tells for each other member what this leader knows of its log. It returns nil if this replica doesn't lead, or if ctx
+// ends before.
+func (n *Node) DescribeMembers(ctx context.Context) []string {
+	done := make(chan []string, 1)
+	if !n.enqueue(ctx, func() { done <- n.core.DescribeMembers() }) {
+		return nil
+	}
+	select {
+	case list := <-done:
+		return list
+	case <-ctx.Done():
+	case <-n.stopped:
+	}
+	return nil
+}
+
 // TransferLeadership transfers leadership to another voter, as before a graceful stop, and waits until that is done or
 // ctx ends.
 func (n *Node) TransferLeadership(ctx context.Context) {
