Probes carry no entries

A leader that doesn't know where a member's log matches probes it, and repeats the probe with each heartbeat until it is answered. Each probe carried up to 1 MiB of entries, so that an empty replica that takes longer than 150 ms for the first MiB gets it again and again, and several of them fill the leader's link and their own processors: 1 MiB 6.7 times a second each.

Change: a probe carries no entries. Entries follow once its answer tells where the logs match; they are counted as unanswered and sent once. TestLogIsNotRepeatedWithEachHeartbeat fails before: index 1 is sent more than once.

--- a/internal/process/replica/core/catchup_test.go
+++ b/internal/process/replica/core/catchup_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
 
 // delayAnswers lets ticks pass in each of which commands are committed, while the answers of a member arrive only after the next
@@ -81,3 +83,38 @@
 	must.NoError(t, err)
 	n.requireInvariants(t)
 }
+
+// Guards against a leader that sends an empty replica the same part of its log with each heartbeat until the first answer comes: several of
+// them on slow machines fill the leader's link, so that neither they nor the voters answer in time and no lost voter is replaced.
+func TestLogIsNotRepeatedWithEachHeartbeat(t *testing.T) {
+	n, a := newElectedNetwork(t, "a", "b", "c")
+	for i := range 200 {
+		_, _, err := n.propose(a, i, 1)
+		must.NoError(t, err)
+		n.deliverAll()
+	}
+	n.add("d", nil, 0)
+	n.isolate("d")
+	_, _, err := a.core.AddLearner("d", "")
+	must.NoError(t, err)
+	n.processReady(a)
+	n.run(1)
+	index := a.core.log.last()
+	// The learner rejects one probe; its later answers are still to come.
+	a.core.Step(Message{From: "d", To: "a", ConsensusMessage: &laburnumv1.ConsensusMessage{
+		Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_APPEND_RESPONSE, Term: a.core.term, Cluster: 7, Replica: n.peers["d"].replica, Reject: true, Index: index,
+	}})
+	sent := make(map[uint64]int)
+	for range 20 * testHeartbeatTicks {
+		n.tick(a)
+		for _, m := range n.entriesTo("d") {
+			for _, e := range m.Entries {
+				sent[e.Index]++
+			}
+		}
+		n.inFlight = nil
+	}
+	for index, times := range sent {
+		must.EqOp(t, 1, times, must.Sprintf("index %d", index))
+	}
+}
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -185,16 +185,20 @@
 	}
 }
 
-// sendAppend sends the next entries, or the snapshot if the log no longer holds them.
+// sendAppend sends the next entries, or the snapshot if the log no longer holds them. A probe carries no entries: heartbeats repeat it
+// until it is answered, and only messages that are counted as unanswered are sent once.
 func (c *Core) sendAppend(to string) {
 	p := c.progress[to]
 	if _, ok := c.log.term(p.next - 1); !ok {
 		c.sendSnapshot(to)
 		return
 	}
-	entries := c.log.batchAfter(p.next-1, c.cfg.MaxAppendBytes)
+	var entries []*laburnumv1.LogEntry
+	if !p.probing {
+		entries = c.log.batchAfter(p.next-1, c.cfg.MaxAppendBytes)
+	}
 	c.sendEntries(to, p.next-1, entries)
-	if !p.probing && len(entries) > 0 {
+	if len(entries) > 0 {
 		p.next += uint64(len(entries))
 		c.recordSent(p, sizeOf(entries))
 	}
