Batches to members go in pieces, and a piece that moves isn't cut off

Cause: a batch to a member had 600 ms as a whole. An instance with an empty folder is sent some 3 MB at once; where that takes longer, the stream was cut off, all of it was thrown away and sent again from its beginning, for ever: 'stream to a member failed: messages=3 bytes=3127098 took=601ms error=canceled' every 1.2 s, for 20 s and more, while the member holds index 0. The repeats take the leader's and the members' time and link, so that voters and callers suffer too. Three learners at 200 Mbit/s need more than 600 ms by the link alone; slow machines need fewer. So a lost voter wasn't replaced, and the next losses left no quorum.

Change: a batch goes in pieces of 128 KiB, each with its own 600 ms; a single larger message gets time for its size at 256 KiB a second (a dead connection is found by pings, as before). Messages with entries have 128 KiB instead of 1 MiB, so that a member acknowledges parts and a transfer that breaks off goes on where it ended.

--- a/internal/connection/replication/link.go
+++ b/internal/connection/replication/link.go
@@ -18,8 +18,13 @@
 
 const (
 	// sendTimeout bounds one Step call, one send on a stream, and the check whether a peer knows streams. After a timeout the
-	// peer is dialled again, before an election timeout has passed.
+	// peer is dialled again, before an election timeout has passed. A large message gets more time, at leastRate.
 	sendTimeout = 600 * time.Millisecond
+	// maxPieceBytes bounds what is sent at once on a stream, unless a single message is larger: sendTimeout is for each piece, so that a
+	// long batch that moves isn't cut off, and the peer handles one piece while the next one is on its way.
+	maxPieceBytes = 128 << 10
+	// leastRate is the rate in bytes a second at which a message still moves.
+	leastRate = 256 << 10
 	// pingAfter and pingTimeout bound the time for which a stream's connection may be silent. A stream carries no answers, so
 	// that a dead connection is found by the pings, at three a second and connection, at the latest after sendTimeout.
 	pingAfter   = sendTimeout / 2
@@ -75,10 +80,7 @@
 func (l *link) enqueue(messages []*laburnumv1.ReplicaMessage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	bytes := 0
-	for _, m := range messages {
-		bytes += len(m.Data)
-	}
+	bytes := sizeOf(messages)
 	if len(l.queue)+len(messages) > maxQueuedMessages || l.maxBytes > 0 && l.bytes+bytes > l.maxBytes {
 		l.queue, l.bytes = nil, 0
 	}
@@ -113,6 +115,13 @@
 	}
 }
 
+func sizeOf(messages []*laburnumv1.ReplicaMessage) (bytes int) {
+	for _, m := range messages {
+		bytes += len(m.Data)
+	}
+	return bytes
+}
+
 func (l *link) takeQueue() []*laburnumv1.ReplicaMessage {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -194,9 +203,35 @@
 	watchdog *time.Timer
 }
 
-// sendOnStream sends a batch on the stream and opens one if there is none.
+// sendOnStream sends a batch on the stream, piece by piece, and opens one if there is none.
 func (l *link) sendOnStream(batch []*laburnumv1.ReplicaMessage) error {
-	req := &laburnumv1.StepRequest{Messages: batch}
+	for len(batch) > 0 {
+		n, bytes := firstPiece(batch)
+		if err := l.sendPiece(batch[:n], bytes); err != nil {
+			return err
+		}
+		batch = batch[n:]
+	}
+	return nil
+}
+
+// firstPiece returns how many messages of a batch are sent at once, and their size.
+func firstPiece(batch []*laburnumv1.ReplicaMessage) (n, bytes int) {
+	for n < len(batch) && (n == 0 || bytes+len(batch[n].Data) <= maxPieceBytes) {
+		bytes += len(batch[n].Data)
+		n++
+	}
+	return n, bytes
+}
+
+// sendTime returns how long a number of bytes may take.
+func sendTime(bytes int) time.Duration {
+	return sendTimeout + time.Duration(max(0, bytes-maxPieceBytes))*time.Second/leastRate
+}
+
+func (l *link) sendPiece(piece []*laburnumv1.ReplicaMessage, bytes int) error {
+	req := &laburnumv1.StepRequest{Messages: piece}
+	limit := sendTime(bytes)
 	if l.stream == nil {
 		ctx, cancel := context.WithCancel(context.Background())
 		_, streams := l.peers()
@@ -207,9 +242,9 @@
 		}
 		l.connection++
 		req.Link, req.Connection = l.id, l.connection
-		l.stream = &stream{client, cancel, time.AfterFunc(sendTimeout, cancel)}
+		l.stream = &stream{client, cancel, time.AfterFunc(limit, cancel)}
 	} else {
-		l.stream.watchdog.Reset(sendTimeout)
+		l.stream.watchdog.Reset(limit)
 	}
 	defer l.stream.watchdog.Stop()
 	err := l.stream.Send(req)
@@ -229,11 +264,7 @@
 		l.failuresOmitted++
 		return
 	}
-	bytes := 0
-	for _, m := range batch {
-		bytes += len(m.Data)
-	}
-	l.log.Info("stream to a member failed; what it lacks is sent again", "address", l.address, "messages", len(batch), "bytes", bytes,
+	l.log.Info("stream to a member failed; what it lacks is sent again", "address", l.address, "messages", len(batch), "bytes", sizeOf(batch),
 		"took", took, "new", opened, "omitted", l.failuresOmitted, "error", err)
 	l.failureLoggedAt, l.failuresOmitted = now, 0
 }
@@ -248,7 +279,7 @@
 // step sends a batch by a Step call. After a timeout a late arrival of the batch must not follow later ones, which
 // therefore belong to a new connection.
 func (l *link) step(batch []*laburnumv1.ReplicaMessage) {
-	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), sendTime(sizeOf(batch)))
 	defer cancel()
 	if l.connection == 0 {
 		l.connection = 1
--- a/internal/connection/replication/link_test.go
+++ b/internal/connection/replication/link_test.go
@@ -37,7 +37,9 @@
 	got []int
 }
 
-func startInbox(t *testing.T) *inbox {
+func startInbox(t *testing.T) *inbox { return startInboxOn(t, listenLoopback()) }
+
+func startInboxOn(t *testing.T, listener net.Listener) *inbox {
 	in := &inbox{block: make(chan struct{})}
 	close(in.block)
 	in.Receiver = replication.NewReceiver(func(_ context.Context, batch []*laburnumv1.ReplicaMessage) error {
@@ -67,7 +69,7 @@
 		}
 		handler.ServeHTTP(w, r)
 	})}
-	l := countingListener{listenLoopback(), &in.conns}
+	l := countingListener{listener, &in.conns}
 	in.address = l.Addr().String()
 	go func() { _ = in.server.Serve(l) }()
 	t.Cleanup(func() { _ = in.server.Close() })
--- a/internal/process/replica/node.go
+++ b/internal/process/replica/node.go
@@ -29,7 +29,9 @@
 )
 
 const (
-	maxAppendBytes     = 1 << 20
+	// maxAppendBytes bounds a message with entries unless it has a single one. A member acknowledges each, so that a transfer that breaks off
+	// goes on where it ended.
+	maxAppendBytes     = 128 << 10
 	snapshotChunkBytes = 256 << 10
 	// snapshotRetryTicks is the time after which a snapshot that the disk had no room for is taken or written again.
 	snapshotRetryTicks = 40
