--- a/internal/process/replica/budget.go
+++ b/internal/process/replica/budget.go
@@ -38,6 +38,8 @@
 	diskFractionOfLog   = 6
 	// diskReserveFraction is the part of the disk that is left for the small files, and for the blocks that files end in.
 	diskReserveFraction = 16
+	// minInflightBytes and the queue of twice that have room for a part of a snapshot beside entries.
+	minInflightBytes = mib
 	// minStateBytes is a bound below which little could be served.
 	minStateBytes = 8 * mib
 	// commandsPerState is the size of the largest snapshot in relation to the largest command.
@@ -54,7 +56,7 @@
 		share = min(share, disk/diskFractionOfLog)
 	}
 	keep := int(max(share, minLogShare))
-	inflight := max(keep/8, maxAppendBytes)
+	inflight := max(keep/8, minInflightBytes)
 	b := Budget{
 		KeepBytes: keep, SnapshotBytes: keep / 2, PendingBytes: keep / 2, ReceiveBytes: keep / 2,
 		InflightBytes: inflight, QueueBytes: 2 * inflight,
