Test of a missing machine compares the session's own times

Cause: the test's. The fake recorded the first read inside the call of List, after waiting for its lock; the session counts from the moment before its request. A first call that is delayed more than the last one makes the difference of the recorded times shorter than the time that the session counted.

Change: the test compares the times by which the session decides, read during its calls: when the first list that lacked the machine was requested and when the list that led to the order was. The later one must not lie after the newest recorded read, so a time without a read of its own doesn't count, and the earlier one must have been followed by another read. It stays as strict: with the fault that it guards against put back (time that runs on after the read, in two forms), it fails.

--- a/internal/dispatch/machines_test.go
+++ b/internal/dispatch/machines_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -167,16 +168,54 @@
 	}
 }
 
+// missingReads implements Machines. It records on which reads of the list the first order for m1 rests; all but session is
+// guarded by the engine's lock.
+type missingReads struct {
+	*fakeMachines
+	session     atomic.Pointer[session]
+	first, last time.Duration // when the first list that lacked m1 was requested, and the one that led to the order
+	newest      time.Duration // the newest read when the order came
+}
+
+func (m *missingReads) List(ctx context.Context, page string) ([]Machine, string, error) {
+	if s := m.session.Load(); s != nil {
+		s.engine.mu.Lock()
+		if s.missingChecks["m1"] == 0 {
+			m.first = s.missingSince["m1"]
+		}
+		s.engine.mu.Unlock()
+	}
+	return m.fakeMachines.List(ctx, page)
+}
+
+func (m *missingReads) Upkeep(ctx context.Context, h Holder, machine string, wave int64) (MachineAnswer, error) {
+	s := m.session.Load()
+	m.mu.Lock()
+	newest := m.listedAt[len(m.listedAt)-1]
+	m.mu.Unlock()
+	s.engine.mu.Lock()
+	if m.last == 0 {
+		m.last, m.newest = s.missingSince["m1"], newest
+	}
+	s.engine.mu.Unlock()
+	return m.fakeMachines.Upkeep(ctx, h, machine, wave)
+}
+
 // Guards against a machine that counts as missing for missingTimeout by one read of the list that is used twice.
 func TestMissingMachineIsCheckedAfterNewRead(t *testing.T) {
-	m := &fakeMachines{hidden: map[string]bool{"m1": true}, busy: map[string]bool{"m1": true}}
+	began := boottime.Now()
+	m := &missingReads{fakeMachines: &fakeMachines{hidden: map[string]bool{"m1": true}, busy: map[string]bool{"m1": true}}}
 	r := newMachineRig(t, m)
+	s := r.d.session.Load()
+	m.session.Store(s)
 	wave := &ledger.WaveOrder{Number: 1, Machines: []string{"m1"}, DurationMS: 10_000, Bound: 1}
 	must.EqOp(t, OK, r.do(&Call{Op: OpStartWave, Wave: wave}).Outcome)
 	r.until(func() bool { return len(m.ordered()) == 1 })
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	must.GreaterEq(t, missingTimeout, m.listedAt[len(m.listedAt)-1]-m.listedAt[0])
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	must.GreaterEq(t, began, m.first, must.Sprint("no read followed the first list that lacked the machine"))
+	must.GreaterEq(t, missingTimeout, m.last-m.first)
+	must.GreaterEq(t, m.last, m.newest, must.Sprint("no read follows the time that the order is counted from"))
 }
 
 // Guards against an upkeep beyond the bound of a wave: a machine that the list lacks may exist and begin its upkeep.
