Test of repeated reboots reads their list under a lock

TestRebootRunsOncePerRequestID reported a data race once, beside other load.

Cause: the test's. The stand-in calls Reboot on the goroutine of the request, after it released its lock, and then aborts the connection because the answer is to be lost. The client only sees a closed connection, which orders nothing: the append in the hook and the test's read of the list (platform_test.go:92 and :97) are unordered unless a later request takes the stand-in's lock after it by chance.

Change: hook and test use a lock of the test. The checks are the same: one reboot for one request ID, none for a refused one.

--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -86,16 +88,27 @@
 	must.True(t, reports[0].Succeeded)
 }
 
+// Guards against a second reboot by a request that is repeated after its answer was lost.
 func TestRebootRunsOncePerRequestID(t *testing.T) {
 	p, client, _ := newTestPlatform(t)
-	var rebooted []string
-	p.Reboot = func(instance string) { rebooted = append(rebooted, instance) }
+	var mu sync.Mutex // a lost answer doesn't order the call of Reboot before the next request
+	var reboots []string
+	p.Reboot = func(instance string) {
+		mu.Lock()
+		defer mu.Unlock()
+		reboots = append(reboots, instance)
+	}
+	rebooted := func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Clone(reboots)
+	}
 	p.SetFaults(Faults{LoseAnswers: 1})
 	must.True(t, platformapi.ErrUncertain.Has(client.Reboot(t.Context(), "i1", "w-i1-7")))
 	p.SetFaults(Faults{})
 	must.NoError(t, client.Reboot(t.Context(), "i1", "w-i1-7"))
-	must.Eq(t, []string{"i1"}, rebooted)
+	must.Eq(t, []string{"i1"}, rebooted())
 	p.SetFaults(Faults{Refuse: true})
 	must.True(t, platformapi.ErrRefused.Has(client.Reboot(t.Context(), "i1", "w-i1-8")))
-	must.Len(t, 1, rebooted)
+	must.Len(t, 1, rebooted())
 }
