A leader has a bounded number of starts under way

Cause: nothing bounded the starts under way. The planner commits up to 256 starts a plan and plans again after some ms; all orders are sent at once. A leader short of processor time takes about 1 ms for one, so with more than 400 under way the answers come after callTimeout. Then each run counts as unanswered, is asked for, stopped, ended and ordered again, and the hundreds of goroutines that are ready delay the confirmation of the leader lease beyond its 400 ms: the leader answers all calls as if it didn't lead, and every process searches it. Goodput falls instead of staying at what the leader can do.

The call of dropLeader for any failed call was ruled out as the cause: 796 of 845 losses are true answers of a leader without its lease, 49 are time-outs.

Change: at most 256 starts are between their plan and the answer to their order; a plan is made once half of them are through. The most urgent go first as before, and a plan that waits counts as backlog, by which submissions are refused.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -73,6 +73,7 @@
 		var group sync.WaitGroup
 		for _, st := range starts {
 			group.Go(func() {
+				defer s.startsEnded(1)
 				if s.contain("start", func() { s.sendStart(ctx, st) }) {
 					s.handleUnansweredStart(st, errUnexpected, false)
 				}
--- a/internal/dispatch/planner.go
+++ b/internal/dispatch/planner.go
@@ -43,6 +43,9 @@
 // planOnce makes a plan, commits its starts and sends the orders of those that were valid when they were committed.
 func (s *session) planOnce() {
 	starts := s.makePlan()
+	s.startWindow.begin(len(starts))
+	unsent := len(starts)
+	defer func() { s.startsEnded(unsent) }()
 	if len(starts) == 0 && !s.recordOverdue() {
 		return
 	}
@@ -54,6 +57,7 @@
 		return
 	}
 	s.logStarts(result.Started)
+	unsent -= len(result.Started)
 	s.sendStarts(result.Started)
 	if len(result.Started) < len(starts) {
 		s.countDroppedStarts(starts, result.Started)
@@ -97,10 +101,15 @@
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
 	now := boottime.Now()
-	s.stats.planDelay.Record(s.load.planBegins(now, s.planReadyAt))
 	s.evacuateLocked(now)
+	room := s.startWindow.room()
+	if room == 0 {
+		return nil // the plan stays due
+	}
+	s.stats.planDelay.Record(s.load.planBegins(now, s.planReadyAt))
 	began := time.Now()
 	in := s.planInputLocked()
+	in.MaxStarts = room
 	starts := schedule.Plan(in)
 	s.planTook = time.Since(began)
 	s.stats.plan.Record(s.planTook)
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -151,6 +151,7 @@
 	// memberFormat returns the newest format of commands that all members of the log are known to understand.
 	memberFormat func(context.Context) int
 	wake         chan struct{}
+	startWindow  startWindow
 	planTook     time.Duration // duration of the last plan; used by the planner's goroutine only
 	ctx          context.Context
 	cancel       context.CancelFunc
--- a/internal/request/schedule/schedule.go
+++ b/internal/request/schedule/schedule.go
@@ -39,6 +39,8 @@
 	Due map[string]bool
 	// Evacuated is the set of data centres in which no task may start.
 	Evacuated map[string]bool
+	// MaxStarts bounds the starts, but doesn't split a gang; 0 means the usual bound of a plan.
+	MaxStarts int
 	// Cold bounds the starts on servers that are slow after their start.
 	Cold ColdSettings
 }
@@ -48,7 +50,7 @@
 
 func plan(p *planner) []ledger.Start {
 	for _, c := range p.candidates() {
-		if len(p.starts) >= maxStartsPerPlan {
+		if len(p.starts) >= maxStartsPerPlan || p.full() {
 			break
 		}
 		p.place(c)
@@ -56,6 +58,9 @@
 	return p.starts
 }
 
+// full reports whether the plan has MaxStarts.
+func (p *planner) full() bool { return p.MaxStarts > 0 && len(p.starts) >= p.MaxStarts }
+
 // FreeCapacity reserves capacity on other servers for running tasks that are to be stopped. Each reservation reduces what
 // later calls find free.
 type FreeCapacity struct {
@@ -365,7 +370,7 @@
 		if t.Phase != ledger.Waiting || p.isolates(&t) {
 			continue
 		}
-		if !p.withinLimit(c.job.Workspace, step.Need) {
+		if p.full() || !p.withinLimit(c.job.Workspace, step.Need) {
 			return
 		}
 		r := p.chooseServer(c, tasksOn)
