A slow leader doesn't take its forwarders for silent

Cause: a link on which nothing was heard for 150 ms gets no calls, and its holds and stops are made anew by the leader itself. A leader that is short of processor time reads the marks of its forwarders that late, though its timers are in time: the check of the links ran at most 20 to 120 ms late then. So it gave up both forwarders at once and made some 300 holds directly, on connections to be opened, and every start until the links were in use again, 50 to 100 ms later.

Change: while several links are in use and all are silent, they stay in use until 400 ms, when their streams are closed as before. One silent link among others is left as before. No call is sent twice that wasn't before. The price: if really all forwarders fail at once, their servers' starts stay unanswered for 250 ms longer.

TestForwardersSilentAtOnceStayInUse fails without the rule: "all: expected 2, got 0" links in use.

--- a/internal/orderforward/client.go
+++ b/internal/orderforward/client.go
@@ -146,7 +146,7 @@
 			l.fail("out of use")
 			delete(c.draining, l)
 		} else {
-			l.check(now, late)
+			l.check(now, late, false)
 		}
 	}
 	c.expireBypasses(now)
@@ -202,9 +202,10 @@
 // updateTable replaces links that have failed and stores the table of those that may get calls.
 func (c *Client) updateTable(term uint64, now time.Duration, late bool) {
 	next := &table{term: term}
+	allSilent := c.allSilent(now)
 	for slot, name := range c.slots {
 		l := c.links[name]
-		usable := l.check(now, late)
+		usable := l.check(now, late, allSilent)
 		if failed, _ := l.failure(); failed != "" {
 			c.linkFailed(name, l, failed, now)
 			continue
@@ -232,6 +233,22 @@
 	}
 }
 
+// allSilent reports whether several links are in use and all of them have become silent: then this process is more likely to be
+// slow than all forwarders at once, and direct calls, which cost it more, would make it slower.
+func (c *Client) allSilent(now time.Duration) bool {
+	silent := 0
+	for _, l := range c.links {
+		switch {
+		case !l.inUse:
+		case l.silence(now) <= suspectAfter:
+			return false
+		default:
+			silent++
+		}
+	}
+	return silent > 1
+}
+
 func (c *Client) linkFailed(name string, l *link, reason string, now time.Duration) {
 	delete(c.links, name)
 	delay := cmp.Or(min(2*c.retries[name].delay, maxReopenDelay), reopenDelay)
--- a/internal/orderforward/decisions_test.go
+++ b/internal/orderforward/decisions_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
+	"github.com/uber-go/tally/v4"
 
 	"laburnumrouter/internal/dispatch"
 	"laburnumrouter/internal/request/ledger"
@@ -127,3 +129,33 @@
 	must.NoError(t, err)
 	must.Eq(t, &dispatch.HoldReport{Born: 1}, empty)
 }
+
+// Guards against a leader short of processor time that takes its forwarders for silent, gives up the calls on them and makes all of
+// them itself, which costs it more. A forwarder that alone is silent gets no calls.
+func TestForwardersSilentAtOnceStayInUse(t *testing.T) {
+	const now = time.Hour
+	for _, c := range []struct {
+		name  string
+		heard [2]time.Duration // ago
+		inUse int
+	}{
+		{"none", [2]time.Duration{0, 0}, 2},
+		{"one", [2]time.Duration{suspectAfter + 1, 0}, 1},
+		{"all", [2]time.Duration{suspectAfter + 1, suspectAfter + 1}, 2},
+		{"all for long", [2]time.Duration{silentAfter + 1, silentAfter + 1}, 0},
+	} {
+		client := NewClient(Options{Log: hclog.NewNullLogger(), Scope: tally.NoopScope})
+		hold := &pendingCall{message: &laburnumv1.OrderCall{Kind: laburnumv1.OrderKind_ORDER_KIND_HOLD}, sent: true, done: make(chan struct{}, 1)}
+		for i, ago := range c.heard {
+			l := &link{name: string(rune('a' + i)), cancel: func() {}, inUse: true, pending: map[uint64]*pendingCall{}, wake: make(chan struct{}, 1)}
+			l.mark.Store(1)
+			l.heardAt.Store(int64(now - ago))
+			l.sentAt.Store(int64(now))
+			client.slots, client.links[l.name] = append(client.slots, l.name), l
+		}
+		client.links["a"].pending[1] = hold
+		client.updateTable(1, now, false)
+		must.EqOp(t, c.inUse, len(client.table.Load().links), must.Sprint(c.name))
+		must.EqOp(t, c.inUse < 2, len(hold.done) == 1, must.Sprint(c.name))
+	}
+}
--- a/internal/orderforward/link.go
+++ b/internal/orderforward/link.go
@@ -364,8 +364,9 @@
 }
 
 // check fails a link that is silent or blocked, wakes one that has sent nothing for a while, and reports whether it may get
-// calls. late says that this process hasn't run for a while, so that what has arrived may not have been read yet.
-func (l *link) check(now time.Duration, late bool) (usable bool) {
+// calls. late says that this process hasn't run for a while, so that what has arrived may not have been read yet. A link in use
+// stays so for a while if all are silent.
+func (l *link) check(now time.Duration, late, allSilent bool) (usable bool) {
 	if late {
 		return l.inUse
 	}
@@ -373,7 +374,7 @@
 		l.fail("a write to the stream hangs")
 		return false
 	}
-	silence := now - time.Duration(l.heardAt.Load())
+	silence := l.silence(now)
 	switch {
 	case !l.ready() && now-l.openAt > openTimeout:
 		l.fail("no answer to the opening of the stream")
@@ -385,5 +386,8 @@
 	if now-time.Duration(l.sentAt.Load()) > keepAliveInterval {
 		signal(l.wake)
 	}
-	return l.ready() && silence <= suspectAfter && !l.stopping.Load()
+	return l.ready() && (silence <= suspectAfter || allSilent && l.inUse) && !l.stopping.Load()
 }
+
+// silence returns the time since the forwarder was last heard.
+func (l *link) silence(now time.Duration) time.Duration { return now - time.Duration(l.heardAt.Load()) }
