--- a/test/soak/cluster/cluster.go
+++ b/test/soak/cluster/cluster.go
@@ -36,6 +36,21 @@
 // Shape is how many processes of each class there are.
 type Shape struct {
 	Controls, Entries, Workers int
+	// ControlLimits and EntryLimits bound each process of a class.
+	ControlLimits, EntryLimits Limits
+}
+
+// Limits bounds a process. The zero value means MemoryMB, and the descriptors of the program that starts it.
+type Limits struct {
+	MemoryMB    int64
+	Descriptors int
+}
+
+func (l Limits) memoryMB() int64 {
+	if l.MemoryMB > 0 {
+		return l.MemoryMB
+	}
+	return MemoryMB
 }
 
 // ShapeOf divides a number of processes among the classes.
@@ -156,7 +171,7 @@
 		var pids []int
 		for _, list := range lists {
 			for _, p := range *list {
-				if pid := p.pid(); pid != 0 {
+				if pid := p.PID(); pid != 0 {
 					names, pids = append(names, p.Name), append(pids, pid)
 				}
 			}
--- a/test/soak/cluster/process.go
+++ b/test/soak/cluster/process.go
@@ -18,6 +18,8 @@
 	Name string
 	// Class is control, entry or worker.
 	Class string
+	// Listen is the address for callers, or for operators and workers; the others are those of an entry instance.
+	Listen, ReadyListen, MetricsListen string
 
 	cluster *Cluster
 	command func(life int) (program string, args []string, err error)
@@ -151,8 +153,8 @@
 	}
 }
 
-// pid returns the process's id, or 0 if it doesn't run.
-func (p *Process) pid() int {
+// PID returns the process's id, or 0 if it doesn't run.
+func (p *Process) PID() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.runningLocked() {
@@ -163,7 +165,7 @@
 
 // Usage returns the resident memory and the open descriptors of the process; ok is false if it doesn't run.
 func (p *Process) Usage() (memoryMB int64, descriptors int, ok bool) {
-	pid := p.pid()
+	pid := p.PID()
 	if pid == 0 {
 		return 0, 0, false
 	}
--- a/test/soak/cluster/settings.go
+++ b/test/soak/cluster/settings.go
@@ -54,11 +54,11 @@
 		return err
 	}
 	c.listens, c.Public = append(c.listens, listen), append(c.Public, public)
-	p := &Process{Name: name, Class: Control, cluster: c, dataDir: filepath.Join(c.dir, name)}
-	p.command = c.program("laburnum-control", p, func(life int) string {
+	p := &Process{Name: name, Class: Control, Listen: listen, cluster: c, dataDir: filepath.Join(c.dir, name)}
+	p.command = c.program("laburnum-control", p, shape.ControlLimits, func(life int) string {
 		return fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\npeer_listen = %q\npeer_bind = %q\ndata_dir = %q\nseeds = %s\n"+
 			"first_start = %t\nlosses = %d\nmemory_mb = %d\n",
-			name, dataCentre(i), listen, peer, bind, p.dataDir, quoted(c.listens), life == 1, shape.Losses(), MemoryMB)
+			name, dataCentre(i), listen, peer, bind, p.dataDir, quoted(c.listens), life == 1, shape.Losses(), shape.ControlLimits.memoryMB())
 	})
 	c.Controls = append(c.Controls, p)
 	return nil
@@ -70,7 +70,7 @@
 		if firstEntry+i >= firstWorker {
 			return Error.New("too many entry instances")
 		}
-		var listen [2]string
+		var listen [3]string
 		for k := range listen {
 			address, err := c.address(host)
 			if err != nil {
@@ -83,10 +83,11 @@
 			return err
 		}
 		c.Frontends = append(c.Frontends, front)
-		p := &Process{Name: name, Class: Entry, cluster: c}
-		p.command = c.program("laburnum-entry", p, func(int) string {
-			return fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\nready_listen = %q\npeer_listen = \"%s:%d\"\nseeds = %s\nmemory_mb = %d\n",
-				name, dataCentre(i), listen[0], listen[1], host, c.peerPort, quoted(c.listens), MemoryMB)
+		p := &Process{Name: name, Class: Entry, Listen: listen[0], ReadyListen: listen[1], MetricsListen: listen[2], cluster: c}
+		p.command = c.program("laburnum-entry", p, shape.EntryLimits, func(int) string {
+			return fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\nready_listen = %q\nmetrics_listen = %q\npeer_listen = \"%s:%d\"\n"+
+				"seeds = %s\nmemory_mb = %d\n",
+				name, dataCentre(i), listen[0], listen[1], listen[2], host, c.peerPort, quoted(c.listens), shape.EntryLimits.memoryMB())
 		})
 		c.Entries = append(c.Entries, p)
 	}
@@ -94,11 +95,16 @@
 }
 
 // program returns the command of one of the product's programs; its settings are written anew for each life.
-func (c *Cluster) program(name string, p *Process, settings func(life int) string) func(int) (string, []string, error) {
+func (c *Cluster) program(name string, p *Process, limits Limits, settings func(life int) string) func(int) (string, []string, error) {
 	return func(life int) (string, []string, error) {
 		path := filepath.Join(c.dir, p.Name+".toml")
 		err := os.WriteFile(path, []byte(settings(life)+logSettings), 0o600)
-		return filepath.Join(c.bin, name), []string{"jobs", "--settings", path}, err
+		program, args := filepath.Join(c.bin, name), []string{"jobs", "--settings", path}
+		if limits.Descriptors > 0 {
+			script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, limits.Descriptors)
+			return "sh", append([]string{"-c", script, program}, args...), err
+		}
+		return program, args, err
 	}
 }
 
