--- a/test/crowd/fleet_test.go
+++ b/test/crowd/fleet_test.go
@@ -66,14 +66,13 @@
 	eventually(t, "configuration is acknowledged", func(timeout time.Duration) error {
 		return putConfig(c.Controls[0].Listen, timeout)
 	})
-	eventually(t, "job is accepted", submit(c.Entries[0].Listen, 0))
+	eventually(t, "job is accepted", submit(c.Entries[0].Listen))
 	return c
 }
 
 func eventually(t *testing.T, what string, attempt func(time.Duration) error) {
 	t.Helper()
-	g := Target{Ordinary: attempt}
-	must.NoError(t, g.ask(), must.Sprint(what))
+	must.NoError(t, Repeat(attempt), must.Sprint(what))
 }
 
 func logTails(t *testing.T, dir string) {
@@ -118,10 +117,15 @@
 	return exchange(http.MethodPut, "http://"+address+outside.PathConfig, body, timeout, func(*http.Request) {})
 }
 
-// submit returns a function that hands in a job, with a body of size bytes if the job itself is smaller.
-func submit(address string, size int) func(time.Duration) error {
+// jobBody returns a job, filled up to size bytes if it is smaller.
+func jobBody(size int) []byte {
 	body := []byte(`{"spec":"echo","phases":[{"count":1,"cpu":500,"mem_mb":64,"estimate_ms":100}]}`)
-	body = append(body, bytes.Repeat([]byte(" "), max(0, size-len(body)))...)
+	return append(body, bytes.Repeat([]byte(" "), max(0, size-len(body)))...)
+}
+
+// submit returns a function that hands in a job.
+func submit(address string) func(time.Duration) error {
+	body := jobBody(0)
 	return func(timeout time.Duration) error {
 		return exchange(http.MethodPost, "http://"+address+jobPath(), body, timeout, func(r *http.Request) {
 			r.Host = host
@@ -137,6 +141,6 @@
 	e := c.Entries[0]
 	return &Target{
 		PID: e.PID(), Listeners: []string{e.Listen, e.ReadyListen, e.MetricsListen}, MemoryMB: limits.MemoryMB, Descriptors: limits.Descriptors,
-		Ordinary: submit(e.Listen, 0),
+		Ordinary: submit(e.Listen),
 	}
 }
--- a/test/crowd/scenario.go
+++ b/test/crowd/scenario.go
@@ -27,19 +27,20 @@
 }
 
 // Endure opens a crowd and checks that an ordinary caller is served beside it and after it, and that the process lives and
-// stays within its limits. meanwhile, if not nil, runs while the crowd is open.
-func (g *Target) Endure(t *testing.T, open func() *Crowd, meanwhile func(*Crowd)) {
+// stays within its limits. meanwhile, if not nil, is a further check while the crowd is open.
+func (g *Target) Endure(t *testing.T, open func() *Crowd, meanwhile func(*Crowd) error) {
 	t.Helper()
 	stop := Watch(g.PID, g.Listeners)
 	c := open()
 	c.Settle()
-	beside := g.ask()
+	beside := Repeat(g.Ordinary)
+	var other error
 	if meanwhile != nil {
-		meanwhile(c)
+		other = meanwhile(c)
 	}
 	counts := c.Counts()
 	c.Close()
-	after := g.ask()
+	after := Repeat(g.Ordinary)
 	most, ended := stop()
 	t.Logf("at its most: %s; crowd: %+v; beside it: %v; after it: %v", most, counts, beside, after)
 	must.NoError(t, ended)
@@ -51,13 +52,15 @@
 	}
 	must.NoError(t, beside, must.Sprint("ordinary request beside the crowd"))
 	must.NoError(t, after, must.Sprint("ordinary request after the crowd"))
+	must.NoError(t, other)
 }
 
-// ask repeats the ordinary request until it is served.
-func (g *Target) ask() error {
+// Repeat repeats an attempt until it succeeds, as a caller does that is refused or gets no answer, and returns its last error
+// if it doesn't within patience.
+func Repeat(attempt func(timeout time.Duration) error) error {
 	deadline := time.Now().Add(patience)
 	for {
-		err := g.Ordinary(attemptTimeout)
+		err := attempt(attemptTimeout)
 		if err == nil || time.Now().After(deadline) {
 			return err
 		}
--- a/test/soak/cluster/cluster.go
+++ b/test/soak/cluster/cluster.go
@@ -83,6 +83,7 @@
 	// Public lists the addresses of the relays by which operators reach the control instances, Frontends those of the entries.
 	Public, Frontends []string
 
+	complete       chan struct{} // closed once the lists of processes don't change any more
 	dir, bin, soak string
 	plant          string
 	out            *history.Writer
@@ -97,7 +98,11 @@
 // New prepares a fleet. Files go to dir; the programs are in bin. The workers run as soak, a program with a subcommand
 // worker.
 func New(dir, bin, soak, plant string, shape Shape, out *history.Writer) (*Cluster, error) {
-	c := &Cluster{Network: link.NewNetwork(), dir: dir, bin: bin, soak: soak, plant: plant, out: out, given: make(map[string]bool)}
+	c := &Cluster{
+		Network: link.NewNetwork(), complete: make(chan struct{}), dir: dir, bin: bin, soak: soak, plant: plant, out: out,
+		given: make(map[string]bool),
+	}
+	defer close(c.complete)
 	if err := c.reservePrefix(); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -167,6 +172,7 @@
 // fromAny returns a function that names the process of the lists that made a connection.
 func (c *Cluster) fromAny(lists ...*[]*Process) func(net.Conn) string {
 	return func(conn net.Conn) string {
+		<-c.complete
 		var names []string
 		var pids []int
 		for _, list := range lists {
