Crowds of whole bodies and of idle connections: two more tests that fail

600 connections that stay open after an answer hold all 300 descriptors of an entry, and an ordinary job isn't accepted for 20 s; 1,500 whole bodies at once make 139 MB with unread bytes at an entry of 64 MB.

--- a/test/crowd/jobs_test.go
+++ b/test/crowd/jobs_test.go
@@ -85,6 +85,20 @@
 	endure(t, fewDescriptors, 600, always(Request{}))
 }
 
+// Guards against clients that hold every descriptor with connections that stay open after an answer.
+func TestMoreIdleConnectionsThanDescriptors(t *testing.T) {
+	r := Request{Header: fmt.Sprintf("GET /%s/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n\r\n", queue, host, key)}
+	endure(t, fewDescriptors, 600, always(r))
+}
+
+// Guards against memory that fills with bodies that arrive whole at the same time.
+func TestWholeBodiesInSmallMemory(t *testing.T) {
+	job := jobBody(maxBodyBytes)
+	endure(t, smallEntry, 1500, func(int) Request {
+		return Request{Header: header(fmt.Sprintf("Content-Length: %d\r\n", len(job))), Body: job}
+	})
+}
+
 // Guards against memory that fills with bodies that stop short.
 func TestStalledBodiesInSmallMemory(t *testing.T) {
 	endure(t, smallEntry, 1500, always(short(bodyBytes)))
