Test fleets of the mode without jobs can be given limits

Crowds need processes with little memory (memory_mb in the settings) and few descriptors (ulimit of the shell that starts the process). The key of the stand-in backend servers is exported, for tests that announce themselves.

--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -21,10 +21,17 @@
 	readyTimeout = time.Second
 )
 
+// Limits bounds a process. A field that is 0 leaves the default in force.
+type Limits struct {
+	MemoryMB    int64 // memory_mb in the settings
+	Descriptors int   // of the kernel
+}
+
 // Node is one process with its two listeners; it can be killed and started again on the same addresses.
 type Node struct {
 	Name, Program, DataCentre string
 	Public, Peer              string // listen addresses
+	Limits                    Limits // set before the first start
 
 	ports     [2]*port
 	listeners [2]*net.TCPListener // for the first start
@@ -52,7 +59,11 @@
 
 // Settings returns the settings that all programs have in common, in TOML.
 func (n *Node) Settings() string {
-	return fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\npeer_listen = %q\n", n.Name, n.DataCentre, n.Public, n.Peer)
+	common := fmt.Sprintf("name = %q\ndata_centre = %q\nlisten = %q\npeer_listen = %q\n", n.Name, n.DataCentre, n.Public, n.Peer)
+	if n.Limits.MemoryMB > 0 {
+		common += fmt.Sprintf("memory_mb = %d\n", n.Limits.MemoryMB)
+	}
+	return common
 }
 
 // PeerSettings returns the nodes of a list except n as a TOML array of tables.
@@ -94,7 +105,12 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(filepath.Join(bin, n.Program), "--settings", filepath.Join(dir, n.Name+".toml"))
+	command := []string{filepath.Join(bin, n.Program), "--settings", filepath.Join(dir, n.Name+".toml")}
+	if n.Limits.Descriptors > 0 {
+		script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, n.Limits.Descriptors)
+		command = append([]string{"sh", "-c", script}, command...)
+	}
+	cmd := exec.Command(command[0], command[1:]...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if len(listeners) > 0 {
 		cmd.Env = append(os.Environ(), fmt.Sprintf("LISTEN_FDS=%d", len(listeners)))
--- a/test/harness/fleet.go
+++ b/test/harness/fleet.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// backendKey is the key with which the stand-in backend servers authenticate to entry instances.
-	backendKey = "harness-backend-key"
+	// BackendKey is the key with which the stand-in backend servers authenticate to entry instances.
+	BackendKey = "harness-backend-key"
 	// OperatorKey is the key of an operator that is listed in the settings of the entry instances.
 	OperatorKey = "harness-operator-key"
 )
@@ -79,7 +79,7 @@
 			return nil, err
 		}
 	}
-	if err := os.WriteFile(f.keyFile(), []byte(backendKey), 0o600); err != nil {
+	if err := os.WriteFile(f.keyFile(), []byte(BackendKey), 0o600); err != nil {
 		return nil, err
 	}
 	return f, f.addLinks()
@@ -237,7 +237,7 @@
 }
 
 func (f *Fleet) entrySettings(n *Node) string {
-	sum := sha256.Sum256([]byte(backendKey))
+	sum := sha256.Sum256([]byte(BackendKey))
 	s := n.Settings() + fmt.Sprintf("backend_key_sha256 = %q\n", hex.EncodeToString(sum[:]))
 	operator := sha256.Sum256([]byte(OperatorKey))
 	s += f.peerSettings("control", n, f.Controls) + f.peerSettings("entry", n, f.Entries)
