--- a/test/crowd/usage.go
+++ b/test/crowd/usage.go
@@ -103,7 +103,7 @@
 		for {
 			u, err := sample(pid, listeners)
 			if err != nil || u.ResidentKB == 0 {
-				failed = fmt.Errorf("the process has ended: %w", err)
+				failed = fmt.Errorf("the process has ended: %v", err)
 				return
 			}
 			most = Usage{
