--- a/test/crowd/plain_fleet_test.go
+++ b/test/crowd/plain_fleet_test.go
@@ -59,6 +59,7 @@
 sheet,%[5]d
 pool,,refund,refund,,,2,1
 queue,,refunds,,refund,,,,5s,20s
+queue,,patient,,refund,,,,60s,20s
 team,,%[1]s,,,,,,,,1,8,serve
 team,,%[2]s,,,,,,,,1,8,serve
 key,,,,,%[1]s,,,,,,,,%[3]s
--- a/test/crowd/plain_test.go
+++ b/test/crowd/plain_test.go
@@ -61,12 +61,18 @@
 
 // Guards against memory that fills with keyed bodies that are whole and wait for capacity.
 func TestWholeKeyedBodies(t *testing.T) {
-	endureAtEntry(t, smallPlainEntry, 150, func(i int) Request {
-		header := begin("POST", "/q/refunds/pay?ms=1000", authorized("Idempotency-Key", fmt.Sprintf("key-%d", i))...)
-		r := shortOf(header, keyedBytes)
-		r.Body = padding[:keyedBytes]
-		return r
-	})
+	endureAtEntry(t, smallPlainEntry, 150, func(i int) Request { return wholeKeyed(i, "/q/refunds/pay?ms=1000") })
+}
+
+// Guards against whole bodies that hold all room for as long as a backend server works on them.
+func TestWholeKeyedBodiesOfLongRequests(t *testing.T) {
+	endureAtEntry(t, smallPlainEntry, 150, func(i int) Request { return wholeKeyed(i, "/q/patient/pay?ms=20000") })
+}
+
+func wholeKeyed(i int, path string) Request {
+	r := shortOf(begin("POST", path, authorized("Idempotency-Key", fmt.Sprintf("key-%d", i))...), keyedBytes)
+	r.Body = padding[:keyedBytes]
+	return r
 }
 
 // Guards against unread bytes of requests that wait for capacity which others hold with bodies that stop short.
@@ -74,6 +80,12 @@
 	endureAtEntry(t, smallPlainEntry, 600, always(shortOf(begin("POST", "/q/refunds/pay", authorized()...), keyedBytes)))
 }
 
+// Guards against requests with stalled bodies that hold their share for as long as they may wait for capacity, so that nobody else is
+// served meanwhile.
+func TestStalledStreamedBodiesThatWaitLong(t *testing.T) {
+	endureAtEntry(t, smallPlainEntry, 600, always(shortOf(begin("POST", "/q/patient/pay", authorized()...), keyedBytes)))
+}
+
 // Guards against memory that fills with the bodies of jobs.
 func TestStalledJobBodies(t *testing.T) {
 	endureAtEntry(t, smallPlainEntry, 1000, always(shortOf(jobHeader(), jobBytes)))
@@ -98,17 +110,17 @@
 	endureAtEntry(t, smallPlainEntry, 4, always(compressedCall(t, "WithdrawKey")))
 }
 
-// compressedCall is a call of 64 MiB before its compression.
+// compressedCall is a call of 64 MiB before its compression, as many members of one stream.
 func compressedCall(t *testing.T, method string) Request {
+	const memberBytes, members = 1 << 20, 64
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
-	for range 2 {
-		_, err := w.Write(padding)
-		must.NoError(t, err)
-	}
+	_, err := w.Write(padding[:memberBytes])
+	must.NoError(t, err)
 	must.NoError(t, w.Close())
-	header := callHeader(method) + fmt.Sprintf("Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n", b.Len())
-	return Request{Header: header, Body: b.Bytes()}
+	body := bytes.Repeat(b.Bytes(), members)
+	header := callHeader(method) + fmt.Sprintf("Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n", len(body))
+	return Request{Header: header, Body: body}
 }
 
 // Guards against memory that fills with the headers of requests whose bodies stop short.
