--- a/test/crowd/jobs_test.go
+++ b/test/crowd/jobs_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -214,7 +215,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			must.NoError(t, Repeat(func(time.Duration) error {
-				return sendParts(c.Entries[0].Listen, append([][]byte{[]byte(header(one.framing + line))}, one.parts...))
+				err := sendParts(c.Entries[0].Listen, append([][]byte{[]byte(header(one.framing + line))}, one.parts...))
+				if err != nil {
+					t.Logf("attempt: %v", err)
+				}
+				return err
 			}))
 		})
 	}
@@ -255,7 +260,8 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("answered with %s", resp.Status)
+		reason, _ := io.ReadAll(resp.Body)
+		return fmt.Errorf("answered with %s: %s", resp.Status, reason)
 	}
 	return nil
 }
