--- a/test/soak/cluster/cluster.go
+++ b/test/soak/cluster/cluster.go
@@ -36,6 +36,21 @@
 // Shape is how many processes of each class there are.
 type Shape struct {
 	Controls, Entries, Workers int
+	// ControlLimits and EntryLimits bound each process of a class.
+	ControlLimits, EntryLimits Limits
+}
+
+// Limits bounds a process. The zero value means MemoryMB, and the descriptors of the program that starts it.
+type Limits struct {
+	MemoryMB    int64
+	Descriptors int
+}
+
+func (l Limits) memoryMB() int64 {
+	if l.MemoryMB > 0 {
+		return l.MemoryMB
+	}
+	return MemoryMB
 }
 
 // ShapeOf divides a number of processes among the classes.
@@ -68,6 +83,7 @@
 	// Public lists the addresses of the relays by which operators reach the control instances, Frontends those of the entries.
 	Public, Frontends []string
 
+	complete       chan struct{} // closed once the lists of processes don't change any more
 	dir, bin, soak string
 	plant          string
 	out            *history.Writer
@@ -82,7 +98,11 @@
 // New prepares a fleet. Files go to dir; the programs are in bin. The workers run as soak, a program with a subcommand
 // worker.
 func New(dir, bin, soak, plant string, shape Shape, out *history.Writer) (*Cluster, error) {
-	c := &Cluster{Network: link.NewNetwork(), dir: dir, bin: bin, soak: soak, plant: plant, out: out, given: make(map[string]bool)}
+	c := &Cluster{
+		Network: link.NewNetwork(), complete: make(chan struct{}), dir: dir, bin: bin, soak: soak, plant: plant, out: out,
+		given: make(map[string]bool),
+	}
+	defer close(c.complete)
 	if err := c.reservePrefix(); err != nil {
 		return nil, Error.Wrap(err)
 	}
@@ -118,9 +138,10 @@
 		if err := l.Close(); err != nil {
 			return 0, err
 		}
-		if !c.given[address] {
+		port := l.Addr().(*net.TCPAddr).Port
+		if !c.given[address] && port != c.peerPort { // relays use peerPort at all hosts
 			c.given[address] = true
-			return l.Addr().(*net.TCPAddr).Port, nil
+			return port, nil
 		}
 	}
 }
@@ -152,11 +173,12 @@
 // fromAny returns a function that names the process of the lists that made a connection.
 func (c *Cluster) fromAny(lists ...*[]*Process) func(net.Conn) string {
 	return func(conn net.Conn) string {
+		<-c.complete
 		var names []string
 		var pids []int
 		for _, list := range lists {
 			for _, p := range *list {
-				if pid := p.pid(); pid != 0 {
+				if pid := p.PID(); pid != 0 {
 					names, pids = append(names, p.Name), append(pids, pid)
 				}
 			}
