Clients of a process are bounded in memory, connections and time: table and choice

Cause: what a client may hold is bounded for each request, not for the process, and nothing bounds for how long. net/http also waits for the rest of a body before it sends a refusal, so a client that stops short of its end gets no answer and keeps its connection.

Change: server.Intake counts connections, headers and bodies of all listeners of a process. At a bound it closes requests that have been incomplete the longest, then idle connections, then young requests; requests received in full are never closed for it. A request has to be received within a base time and a least rate. A refusal is sent at once and its connection closed, unless the rest of the body has arrived anyway. Nothing uses it yet.

--- /dev/null
+++ b/internal/process/server/holder.go
@@ -0,0 +1,177 @@
+package server
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// past is a deadline that makes blocked reads fail.
+var past = time.Unix(1, 0)
+
+// holder is a connection of a client, or one of the streams of an HTTP/2 connection.
+type holder struct {
+	intake  *Intake
+	count   *listenerCount
+	trusted bool
+	base    int64 // bytes that it is counted with in any stage
+	conn    *trackedConn
+	stream  *http.ResponseController // nil for a connection
+
+	stage    atomic.Int32
+	since    atomic.Int64 // time.Duration since Intake.start
+	bytes    atomic.Int64
+	received atomic.Int64 // bytes of the body that is being received
+	removed  atomic.Bool
+
+	// Guarded by Intake.mu.
+	evictedFrom stage
+	evictedAt   time.Duration // 0 if it isn't evicted
+	leaving     int64         // bytes when it was evicted
+}
+
+func (h *holder) current() stage { return stage(h.stage.Load()) }
+
+func (h *holder) holding() holding {
+	return holding{h.current(), time.Duration(h.since.Load()), h.bytes.Load(), h.trusted}
+}
+
+// enter changes the stage. It returns false if the holder is evicted.
+func (h *holder) enter(next stage) bool {
+	for {
+		seen := h.stage.Load()
+		if stage(seen) == stageEvicted {
+			return false
+		}
+		if h.stage.CompareAndSwap(seen, int32(next)) {
+			return true
+		}
+	}
+}
+
+// interrupt ends an evicted holder: one whose body was being received gets an answer first, unless it is to be closed at once.
+func (h *holder) interrupt(closeNow bool) {
+	switch {
+	case h.stream != nil:
+		_ = h.stream.SetReadDeadline(past)
+	case closeNow || h.evictedFrom != stageBody:
+		_ = h.conn.Close()
+	default:
+		_ = h.conn.TCPConn.SetWriteDeadline(time.Now().Add(answerTime))
+		_ = h.conn.TCPConn.SetReadDeadline(past)
+	}
+}
+
+// limitReceiveBuffer bounds the receive buffers of the connections that a listener accepts, which take its size from it.
+func limitReceiveBuffer(l *net.TCPListener) error {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+	})
+	return Error.Wrap(errs.Combine(err, failed))
+}
+
+// trackedListener adds its connections to an intake.
+type trackedListener struct {
+	net.Listener
+	intake  *Intake
+	count   *listenerCount
+	trusted bool
+}
+
+// Accept implements net.Listener.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		tcp, ok := c.(*net.TCPConn)
+		if err != nil || !ok {
+			return c, err
+		}
+		tracked := &trackedConn{TCPConn: tcp}
+		tracked.holder = holder{intake: l.intake, count: l.count, trusted: l.trusted, base: connCost, conn: tracked}
+		if l.intake.admit(&tracked.holder) {
+			return tracked, nil
+		}
+		_ = tracked.Close()
+	}
+}
+
+// trackedConn is a connection in an intake.
+type trackedConn struct {
+	*net.TCPConn
+	holder holder
+	// multiplexed is set once the connection is used for HTTP/2; its streams are holders of their own then.
+	multiplexed atomic.Bool
+}
+
+// trackedKey is the key of a request's trackedConn in its context.
+type trackedKey struct{}
+
+// trackedOf returns the tracked connection below c, or nil.
+func trackedOf(c net.Conn) *trackedConn {
+	if secure, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = secure.NetConn()
+	}
+	tracked, _ := c.(*trackedConn)
+	return tracked
+}
+
+// Read implements net.Conn. It notices the begin of a request and counts its header.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	h := &c.holder
+	if n == 0 || h.trusted || c.multiplexed.Load() {
+		return n, err
+	}
+	grown := int64(n) * headerCost
+	switch h.current() {
+	case stageEvicted:
+		return 0, os.ErrDeadlineExceeded
+	case stageIdle:
+		grown += requestCost
+		h.since.Store(int64(h.intake.now()))
+		if !h.enter(stageHeader) {
+			return 0, os.ErrDeadlineExceeded
+		}
+	case stageHeader:
+	default:
+		return n, err
+	}
+	if !h.intake.grow(h, grown) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// SetReadDeadline implements net.Conn. An evicted connection isn't read again.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	err := c.TCPConn.SetReadDeadline(t)
+	if c.holder.current() == stageEvicted {
+		return c.TCPConn.SetReadDeadline(past)
+	}
+	return err
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	err := c.TCPConn.Close()
+	c.holder.intake.remove(&c.holder)
+	return err
+}
+
+// idle records that a request has been answered.
+func (c *trackedConn) idle() {
+	h := &c.holder
+	h.since.Store(int64(h.intake.now()))
+	h.intake.shed(h)
+	h.enter(stageIdle)
+}
--- /dev/null
+++ b/internal/process/server/limits.go
@@ -0,0 +1,115 @@
+package server
+
+import (
+	"bufio"
+	"bytes"
+	"math"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+const (
+	// connCost is the memory that an open connection is counted with, for its goroutine and buffers, and requestCost what is added
+	// while it has a request, also for unread bytes in its receive buffer.
+	connCost    = 16 << 10
+	requestCost = 16 << 10
+	// receiveBuffer is the size of the socket buffer for bytes that have arrived on a client's connection and aren't read. The
+	// kernel would let it grow to megabytes.
+	receiveBuffer = 32 << 10
+	// headerCost is the memory for each byte of a header, which is kept both raw and decoded.
+	headerCost = 2
+	// intakeFraction is the part of the memory that the connections of clients may take up.
+	intakeFraction = 3
+	// fileReserve is the number of descriptors that are kept for files, and listenReserve the fraction that is kept for outgoing
+	// connections.
+	fileReserve = 200
+	// ReceiveTimeout is the default time in which a request must be received, as long as its body isn't large. It equals the
+	// longest pause on a connection that the users' configurations allow (idle_timeout_ms).
+	ReceiveTimeout = 15 * time.Second
+	// receiveRate is the least rate, in bytes per second, at which a large body must arrive: a quarter of a link with 2 Mbit/s.
+	receiveRate = 64 << 10
+	// machineFraction is the part of the machine's memory that a process without a memory limit is taken to have.
+	machineFraction = 4
+	// leastConns is the number of connections that are accepted however low the limits are.
+	leastConns = 16
+)
+
+// Limits bounds what clients of a process may hold at the same time, over all its listeners.
+type Limits struct {
+	// Bytes is the memory for connections, headers and bodies.
+	Bytes int64
+	// Conns is the number of connections, including those of the system's own processes.
+	Conns int
+	// BodyCost is the memory for each byte of a body while it is received and decoded.
+	BodyCost int64
+	// ReceiveTimeout is the time in which a request must be received. Large bodies get more, at 64 KiB a second.
+	ReceiveTimeout time.Duration
+}
+
+// Resources are what a process may use; a field that is 0 is taken from the machine and from the process's own limits.
+type Resources struct {
+	Memory int64 // in bytes
+	Files  int   // descriptors
+	// Outgoing is the part of the descriptors, as a divisor, that is kept for connections which the process opens.
+	Outgoing int
+}
+
+// LimitsFor returns the limits of a process. bodyCost is the memory for each byte of a body, in bytes.
+func LimitsFor(r Resources, bodyCost int64) Limits {
+	memory, files := r.Memory, r.Files
+	if memory <= 0 {
+		memory = defaultMemory()
+	}
+	if files <= 0 {
+		files = openFileLimit()
+	}
+	conns := files - min(fileReserve, files/4) - files/r.Outgoing
+	return Limits{
+		Bytes: memory / intakeFraction, Conns: max(leastConns, conns), BodyCost: bodyCost, ReceiveTimeout: ReceiveTimeout,
+	}
+}
+
+// defaultMemory returns the memory of a process that was given no limit: GOMEMLIMIT, or a part of the machine's memory.
+func defaultMemory() int64 {
+	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
+		return limit
+	}
+	const unknown = 1 << 30
+	data, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return unknown
+	}
+	if total := memTotal(data); total > 0 {
+		return total / machineFraction
+	}
+	return unknown
+}
+
+// memTotal returns the machine's memory, in bytes, from the content of /proc/meminfo; 0 if that can't be read.
+func memTotal(meminfo []byte) int64 {
+	lines := bufio.NewScanner(bytes.NewReader(meminfo))
+	for lines.Scan() {
+		fields := bytes.Fields(lines.Bytes())
+		if len(fields) >= 2 && string(fields[0]) == "MemTotal:" {
+			kib, err := strconv.ParseInt(string(fields[1]), 10, 64)
+			if err != nil {
+				return 0
+			}
+			return kib << 10
+		}
+	}
+	return 0
+}
+
+// openFileLimit returns the number of descriptors that the process may open.
+func openFileLimit() int {
+	const unknown, most = 1024, 1 << 20
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return unknown
+	}
+	return int(min(uint64(limit.Cur), most))
+}
