Entry of mode jobs bounds what its callers hold

Cause: the bound on concurrent bodies counted bodies only: 3,850 connections with headers of 15 kB took 216 MB on a machine of 160 MB. A crowd that held what the bound allows kept it full, as nothing ended its requests, and with few descriptors no caller was served.

Change: the listeners for callers, readiness and metrics share one server.Intake: a third of memory_mb for connections, headers and bodies (a byte of a body counts five times), and the descriptors that files and own connections leave. memory_mb, max_fds and receive_timeout are settings of all processes; without memory_mb and max_fds, the bounds follow from the machine's memory and RLIMIT_NOFILE.

Not measured with a crowd yet.

--- a/internal/jobcontrol/settings.go
+++ b/internal/jobcontrol/settings.go
@@ -27,8 +27,6 @@
 	FirstStart bool `toml:"first_start"`
 	// Losses is the number of instances that may fail at the same time. The log has 2*Losses+1 voters.
 	Losses int `toml:"losses"`
-	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
-	MemoryMB int64 `toml:"memory_mb"`
 	// DiskMB is the space that the process may use in DataDir, in MiB; 0 means the value of DiskVariable, or no limit if that isn't set.
 	DiskMB int64 `toml:"disk_mb"`
 	// DataCentres are the names of all data centres of the deployment, for the check of orders that evacuate one; empty if only
@@ -120,9 +118,6 @@
 	if s.OrderForwarding != ForwardingAuto && s.OrderForwarding != ForwardingOff {
 		f.Add("order_forwarding", "must be auto or off")
 	}
-	if s.MemoryMB < 0 {
-		f.Add("memory_mb", "must not be negative")
-	}
 	if s.DiskMB < 0 {
 		f.Add("disk_mb", "must not be negative")
 	}
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -35,10 +35,12 @@
 	shutdownTimeout = 2500 * time.Millisecond
 	// heapFraction is the fraction of MemoryMB that the Go runtime gets as its soft memory limit.
 	heapFraction = 0.6
-	// bodiesFraction is the part of MemoryMB that the bodies of concurrent requests may take up.
-	bodiesFraction = 16
-	headerTimeout  = 3 * time.Second
-	idleTimeout    = 15 * time.Second
+	// bodyCost is the memory for each byte of a body: it is read into a growing buffer, decoded and sent on.
+	bodyCost = 5
+	// outgoingFiles is the part of the descriptors, as a divisor, that is kept for connections to control instances.
+	outgoingFiles = 8
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 15 * time.Second
 	// maxHeaderBytes bounds the header of a request before the configured limit is applied (16,384 bytes in the users'
 	// configurations).
 	maxHeaderBytes = 64 << 10
@@ -104,18 +106,19 @@
 func (e *entry) run(ctx context.Context, peerAddresses func([]string, string) []string) error {
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
-	bodies := server.NewBodies((e.settings.MemoryMB << 20) / bodiesFraction)
-	callerServer := newServer(e.closeConnections(bodies.Handler(e.limitRequests(e.deps.Callers(e.do)), nil)))
+	intake := server.NewIntake(server.LimitsFor(&e.settings.Node, bodyCost, outgoingFiles), e.log.Named("intake"), e.metrics.Scope())
+	callerServer := newServer(e.closeConnections(e.limitRequests(e.deps.Callers(e.do))))
 	readyServer := newServer(e.deps.Ready(e.ready))
 	group, serverFailed := errgroup.WithContext(context.Background())
-	err := listen(group, callerServer, e.settings.Listen)
+	err := listen(group, intake, "callers", callerServer, e.settings.Listen)
 	if err == nil {
-		err = listen(group, readyServer, e.settings.ReadyListen)
+		err = listen(group, intake, "readiness", readyServer, e.settings.ReadyListen)
 	}
 	if err != nil {
 		return Error.Wrap(errors.Join(err, callerServer.Close(), readyServer.Close()))
 	}
-	go e.serveMetrics(work)
+	go intake.Run(work)
+	go e.serveMetrics(work, intake)
 	go e.client.MonitorLeader(work)
 	go e.client.MonitorNear(work, e.settings.DataCentre)
 	go e.watchSettings(work, peerAddresses)
@@ -132,15 +135,18 @@
 }
 
 // serveMetrics serves metrics until ctx ends. If that fails, the entry goes on without metrics.
-func (e *entry) serveMetrics(ctx context.Context) {
+func (e *entry) serveMetrics(ctx context.Context, intake *server.Intake) {
 	if e.settings.MetricsListen == "" {
 		return
 	}
 	s := newServer(e.metrics)
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
-	s.Addr = e.settings.MetricsListen
-	if err := s.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	l, err := net.Listen("tcp", e.settings.MetricsListen)
+	if err == nil {
+		err = s.Serve(intake.Public("metrics", s, l))
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
 		e.log.Warn("metrics are not served", "address", e.settings.MetricsListen, "error", err)
 	}
 }
@@ -217,11 +223,12 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-func listen(group *errgroup.Group, s *http.Server, address string) error {
+func listen(group *errgroup.Group, intake *server.Intake, name string, s *http.Server, address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
+	l = intake.Public(name, s, l)
 	group.Go(func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
--- a/internal/jobentry/settings.go
+++ b/internal/jobentry/settings.go
@@ -14,8 +14,6 @@
 	// Seeds are the public addresses (Listen) of some control instances, as IP:port. Their peer listeners are assumed to use
 	// the same port as this instance's PeerListen.
 	Seeds []string `toml:"seeds"`
-	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit.
-	MemoryMB int64 `toml:"memory_mb"`
 	// MetricsListen is the address at which metrics are served, as IP:port; empty serves none.
 	MetricsListen string `toml:"metrics_listen"`
 }
@@ -36,9 +34,6 @@
 	for i, seed := range s.Seeds {
 		settings.CheckAddress(f, settings.Element("seeds", i), seed)
 	}
-	if s.MemoryMB < 0 {
-		f.Add("memory_mb", "must not be negative")
-	}
 	if s.MetricsListen != "" {
 		settings.CheckAddress(f, "metrics_listen", s.MetricsListen)
 	}
--- a/internal/process/server/choose_test.go
+++ b/internal/process/server/choose_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"laburnumrouter/internal/process/settings"
 )
 
 // Guards against a choice that closes requests in work or young ones while older incomplete requests or idle connections are left.
@@ -72,11 +74,12 @@
 
 // Guards against a process without settings that has no bound.
 func TestLimitsHaveDefaults(t *testing.T) {
-	limits := LimitsFor(Resources{Memory: 284 << 20, Files: 4100, Outgoing: 8}, 5)
-	must.Eq(t, Limits{Bytes: 284 << 20 / 3, Conns: 4100 - 200 - 512, BodyCost: 5, ReceiveTimeout: ReceiveTimeout}, limits)
-	limits = LimitsFor(Resources{Outgoing: 8}, 5)
+	n := settings.DefaultNode()
+	limits := LimitsFor(&n, 5, 8)
 	must.Positive(t, limits.Bytes)
 	must.GreaterEq(t, leastConns, limits.Conns)
+	n.MemoryMB, n.MaxFDs = 284, 400
+	must.Eq(t, Limits{Bytes: 284 << 20 / 3, Conns: 400 - 100 - 50, BodyCost: 5, ReceiveTimeout: 15 * time.Second}, LimitsFor(&n, 5, 8))
 	must.Eq(t, 2048<<10, memTotal([]byte("MemFree: 1 kB\nMemTotal:       2048 kB\n")))
 	must.Zero(t, memTotal([]byte("MemTotal: some kB")))
 }
--- a/internal/process/server/limits.go
+++ b/internal/process/server/limits.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"laburnumrouter/internal/process/settings"
 )
 
 const (
@@ -23,12 +25,8 @@
 	headerCost = 2
 	// intakeFraction is the part of the memory that the connections of clients may take up.
 	intakeFraction = 3
-	// fileReserve is the number of descriptors that are kept for files, and listenReserve the fraction that is kept for outgoing
-	// connections.
+	// fileReserve is the number of descriptors that are kept for files.
 	fileReserve = 200
-	// ReceiveTimeout is the default time in which a request must be received, as long as its body isn't large. It equals the
-	// longest pause on a connection that the users' configurations allow (idle_timeout_ms).
-	ReceiveTimeout = 15 * time.Second
 	// receiveRate is the least rate, in bytes per second, at which a large body must arrive: a quarter of a link with 2 Mbit/s.
 	receiveRate = 64 << 10
 	// machineFraction is the part of the machine's memory that a process without a memory limit is taken to have.
@@ -49,26 +47,19 @@
 	ReceiveTimeout time.Duration
 }
 
-// Resources are what a process may use; a field that is 0 is taken from the machine and from the process's own limits.
-type Resources struct {
-	Memory int64 // in bytes
-	Files  int   // descriptors
-	// Outgoing is the part of the descriptors, as a divisor, that is kept for connections which the process opens.
-	Outgoing int
-}
-
-// LimitsFor returns the limits of a process. bodyCost is the memory for each byte of a body, in bytes.
-func LimitsFor(r Resources, bodyCost int64) Limits {
-	memory, files := r.Memory, r.Files
+// LimitsFor returns the limits of a process with settings n. bodyCost is the memory for each byte of a body, in bytes. One part in
+// outgoing of the descriptors is kept for connections that the process opens itself.
+func LimitsFor(n *settings.Node, bodyCost int64, outgoing int) Limits {
+	memory, files := n.MemoryMB<<20, n.MaxFDs
 	if memory <= 0 {
 		memory = defaultMemory()
 	}
 	if files <= 0 {
 		files = openFileLimit()
 	}
-	conns := files - min(fileReserve, files/4) - files/r.Outgoing
+	conns := files - min(fileReserve, files/4) - files/outgoing
 	return Limits{
-		Bytes: memory / intakeFraction, Conns: max(leastConns, conns), BodyCost: bodyCost, ReceiveTimeout: ReceiveTimeout,
+		Bytes: memory / intakeFraction, Conns: max(leastConns, conns), BodyCost: bodyCost, ReceiveTimeout: n.ReceiveTimeout.Std(),
 	}
 }
 
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -40,6 +40,14 @@
 	PeerListen string `toml:"peer_listen"`
 	// StopTimeout limits the duration of a graceful stop. Default 30s.
 	StopTimeout Duration `toml:"stop_timeout"`
+	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit. What clients may hold is a part of it, or of the
+	// machine's memory if there is no limit.
+	MemoryMB int64 `toml:"memory_mb"`
+	// MaxFDs is the number of descriptors that the process may open; 0 means the limit of the operating system (RLIMIT_NOFILE).
+	MaxFDs int `toml:"max_fds"`
+	// ReceiveTimeout is the time in which a client's request must be received; a large body gets a second more for each 64 KiB.
+	// Default 15s.
+	ReceiveTimeout Duration `toml:"receive_timeout"`
 	// Log configures the level and the destination of log lines.
 	Log Log `toml:"log"`
 	// TLS configures TLS for the listeners and for connections to other processes.
@@ -78,8 +86,9 @@
 // DefaultNode returns the defaults of Node.
 func DefaultNode() Node {
 	return Node{
-		StopTimeout: Duration(30 * time.Second),
-		Log:         Log{Level: "info"},
+		StopTimeout:    Duration(30 * time.Second),
+		ReceiveTimeout: Duration(15 * time.Second),
+		Log:            Log{Level: "info"},
 	}
 }
 
@@ -147,6 +156,15 @@
 	if n.StopTimeout <= 0 {
 		f.Add("stop_timeout", "must be positive")
 	}
+	if n.MemoryMB < 0 {
+		f.Add("memory_mb", "must not be negative")
+	}
+	if n.MaxFDs < 0 {
+		f.Add("max_fds", "must not be negative")
+	}
+	if n.ReceiveTimeout <= 0 {
+		f.Add("receive_timeout", "must be positive")
+	}
 	switch n.Log.Level {
 	case "trace", "debug", "info", "warn", "error":
 	default:
