Control of mode jobs bounds what operators and backend servers hold

Cause: one bound on concurrent bodies served the public listener and calls of entries, so clients that hold incomplete bodies could have entries' calls refused; connections, headers and time had no bound. The public listener spoke HTTP/2 without TLS, of which a connection carries many requests, although no client uses it.

Change: the public and the metrics listener share a server.Intake. Calls of entries keep a bound of their own; their listener counts toward the connections, and is never cut. HTTP/2 without TLS is left to the peer listener.

Not measured with a crowd yet.

--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -36,9 +36,13 @@
 	// heapFraction is the fraction of MemoryMB that the Go runtime gets as its soft memory limit. The rest is left for memory
 	// outside the Go runtime, such as socket buffers with unread data.
 	heapFraction = 0.6
-	// bodiesFraction is the part of MemoryMB that the bodies of concurrent requests may take up. A decoded configuration takes
-	// several times the size of its body.
+	// bodiesFraction is the part of MemoryMB that the bodies of concurrent calls from entries may take up.
 	bodiesFraction = 32
+	// bodyCost is the memory for each byte of a body from an operator or a backend server. A decoded configuration takes several times
+	// the size of its body.
+	bodyCost = 10
+	// outgoingFiles is the part of the descriptors, as a divisor, that is kept for connections to backend servers and other instances.
+	outgoingFiles = 4
 	// drainPeriod is how long a stopping instance goes on forwarding calls, so that callers can switch to other instances.
 	drainPeriod = 800 * time.Millisecond
 	// shutdownTimeout bounds the wait for calls in progress, which take a few milliseconds.
@@ -89,7 +93,8 @@
 	budget   replica.Budget
 	client   *leader.Client
 	metrics  *metrics.Registry
-	bodies   *server.Bodies
+	bodies   *server.Bodies // of calls from entries
+	intake   *server.Intake
 	folder   folderUse
 	outage   folderOutage
 	peers    peerSwitch
@@ -111,6 +116,7 @@
 		folder: folderUse{limit: disk}, outage: folderOutage{scope: registry.Scope()},
 		client: leader.NewClient(PeerAddresses(s.Seeds, s.PeerListen), nil, log.Named("leader")),
 	}
+	c.intake = server.NewIntake(server.LimitsFor(&s.Node, bodyCost, outgoingFiles), log.Named("intake"), registry.Scope())
 	c.peers.use(absentHandler(nil))
 	if deps.FS == nil {
 		c.deps.FS = journal.OS{}
@@ -136,11 +142,13 @@
 	}
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
-	servers := []*http.Server{newServer(c.bodies.Handler(c.deps.Public(c.client.Do), nil)), newServer(&c.peers)}
+	servers := []*http.Server{newServer(c.deps.Public(c.client.Do)), newServer(&c.peers)}
+	servers[1].Protocols.SetUnencryptedHTTP2(true)
 	servers[1].HTTP2 = &http.HTTP2Config{WriteByteTimeout: peerWriteTimeout}
 	shutdowns := []func(context.Context) error{servers[0].Shutdown, server.TrackSilentConns(servers[1]).Shutdown}
 	var group errgroup.Group
-	for i, l := range []net.Listener{public, peers} {
+	go c.intake.Run(work)
+	for i, l := range []net.Listener{c.intake.Public("public", servers[0], public), c.intake.Trusted("peers", peers)} {
 		group.Go(func() error { return serve(servers[i], l) })
 	}
 	c.serveMetrics(work, &group)
@@ -236,7 +244,6 @@
 func newServer(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: h, Protocols: protocols, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
@@ -261,7 +268,8 @@
 		return
 	}
 	s := newServer(c.metrics)
-	group.Go(func() error { return serve(s, l) })
+	tracked := c.intake.Public("metrics", s, l)
+	group.Go(func() error { return serve(s, tracked) })
 	group.Go(func() error {
 		<-ctx.Done()
 		return s.Close()
