Clients of the mode without jobs are bounded in memory, connections and time

Cause: an entry read each body of a keyed request up to 1 MiB with no bound on their sum (500 of them took it from 22 to 1,023 MB), so did jobs, announcements and sheets of 32 MiB; nothing ended an incomplete or idle connection, and an unauthenticated caller's request to the operator service was decoded before it was refused.

Change: server.Serve bounds the clients of the public listener with a server.Intake; peers count, and are never cut. Bodies that are refused get 503 not-run (reason not-received), at the operator service code unavailable. Unknown operators are refused before their request is read, and decoded requests have a bound. Bodies that are passed on aren't counted; those up to 16 KiB are received before their request is queued, so that it doesn't look incomplete. HTTP/2 without TLS is left to peer listeners.

Result: tests of internal/entry, internal/control, internal/process/server and test/examples pass; not measured with a crowd yet.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -24,10 +24,20 @@
 	"laburnumrouter/internal/process/server"
 	"laburnumrouter/internal/process/tlsconf"
 	"laburnumrouter/internal/version/feed"
+	"laburnumrouter/internal/version/sheet"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 	"laburnumrouter/proto/laburnum/v1/laburnumv1connect"
 )
 
+const (
+	// bodyCost is the memory for each byte of a request from an operator: a sheet is decoded, checked and proposed.
+	bodyCost = 10
+	// outgoingFiles is the part of the descriptors, as a divisor, that is kept for connections to other processes and platforms.
+	outgoingFiles = 4
+	// maxOperatorBytes bounds a decoded request from an operator: twice the largest sheet.
+	maxOperatorBytes = 2 * sheet.MaxBytes
+)
+
 // Error is the class of all errors of this package.
 var Error = errs.Class("control")
 
@@ -113,6 +123,8 @@
 		return Error.Wrap(err)
 	}
 	listeners.UseTLS(c.certificates, c.log)
+	server.LimitHeap(&c.settings.Node)
+	listeners.LimitClients(server.NewIntake(server.LimitsFor(&c.settings.Node, bodyCost, outgoingFiles), c.log.Named("intake"), c.metrics.Scope()))
 	c.log.Info("listening", "public", listeners.Public.Addr(), "peer", listeners.Peer.Addr())
 	background, stopBackground := context.WithCancel(context.Background())
 	defer stopBackground()
@@ -141,8 +153,8 @@
 	mux := http.NewServeMux()
 	server.HandleHealthAndMetrics(mux, &c.ready, c.metrics)
 	auth := operators.New(c.settings.Operators, c.log)
-	path, handler := laburnumv1connect.NewOperatorServiceHandler(&operatorServer{control: c}, connect.WithInterceptors(auth.Interceptor()), peer.CompressLarge())
-	mux.Handle(path, auth.Identify(handler))
+	path, handler := laburnumv1connect.NewOperatorServiceHandler(&operatorServer{control: c}, connect.WithInterceptors(auth.Interceptor()), connect.WithReadMaxBytes(maxOperatorBytes), peer.CompressLarge())
+	mux.Handle(path, auth.Identify(operators.RefuseUnreceived(handler)))
 	return mux
 }
 
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -59,7 +59,7 @@
 	var a Announcement
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes)).Decode(&a)
 	if err != nil {
-		e.refuse(w, nil, outcome.Refuse(http.StatusBadRequest, "bad-announcement", "%v", err))
+		e.refuse(w, nil, bodyRefusal("bad-announcement", err))
 		return
 	}
 	if problem := a.check(e.settings.DataCentre); problem != "" {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,7 +38,14 @@
 // errUncertain is the class of errors of calls that may have taken effect although they were not answered.
 var errUncertain = errs.Class("uncertain")
 
-const queueRefreshInterval = 100 * time.Millisecond
+const (
+	queueRefreshInterval = 100 * time.Millisecond
+	// bodyCost is the memory for each byte of a body that is read whole.
+	bodyCost = 5
+	// outgoingFiles is the part of the descriptors, as a divisor, that is kept for connections to backend servers and other
+	// processes. Each request that is passed on takes one beside its caller's.
+	outgoingFiles = 2
+)
 
 // Entry is one entry instance.
 type Entry struct {
@@ -143,6 +150,8 @@
 		return Error.Wrap(err)
 	}
 	listeners.UseTLS(e.tlsSource, e.log)
+	server.LimitHeap(&e.settings.Node)
+	listeners.LimitClients(server.NewIntake(server.LimitsFor(&e.settings.Node, bodyCost, outgoingFiles), e.log.Named("intake"), e.scope))
 	listeners.Drain = e.drainPeers
 	e.log.Info("listening", "public", listeners.Public.Addr(), "peer", listeners.Peer.Addr())
 	// Background loops keep running while the servers finish their requests.
--- a/internal/entry/jobs.go
+++ b/internal/entry/jobs.go
@@ -15,6 +15,7 @@
 	"connectrpc.com/connect"
 
 	"laburnumrouter/internal/connection/peer"
+	"laburnumrouter/internal/process/server"
 	"laburnumrouter/internal/request/admission"
 	"laburnumrouter/internal/request/outcome"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
@@ -102,6 +103,9 @@
 // a repeated submission finds the first one.
 func (e *Entry) readJob(w http.ResponseWriter, r *http.Request, workspace, key string) (*laburnumv1.Job, *outcome.Refusal) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxJobBodyBytes))
+	if server.BodyRefused(err) {
+		return nil, bodyRefusal("bad-job", err)
+	}
 	if err != nil {
 		return nil, outcome.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body of a job submission may have at most %d bytes", maxJobBodyBytes)
 	}
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"laburnumrouter/internal/process/server"
 	"laburnumrouter/internal/request/admission"
 	"laburnumrouter/internal/request/idempotency"
 	"laburnumrouter/internal/request/outcome"
@@ -20,8 +21,12 @@
 	recordsFullRetryAfter = time.Minute
 	noRecordRetryAfter    = 2 * time.Second
 	inProgressRetryAfter  = time.Second
+	notReceivedRetryAfter = time.Second
 )
 
+// smallBodyBytes is the size up to which a body is received before its request is queued.
+const smallBodyBytes = 16 << 10
+
 // serveKeyed runs a request under an idempotency record. The whole response is recorded before the caller gets it.
 func (e *Entry) serveKeyed(ctx context.Context, w http.ResponseWriter, r *http.Request, t *admission.Ticket) {
 	digest, refusal := e.bufferBody(w, r)
@@ -127,7 +132,7 @@
 		return nil, outcome.Refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body of a request with an Idempotency-Key may have at most %d bytes", e.settings.MaxBodyBytes)
 	}
 	if err != nil {
-		return nil, outcome.Refuse(http.StatusBadRequest, "bad-body", "the body could not be read: %v", err)
+		return nil, bodyRefusal("bad-body", err)
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	r.ContentLength = int64(len(body))
@@ -137,6 +142,27 @@
 	return h.Sum(nil), nil
 }
 
+// bodyRefusal returns the refusal of a request whose body could not be read. reason is that of a fault of the caller.
+func bodyRefusal(reason string, err error) *outcome.Refusal {
+	if server.BodyRefused(err) {
+		return outcome.Refuse(http.StatusServiceUnavailable, "not-received", "%v", err).WithRetryAfter(notReceivedRetryAfter)
+	}
+	return outcome.Refuse(http.StatusBadRequest, reason, "the body could not be read: %v", err)
+}
+
+// receiveSmallBody reads a small body before the request waits for its turn, so that the request counts as received.
+func receiveSmallBody(r *http.Request) *outcome.Refusal {
+	if r.ContentLength <= 0 || r.ContentLength > smallBodyBytes {
+		return nil
+	}
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
+		return bodyRefusal("bad-body", err)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return nil
+}
+
 func writeStored(w http.ResponseWriter, stored *laburnumv1.StoredResponse) {
 	h := w.Header()
 	for _, f := range stored.GetHeader() {
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -12,6 +12,9 @@
 	"laburnumrouter/proto/laburnum/v1/laburnumv1connect"
 )
 
+// maxOperatorBytes bounds a decoded request from an operator, which holds a digest.
+const maxOperatorBytes = 64 << 10
+
 // operatorServer accepts withdrawals of keys at an entry, for the case that no control instance can be reached.
 type operatorServer struct {
 	laburnumv1connect.UnimplementedOperatorServiceHandler
@@ -25,8 +28,8 @@
 	}
 	auth := operators.New(e.settings.Operators, e.log)
 	server := &operatorServer{entry: e}
-	path, handler := laburnumv1connect.NewOperatorServiceHandler(server, connect.WithInterceptors(auth.Interceptor()))
-	mux.Handle(path, auth.Identify(handler))
+	path, handler := laburnumv1connect.NewOperatorServiceHandler(server, connect.WithInterceptors(auth.Interceptor()), connect.WithReadMaxBytes(maxOperatorBytes))
+	mux.Handle(path, auth.Identify(operators.RefuseUnreceived(handler)))
 }
 
 // WithdrawKey implements OperatorService. The key is void at this entry at once; the withdrawal spreads from peer to
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"laburnumrouter/internal/process/server"
 	"laburnumrouter/internal/request/admission"
 	"laburnumrouter/internal/request/forward"
 	"laburnumrouter/internal/request/outcome"
@@ -11,6 +12,7 @@
 
 // serveRequest takes a caller's request through admission, idempotency record, queue and forwarding.
 func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
+	in := r
 	r = forward.WithReadTimeout(w, r)
 	if refusal := e.refuseStarting(admission.MayNeedRecord(r)); refusal != nil {
 		e.refuse(w, nil, refusal)
@@ -31,6 +33,11 @@
 		e.serveKeyed(ctx, w, r, t)
 		return
 	}
+	if refusal := receiveSmallBody(r); refusal != nil {
+		e.refuse(w, t, refusal)
+		return
+	}
+	server.PassBody(in)
 	a, refusal := e.dispatch(ctx, r, t)
 	if refusal != nil {
 		e.refuse(w, t, refusal)
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -33,9 +32,6 @@
 	// snapshotEntries is the number of log entries between snapshots, unless their size is reached first (replica.Budget). At 60
 	// entries a second on a busy day, a snapshot is taken every 70 s.
 	snapshotEntries = 4096
-	// heapFraction is the fraction of MemoryMB that the Go runtime gets as its soft memory limit. The rest is left for memory
-	// outside the Go runtime, such as socket buffers with unread data.
-	heapFraction = 0.6
 	// bodiesFraction is the part of MemoryMB that the bodies of concurrent calls from entries may take up.
 	bodiesFraction = 32
 	// bodyCost is the memory for each byte of a body from an operator or a backend server. A decoded configuration takes several times
@@ -74,9 +70,7 @@
 
 // Run runs a control instance until ctx ends. After a storage failure it opens the data folder again.
 func Run(ctx context.Context, s *Settings, deps Dependencies, log hclog.Logger) error {
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * heapFraction))
-	}
+	server.LimitHeap(&s.Node)
 	c, err := newControl(s, deps, log)
 	if err != nil {
 		return err
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -33,8 +32,6 @@
 	// shutdownTimeout bounds the wait for requests in progress; together with drainPeriod it stays under the
 	// time that a process gets for a stop (the users' limit grace_s, 6 s).
 	shutdownTimeout = 2500 * time.Millisecond
-	// heapFraction is the fraction of MemoryMB that the Go runtime gets as its soft memory limit.
-	heapFraction = 0.6
 	// bodyCost is the memory for each byte of a body: it is read into a growing buffer, decoded and sent on.
 	bodyCost = 5
 	// outgoingFiles is the part of the descriptors, as a divisor, that is kept for connections to control instances.
@@ -70,9 +67,7 @@
 // Run runs an entry until ctx ends. peerAddresses returns the peer addresses of the control instances from their public
 // addresses (the seeds) and this instance's PeerListen.
 func Run(ctx context.Context, s *Settings, deps Dependencies, peerAddresses func([]string, string) []string, log hclog.Logger) error {
-	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * heapFraction))
-	}
+	server.LimitHeap(&s.Node)
 	e := &entry{settings: s, deps: deps, log: log, metrics: metrics.New("laburnum_jobentry", s.Name)}
 	e.client = leader.NewClient(peerAddresses(s.Seeds, s.PeerListen), nil, log.Named("leader"))
 	e.client.ReadSeedsWith(func() ([]string, error) {
--- a/internal/process/operators/operators.go
+++ b/internal/process/operators/operators.go
@@ -71,7 +71,8 @@
 	return &Authenticator{operators: list, log: log}
 }
 
-// Identify puts the caller's authenticated name, or "" if there is none, into the request's context for Interceptor.
+// Identify puts the caller's authenticated name into the request's context for Interceptor. If operators must authenticate, it refuses
+// other callers before their request is read.
 func (a *Authenticator) Identify(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		name := a.nameByKey(r)
@@ -80,11 +81,26 @@
 		}
 		if name == "" && a.enabled() {
 			a.log.Warn("operator refused", "remote", r.RemoteAddr, "path", r.URL.Path)
+			refuse(w, r)
+			return
 		}
 		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), operatorKey{}, name)))
 	})
 }
 
+// errUnknown is the error of a caller who isn't an operator.
+func errUnknown() *connect.Error {
+	return connect.NewError(connect.CodeUnauthenticated, Error.New("the request has no key or certificate of a known operator"))
+}
+
+func refuse(w http.ResponseWriter, r *http.Request) {
+	if errors := connect.NewErrorWriter(); errors.IsSupported(r) {
+		_ = errors.Write(w, r, errUnknown())
+		return
+	}
+	http.Error(w, errUnknown().Message(), http.StatusUnauthorized)
+}
+
 func (a *Authenticator) nameByKey(r *http.Request) string {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
@@ -125,7 +141,7 @@
 			}
 			name, _ := ctx.Value(operatorKey{}).(string)
 			if name == "" {
-				return nil, connect.NewError(connect.CodeUnauthenticated, Error.New("the request has no key or certificate of a known operator"))
+				return nil, errUnknown()
 			}
 			if message, ok := req.Any().(proto.Message); ok {
 				setOperatorName(message, name)
--- a/internal/process/server/choose.go
+++ b/internal/process/server/choose.go
@@ -28,6 +28,8 @@
 	bytes int64
 	// trusted marks connections of the system's own processes, which are never closed.
 	trusted bool
+	// untimed marks requests whose handler bounds their time itself.
+	untimed bool
 }
 
 // excess is by how much a process exceeds its bounds.
@@ -89,7 +91,7 @@
 
 // exceeded reports whether a request of which received bytes of the body have arrived has taken longer than the bound.
 func (b receiveBound) exceeded(h *holding, received int64, now time.Duration) bool {
-	if h.trusted || (h.stage != stageHeader && h.stage != stageBody) {
+	if h.trusted || h.untimed || (h.stage != stageHeader && h.stage != stageBody) {
 		return false
 	}
 	earned := time.Duration(float64(received) / float64(b.rate) * float64(time.Second))
--- a/internal/process/server/holder.go
+++ b/internal/process/server/holder.go
@@ -28,6 +28,7 @@
 	bytes    atomic.Int64
 	received atomic.Int64 // bytes of the body that is being received
 	removed  atomic.Bool
+	untimed  atomic.Bool // see holding
 
 	// Guarded by Intake.mu.
 	evictedFrom stage
@@ -38,7 +39,7 @@
 func (h *holder) current() stage { return stage(h.stage.Load()) }
 
 func (h *holder) holding() holding {
-	return holding{h.current(), time.Duration(h.since.Load()), h.bytes.Load(), h.trusted}
+	return holding{h.current(), time.Duration(h.since.Load()), h.bytes.Load(), h.trusted, h.untimed.Load()}
 }
 
 // enter changes the stage. It returns false if the holder is evicted.
--- a/internal/process/server/limits.go
+++ b/internal/process/server/limits.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"math"
 	"os"
 	"runtime/debug"
 	"strconv"
@@ -18,11 +17,16 @@
 	// while it has a request, also for unread bytes in its receive buffer.
 	connCost    = 16 << 10
 	requestCost = 16 << 10
+	// streamCost is the memory that a stream of an HTTP/2 connection is counted with.
+	streamCost = 16 << 10
 	// receiveBuffer is the size of the socket buffer for bytes that have arrived on a client's connection and aren't read. The
 	// kernel would let it grow to megabytes.
 	receiveBuffer = 32 << 10
 	// headerCost is the memory for each byte of a header, which is kept both raw and decoded.
 	headerCost = 2
+	// heapFraction is the fraction of the memory that the Go runtime gets as its soft limit. The rest is left for memory outside the Go
+	// runtime, such as socket buffers with unread data.
+	heapFraction = 0.6
 	// intakeFraction is the part of the memory that the connections of clients may take up.
 	intakeFraction = 3
 	// fileReserve is the number of descriptors that are kept for files.
@@ -63,11 +67,15 @@
 	}
 }
 
-// defaultMemory returns the memory of a process that was given no limit: GOMEMLIMIT, or a part of the machine's memory.
-func defaultMemory() int64 {
-	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
-		return limit
+// LimitHeap makes the Go runtime keep the heap of a process with settings n below its memory, if it has a limit.
+func LimitHeap(n *settings.Node) {
+	if n.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(n.MemoryMB<<20) * heapFraction))
 	}
+}
+
+// defaultMemory returns the memory of a process that was given no limit.
+func defaultMemory() int64 {
 	const unknown = 1 << 30
 	data, err := os.ReadFile("/proc/meminfo")
 	if err != nil {
--- a/internal/process/server/receive.go
+++ b/internal/process/server/receive.go
@@ -59,7 +59,7 @@
 	if !conn.holder.enter(stageWorking) {
 		panic(http.ErrAbortHandler)
 	}
-	h := &holder{intake: t, count: conn.holder.count, base: connCost, stream: http.NewResponseController(w)}
+	h := &holder{intake: t, count: conn.holder.count, base: streamCost, stream: http.NewResponseController(w)}
 	if !t.admit(h) {
 		t.remove(h)
 		panic(http.ErrAbortHandler)
@@ -67,11 +67,13 @@
 	return h
 }
 
-// PassBody declares that a request's body is passed on while it is received. It isn't counted then, and the request counts as
-// received: the handler bounds its time.
+// PassBody declares that a request's body is passed on while it is received: it isn't counted, and the handler bounds its time.
 func PassBody(r *http.Request) {
 	if b, ok := r.Body.(*receivedBody); ok {
-		b.pass()
+		b.mu.Lock()
+		b.passed = true
+		b.mu.Unlock()
+		b.holder.untimed.Store(true)
 	}
 }
 
@@ -92,12 +94,12 @@
 	n, err := b.ReadCloser.Read(p)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.finished || b.passed {
+	if b.finished {
 		b.complete = b.complete || errors.Is(err, io.EOF)
 		return n, err
 	}
 	h := b.holder
-	if n > 0 {
+	if n > 0 && !b.passed {
 		h.received.Add(int64(n))
 		if !h.intake.grow(h, int64(n)*h.intake.limits.BodyCost) {
 			b.refused = true
@@ -123,14 +125,6 @@
 	return ErrBodiesFull
 }
 
-func (b *receivedBody) pass() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.holder.enter(stageWorking) {
-		b.passed = true
-	}
-}
-
 // finish makes a request that has been answered before its body was received either receive what has arrived meanwhile, or close its
 // connection after the answer: net/http waits for the rest of a body, which may never come, before it answers and closes.
 func (b *receivedBody) finish(w http.ResponseWriter) {
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -27,7 +27,11 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 64 << 10
+	// maxStreams and streamsBuffer bound the requests on one HTTP/2 connection of a client and what it may have sent of them.
+	maxStreams    = 64
+	streamsBuffer = 256 << 10
 	// unreadyDelay is how long a stopping process keeps serving while /readyz reports it as unready, so that load balancers
 	// stop sending to it.
 	unreadyDelay = 200 * time.Millisecond
@@ -81,9 +85,13 @@
 	// need this process or the context ends; nil if there is nothing to wait for.
 	Drain     func(ctx context.Context)
 	tlsSource *tlsconf.Source
+	intake    *Intake
 	log       hclog.Logger
 }
 
+// LimitClients makes Serve bound what the clients of the public listener hold.
+func (l *Listeners) LimitClients(intake *Intake) { l.intake = intake }
+
 // UseTLS makes Serve use TLS on both listeners, with the certificates of source; a nil source leaves them without TLS.
 // Failed handshakes are logged.
 func (l *Listeners) UseTLS(source *tlsconf.Source, log hclog.Logger) {
@@ -136,7 +144,17 @@
 // running requests complete, for at most stopTimeout. The peer listener stays open until the public one has finished.
 func Serve(ctx context.Context, l *Listeners, public, peer http.Handler, ready *Readiness, stopTimeout time.Duration) error {
 	publicServer := newServer(public)
+	publicServer.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: streamsBuffer, MaxReceiveBufferPerStream: streamsBuffer,
+	}
 	peerServer := newServer(peer)
+	peerServer.Protocols.SetUnencryptedHTTP2(true)
+	sweeping, stopSweeping := context.WithCancel(context.Background())
+	defer stopSweeping()
+	if l.intake != nil {
+		l.Public, l.Peer = l.intake.Public("public", publicServer, l.Public), l.intake.Trusted("peers", l.Peer)
+		go l.intake.Run(sweeping)
+	}
 	if l.tlsSource != nil {
 		enableTLS(publicServer, l.tlsSource.Public(), l.log)
 		enableTLS(peerServer, l.tlsSource.Peer(), l.log)
@@ -163,10 +181,10 @@
 func newServer(h http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		Protocols:         protocols,
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -25,6 +25,9 @@
 	"laburnumrouter/internal/standin/platform"
 )
 
+// bodyCost and outgoingFiles are those of server.LimitsFor.
+const bodyCost, outgoingFiles = 5, 4
+
 // Error is the class of all errors of this package.
 var Error = errs.Class("standin")
 
@@ -103,6 +106,8 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	server.LimitHeap(&st.settings.Node)
+	listeners.LimitClients(server.NewIntake(server.LimitsFor(&st.settings.Node, bodyCost, outgoingFiles), st.log.Named("intake"), st.metrics.Scope()))
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		return server.Serve(ctx, listeners, st.publicHandler(), http.NotFoundHandler(), &st.ready, st.settings.StopTimeout.Std())
