Connections that wait to be accepted hold few unread bytes

Cause: bytes of connections that the process hasn't accepted yet count toward the machine's memory as well; a crowd of 1,500 clients had 48 to 59 MB in receive buffers of 32 KiB.

Change: they have 4 KiB until they are accepted.

--- a/internal/process/server/holder.go
+++ b/internal/process/server/holder.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// limitReceiveBuffer bounds the receive buffers of the connections that a listener accepts, which take its size from it.
+// limitReceiveBuffer bounds the receive buffers of the connections that wait to be accepted, which take their size from the listener.
 func limitReceiveBuffer(l *net.TCPListener) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
@@ -76,7 +76,7 @@
 	}
 	var failed error
 	err = raw.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, acceptBuffer)
 	})
 	return Error.Wrap(errs.Combine(err, failed))
 }
@@ -100,6 +100,9 @@
 		tracked := &trackedConn{TCPConn: tcp}
 		tracked.holder = holder{intake: l.intake, count: l.count, trusted: l.trusted, base: connCost, conn: tracked}
 		if l.intake.admit(&tracked.holder) {
+			if !l.trusted {
+				_ = tcp.SetReadBuffer(receiveBuffer) // it is smaller otherwise
+			}
 			return tracked, nil
 		}
 		_ = tracked.Close()
--- a/internal/process/server/limits.go
+++ b/internal/process/server/limits.go
@@ -22,6 +22,8 @@
 	// receiveBuffer is the size of the socket buffer for bytes that have arrived on a client's connection and aren't read. The
 	// kernel would let it grow to megabytes.
 	receiveBuffer = 32 << 10
+	// acceptBuffer is its size until the connection is accepted.
+	acceptBuffer = 4 << 10
 	// headerCost is the memory for each byte of a header, which is kept both raw and decoded.
 	headerCost = 2
 	// heapFraction is the fraction of the memory that the Go runtime gets as its soft limit. The rest is left for memory outside the Go
