Bodies that are passed on count with what may be unread of them

Change: such a request counts 32 KiB more until its body has been passed on.

Result: tests of the package pass with the race detector, among them a new one for such bodies.

--- a/internal/process/server/intake_test.go
+++ b/internal/process/server/intake_test.go
@@ -224,3 +224,24 @@
 	must.Eq(t, http.StatusServiceUnavailable, c.answer().StatusCode)
 	c.awaitEnd()
 }
+
+// Guards against bodies that are passed on and count as held, so that a large one is refused, and against connections that count
+// without end.
+func TestPassedBodiesAreNotCounted(t *testing.T) {
+	const size = 1 << 20
+	s := newIntakeServer(t, Limits{Bytes: size / 4, ReceiveTimeout: time.Nanosecond}, func(w http.ResponseWriter, r *http.Request) {
+		PassBody(r)
+		n, err := io.Copy(io.Discard, r.Body)
+		must.NoError(t, err)
+		_, _ = fmt.Fprint(w, n)
+	})
+	c := s.dial()
+	c.post(size, size/2)
+	s.await(stageBody, 1)
+	s.intake.sweep() // the handler bounds its time
+	_, err := c.Write(make([]byte, size/2))
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, c.answer().StatusCode)
+	s.await(stageIdle, 1)
+	s.awaitHeld(connCost)
+}
--- a/internal/process/server/receive.go
+++ b/internal/process/server/receive.go
@@ -67,14 +67,21 @@
 	return h
 }
 
-// PassBody declares that a request's body is passed on while it is received: it isn't counted, and the handler bounds its time.
+// PassBody declares that a request's body is passed on while it is received: it isn't counted but for what may be unread of it, and the
+// handler bounds its time.
 func PassBody(r *http.Request) {
-	if b, ok := r.Body.(*receivedBody); ok {
-		b.mu.Lock()
-		b.passed = true
-		b.mu.Unlock()
-		b.holder.untimed.Store(true)
+	b, ok := r.Body.(*receivedBody)
+	if !ok {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.passed = true
+	if b.complete {
+		return
 	}
+	b.holder.untimed.Store(true)
+	b.refused = !b.holder.intake.grow(b.holder, receiveBuffer)
 }
 
 // receivedBody is a request body whose bytes are counted while it is received.
