Answers that a client doesn't take are bounded in size and time

Cause: a client that sends whole requests for a large answer, such as a configuration of 4 MiB, and reads nothing held the answer, a goroutine and a descriptor without end.

Change: an answer counts while it is written, and each part of it must be taken within the time in which a body of its size must arrive.

Result: tests of the package pass with the race detector, with a new one that guards against it; no crowd of real processes was played for it.

--- a/internal/process/server/choose.go
+++ b/internal/process/server/choose.go
@@ -30,6 +30,9 @@
 	trusted bool
 	// untimed marks requests whose handler bounds their time itself.
 	untimed bool
+	// writing is set while a part of an answer is written, since when it is.
+	writing bool
+	writeAt time.Duration
 }
 
 // excess is by how much a process exceeds its bounds.
@@ -42,12 +45,14 @@
 
 // rank returns the order in which a connection is closed, lowest first, and false if it must not be closed.
 func (h *holding) rank(now time.Duration) (int, bool) {
-	const incomplete, idle, young = 0, 1, 2
+	const incomplete, idle, young, untaken = 0, 1, 2, 3
 	switch {
 	case h.trusted:
 		return 0, false
 	case h.stage == stageIdle:
 		return idle, true
+	case h.stage == stageWorking && h.writing && now-h.writeAt >= youngAge:
+		return untaken, true
 	case h.stage != stageHeader && h.stage != stageBody:
 		return 0, false
 	case now-h.since < youngAge:
@@ -57,8 +62,8 @@
 }
 
 // choose returns the indexes of the connections to be closed for an excess: first those whose request has been incomplete the
-// longest, then the ones that are idle the longest, then young requests, the oldest first. Requests that were received in full are
-// never chosen, so the result may free less than the excess.
+// longest, then the ones that are idle the longest, then young requests, the oldest first, and last those whose client doesn't take its
+// answer. Other requests that were received in full are never chosen, so the result may free less than the excess.
 func choose(all []holding, now time.Duration, over excess) []int {
 	type candidate struct{ index, rank int }
 	candidates := make([]candidate, 0, len(all))
@@ -82,8 +87,8 @@
 	return chosen
 }
 
-// receiveBound bounds the time in which a request must be received: base, and more for each second in which rate bytes of its body
-// arrive.
+// receiveBound bounds the time in which a request must be received, or a part of an answer taken: base, and more for each second in
+// which rate bytes of it arrive.
 type receiveBound struct {
 	base time.Duration
 	rate int64 // bytes of a body per second
@@ -97,3 +102,11 @@
 	earned := time.Duration(float64(received) / float64(b.rate) * float64(time.Second))
 	return now-h.since > b.base+earned
 }
+
+// untaken reports whether a part of an answer, of size bytes, has been written for longer than the bound.
+func (b receiveBound) untaken(h *holding, size int64, now time.Duration) bool {
+	if h.trusted || h.untimed || h.stage != stageWorking || !h.writing {
+		return false
+	}
+	return now-h.writeAt > b.base+time.Duration(float64(size)/float64(b.rate)*float64(time.Second))
+}
--- a/internal/process/server/choose_test.go
+++ b/internal/process/server/choose_test.go
@@ -17,6 +17,9 @@
 	}
 	peer := at(stageBody, 0, 50)
 	peer.trusted = true
+	untaken, taken := at(stageWorking, 1*time.Second, 10), at(stageWorking, 1*time.Second, 10)
+	untaken.writing, untaken.writeAt = true, now-youngAge
+	taken.writing, taken.writeAt = true, now-youngAge+1
 	conns := []holding{
 		at(stageWorking, 1*time.Second, 10),   // 0: in work
 		at(stageBody, now-youngAge/2, 10),     // 1: young
@@ -27,6 +30,8 @@
 		at(stageEvicted, 1*time.Second, 10),   // 6: being closed
 		at(stageHeader, now-youngAge/2-1, 10), // 7: young, the older one
 		peer,                                  // 8
+		untaken,                               // 9: an answer that its client doesn't take
+		taken,                                 // 10: an answer that has just begun
 	}
 	for _, test := range []struct {
 		name string
@@ -40,7 +45,7 @@
 		{"idle after incomplete", excess{conns: 4}, []int{4, 3, 5, 2}},
 		{"young last", excess{conns: 5}, []int{4, 3, 5, 2, 7}},
 		{"both", excess{bytes: 1, conns: 3}, []int{4, 3, 5}},
-		{"more than there is", excess{bytes: 1 << 40}, []int{4, 3, 5, 2, 7, 1}},
+		{"more than there is", excess{bytes: 1 << 40}, []int{4, 3, 5, 2, 7, 1, 9}},
 	} {
 		must.Eq(t, test.want, choose(conns, now, test.over), must.Sprint(test.name))
 	}
@@ -68,6 +73,10 @@
 	} {
 		must.Eq(t, test.want, b.exceeded(h(test.stage), test.received, test.at), must.Sprintf("%+v", test))
 	}
+	answer := &holding{stage: stageWorking, writing: true}
+	must.False(t, b.untaken(answer, 64<<10, 16*time.Second))
+	must.True(t, b.untaken(answer, 64<<10, 16*time.Second+1))
+	must.False(t, b.untaken(h(stageWorking), 64<<10, time.Hour))
 	trusted := &holding{stage: stageBody, trusted: true}
 	must.False(t, b.exceeded(trusted, 0, time.Hour))
 }
--- a/internal/process/server/holder.go
+++ b/internal/process/server/holder.go
@@ -28,7 +28,9 @@
 	bytes    atomic.Int64
 	received atomic.Int64 // bytes of the body that is being received
 	removed  atomic.Bool
-	untimed  atomic.Bool // see holding
+	untimed  atomic.Bool  // see holding
+	written  atomic.Int64 // bytes of the part of an answer that is being written; 0 if none is
+	writeAt  atomic.Int64 // time.Duration since Intake.start
 
 	// Guarded by Intake.mu.
 	evictedFrom stage
@@ -40,7 +42,10 @@
 func (h *holder) current() stage { return stage(h.stage.Load()) }
 
 func (h *holder) holding() holding {
-	return holding{h.current(), time.Duration(h.since.Load()), h.bytes.Load(), h.trusted, h.untimed.Load()}
+	return holding{
+		stage: h.current(), since: time.Duration(h.since.Load()), bytes: h.bytes.Load(), trusted: h.trusted, untimed: h.untimed.Load(),
+		writing: h.written.Load() > 0, writeAt: time.Duration(h.writeAt.Load()),
+	}
 }
 
 // enter changes the stage. It returns false if the holder is evicted.
@@ -161,6 +166,23 @@
 	return n, err
 }
 
+// Write implements net.Conn. It counts what the client hasn't taken of an answer.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	h := &c.holder
+	if h.trusted || c.multiplexed.Load() || len(p) == 0 {
+		return c.TCPConn.Write(p)
+	}
+	size := int64(len(p))
+	h.writeAt.Store(int64(h.intake.now()))
+	h.written.Store(size)
+	defer h.written.Store(0)
+	if size > requestCost { // smaller ones are within it
+		h.intake.charge(h, size) // an answer isn't refused, but others may give way
+		defer h.intake.release(h, size)
+	}
+	return c.TCPConn.Write(p)
+}
+
 // SetReadDeadline implements net.Conn. An evicted connection isn't read again.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
 	err := c.TCPConn.SetReadDeadline(t)
--- a/internal/process/server/intake.go
+++ b/internal/process/server/intake.go
@@ -187,8 +187,21 @@
 	return t.leaving > t.limits.Bytes/overhang
 }
 
-// grow adds n bytes to a holder, for which others may be evicted. It returns false if there is no room for them.
+// grow adds n bytes of a request to a holder. It returns false if there is no room for them; the request is to be refused then.
 func (t *Intake) grow(h *holder, n int64) bool {
+	if t.charge(h, n) {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h.evictedAt == 0 {
+		h.count.refused++
+	}
+	return false
+}
+
+// charge adds n bytes to a holder, for which others may be evicted. It returns false if the bound is exceeded nevertheless.
+func (t *Intake) charge(h *holder, n int64) bool {
 	h.bytes.Add(n)
 	held := t.held.Add(n)
 	if h.removed.Load() { // a read that was under way
@@ -210,11 +223,17 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	fits := t.held.Load()-t.leaving <= t.limits.Bytes
-	if !fits {
-		h.count.refused++
+	return t.held.Load()-t.leaving <= t.limits.Bytes
+}
+
+// release gives up n bytes of a holder.
+func (t *Intake) release(h *holder, n int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.holders[h] {
+		h.bytes.Add(-n)
+		t.held.Add(-n)
 	}
-	return fits
 }
 
 // shed gives up what a holder held for a request that has been answered.
@@ -335,7 +354,7 @@
 		switch {
 		case h.evictedAt != 0 && now-h.evictedAt > answerTime:
 			ended = append(ended, h)
-		case t.bound.exceeded(&state, h.received.Load(), now) && t.evict(h, state.stage, reasonSlow, now):
+		case t.slow(h, &state, now) && t.evict(h, state.stage, reasonSlow, now):
 			slow = append(slow, h)
 		}
 	}
@@ -348,6 +367,10 @@
 	}
 }
 
+func (t *Intake) slow(h *holder, state *holding, now time.Duration) bool {
+	return t.bound.exceeded(state, h.received.Load(), now) || t.bound.untaken(state, h.written.Load(), now)
+}
+
 // report updates the metrics and logs what was closed since the last report.
 func (t *Intake) report() {
 	conns, receiving := make(map[string]int), make(map[string]int)
--- a/internal/process/server/intake_test.go
+++ b/internal/process/server/intake_test.go
@@ -245,3 +245,22 @@
 	s.await(stageIdle, 1)
 	s.awaitHeld(connCost)
 }
+
+// Guards against clients that send whole requests, take no answer and so hold large answers and descriptors without end.
+func TestAnswersThatAreNotTakenGiveWay(t *testing.T) {
+	const size = 16 << 20 // more than the socket buffers of both sides
+	s := newIntakeServer(t, Limits{ReceiveTimeout: time.Second}, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+	})
+	ready := s.dial()
+	_, err := fmt.Fprint(ready, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, ready.answer().StatusCode)
+	s.await(stageIdle, 1)
+	_, err = fmt.Fprint(ready, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	must.NoError(t, err)
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return s.intake.held.Load() > size }), wait.Timeout(20*time.Second)))
+	s.intake.start = s.intake.start.Add(-time.Hour) // the write has lasted for an hour
+	s.intake.sweep()
+	s.awaitHeld(0)
+}
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -32,6 +32,8 @@
 	// maxStreams and streamsBuffer bound the requests on one HTTP/2 connection of a client and what it may have sent of them.
 	maxStreams    = 64
 	streamsBuffer = 256 << 10
+	// streamsWriteTimeout is the time without progress after which an HTTP/2 connection with something to be written is closed.
+	streamsWriteTimeout = 20 * time.Second
 	// unreadyDelay is how long a stopping process keeps serving while /readyz reports it as unready, so that load balancers
 	// stop sending to it.
 	unreadyDelay = 200 * time.Millisecond
@@ -146,6 +148,7 @@
 	publicServer := newServer(public)
 	publicServer.HTTP2 = &http.HTTP2Config{
 		MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: streamsBuffer, MaxReceiveBufferPerStream: streamsBuffer,
+		WriteByteTimeout: streamsWriteTimeout,
 	}
 	peerServer := newServer(peer)
 	peerServer.Protocols.SetUnencryptedHTTP2(true)
