Refusals of requests that expect to be asked for their body don't ask for it; tests of refusals

Cause: the wait for the rest of a refused body made net/http send 100 Continue to a client that waits for it.

Change: such a client is answered at once.

--- a/internal/process/server/intake_test.go
+++ b/internal/process/server/intake_test.go
@@ -134,6 +134,11 @@
 		must.True(t, resp.Close)
 		c.awaitEnd()
 	}
+	expecting := s.dial()
+	_, err := fmt.Fprint(expecting, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n")
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, expecting.answer().StatusCode, must.Sprint("the body isn't asked for"))
+	expecting.awaitEnd()
 	whole := s.dial()
 	for range 2 { // a client that has sent its body keeps its connection
 		whole.post(1000, 1000)
--- a/internal/process/server/receive.go
+++ b/internal/process/server/receive.go
@@ -46,7 +46,7 @@
 		if !h.enter(stageBody) {
 			panic(http.ErrAbortHandler)
 		}
-		body := &receivedBody{ReadCloser: r.Body, holder: h}
+		body := &receivedBody{ReadCloser: r.Body, holder: h, asked: r.Header.Get("Expect") == ""}
 		r.Body = body
 		next.ServeHTTP(w, r)
 		body.finish(w)
@@ -88,6 +88,7 @@
 type receivedBody struct {
 	io.ReadCloser
 	holder *holder
+	asked  bool // the client sends it unasked, or was asked for it by a first read
 
 	mu       sync.Mutex
 	passed   bool
@@ -101,6 +102,7 @@
 	n, err := b.ReadCloser.Read(p)
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.asked = true
 	if b.finished {
 		b.complete = b.complete || errors.Is(err, io.EOF)
 		return n, err
@@ -137,13 +139,13 @@
 func (b *receivedBody) finish(w http.ResponseWriter) {
 	b.mu.Lock()
 	b.finished = true
-	complete, refused := b.complete, b.refused
+	complete, comes := b.complete, b.asked && !b.refused
 	b.mu.Unlock()
 	if complete {
 		return
 	}
 	control := http.NewResponseController(w)
-	if !refused && b.drain(control) {
+	if comes && b.drain(control) {
 		return
 	}
 	b.holder.intake.shed(b.holder)
