--- a/test/crowd/jobs_test.go
+++ b/test/crowd/jobs_test.go
@@ -146,10 +146,24 @@
 	sizes := fillingSizes()
 	c := startJobs(t, cluster.Shape{EntryLimits: smallEntry})
 	entryTarget(c, smallEntry).Endure(t, func() *Crowd {
-		return Open(c.Entries[0].Listen, len(sizes), 1, func(i int) Request { return short(sizes[i]) })
+		return Open(c.Entries[0].Listen, len(sizes), 1, func(i int) Request {
+			awaitRead(c.Entries[0].Listen)
+			return short(sizes[i])
+		})
 	}, nil)
 }
 
+// awaitRead waits until the clients of a listener have no unread bytes. It gives up after a while, as a process may leave some.
+func awaitRead(listener string) {
+	const pause, tries = 2 * time.Millisecond, 5
+	for range tries {
+		time.Sleep(pause)
+		if n, err := unreadBytes([]string{listener}); n == 0 && err == nil {
+			return
+		}
+	}
+}
+
 // fillingSizes returns lengths of bodies that leave no room under any bound below the memory of smallEntry, if they arrive one
 // after the other.
 func fillingSizes() []int {
