A header for which there is no room isn't answered with status 400

Cause: net/http takes the part of a line that it has read before a failed read for a malformed one, and answers 400, which tells a caller not to repeat the request.

Change: such a connection is closed before the read fails.

Result: the new test got a 400 before the change and passes with it, four plays with the race detector.

--- a/internal/process/server/holder.go
+++ b/internal/process/server/holder.go
@@ -161,6 +161,7 @@
 		return n, err
 	}
 	if !h.intake.grow(h, grown) {
+		_ = c.Close() // net/http would take what it has read of a line for a malformed one, and answer 400
 		return 0, os.ErrDeadlineExceeded
 	}
 	return n, err
--- a/internal/process/server/intake_test.go
+++ b/internal/process/server/intake_test.go
@@ -269,3 +269,27 @@
 	s.intake.sweep()
 	s.awaitHeld(0)
 }
+
+// Guards against a header for which there is no room and which is answered as if the caller had made a mistake.
+func TestHeaderWithoutRoomIsClosedUnanswered(t *testing.T) {
+	begun, proceed := make(chan bool), make(chan bool)
+	s := newIntakeServer(t, Limits{Bytes: 2*(connCost+requestCost) + 8<<10}, func(http.ResponseWriter, *http.Request) {
+		begun <- true
+		<-proceed
+	})
+	defer close(proceed)
+	working := s.dial()
+	_, err := fmt.Fprint(working, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	must.NoError(t, err)
+	<-begun
+	c := s.dial()
+	_, err = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\nX-Fill")
+	must.NoError(t, err)
+	s.await(stageHeader, 1)
+	s.intake.mu.Lock()
+	s.intake.futileUntil = time.Hour // nothing gives way
+	s.intake.mu.Unlock()
+	_, _ = fmt.Fprint(c, strings.Repeat("x", 32<<10))
+	answer, _ := io.ReadAll(c.reader)
+	must.Eq(t, "", string(answer))
+}
