Receive buffers of clients stay small until a body is received

Change: a receive buffer is enlarged when a handler with a body over 4 KiB begins, instead of at the accept.

--- a/internal/process/server/holder.go
+++ b/internal/process/server/holder.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// limitReceiveBuffer bounds the receive buffers of the connections that wait to be accepted, which take their size from the listener.
+// limitReceiveBuffer bounds the receive buffers of connections until a body is received; they take its size from the listener.
 func limitReceiveBuffer(l *net.TCPListener) error {
 	raw, err := l.SyscallConn()
 	if err != nil {
@@ -109,9 +109,6 @@
 		tracked := &trackedConn{TCPConn: tcp}
 		tracked.holder = holder{intake: l.intake, count: l.count, trusted: l.trusted, base: connCost, conn: tracked}
 		if l.intake.admit(&tracked.holder) {
-			if !l.trusted {
-				_ = tcp.SetReadBuffer(receiveBuffer) // it is smaller otherwise
-			}
 			return tracked, nil
 		}
 		_ = tracked.Close()
--- a/internal/process/server/limits.go
+++ b/internal/process/server/limits.go
@@ -22,7 +22,7 @@
 	// receiveBuffer is the size of the socket buffer for bytes that have arrived on a client's connection and aren't read. The
 	// kernel would let it grow to megabytes.
 	receiveBuffer = 32 << 10
-	// acceptBuffer is its size until the connection is accepted.
+	// acceptBuffer is its size until a body is received.
 	acceptBuffer = 4 << 10
 	// headerCost is the memory for each byte of a header, which is read into growing buffers and kept decoded.
 	headerCost = 4
--- a/internal/process/server/receive.go
+++ b/internal/process/server/receive.go
@@ -46,6 +46,9 @@
 		if !h.enter(stageBody) {
 			panic(http.ErrAbortHandler)
 		}
+		if r.ContentLength < 0 || r.ContentLength > acceptBuffer {
+			_ = conn.SetReadBuffer(receiveBuffer) // it stays smaller otherwise
+		}
 		body := &receivedBody{ReadCloser: r.Body, holder: h, asked: r.Header.Get("Expect") == ""}
 		r.Body = body
 		next.ServeHTTP(w, r)
