--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -35,6 +35,8 @@
 	folderID        uint64 // data folder identifier in the member's last message; 0 if none came
 	sendingSnapshot *laburnumv1.SnapshotMeta
 	snapshotOffset  uint64 // offset of the next snapshot chunk to send
+	chunkSentAt     uint64 // tick at which that chunk was last sent
+	chunkWait       uint64 // ticks after chunkSentAt before it is sent again
 
 	paced        bool          // appends are sent once per tick (see selectPaced)
 	inQuorum     bool          // the fastest quorum needs this member (see selectPaced)
@@ -171,11 +173,14 @@
 	return false
 }
 
-// sendHeartbeat sends a heartbeat. It also repeats a probe or snapshot chunk, which may have been lost.
+// sendHeartbeat sends a heartbeat. It also repeats a probe, or a snapshot chunk that has been unanswered for long: they may have been lost.
 func (c *Core) sendHeartbeat(to string) {
 	p := c.progress[to]
 	switch {
+	case p.sendingSnapshot == c.log.snapshot && c.now-p.chunkSentAt < p.chunkWait:
+		c.sendEntries(to, c.log.last(), nil)
 	case p.sendingSnapshot != nil:
+		p.chunkWait = min(2*p.chunkWait, c.maxRoundTicks())
 		c.sendSnapshotChunk(to)
 	case p.probing:
 		c.sendAppend(to)
@@ -220,7 +225,7 @@
 
 func (c *Core) sendSnapshot(to string) {
 	p := c.progress[to]
-	p.sendingSnapshot, p.snapshotOffset = c.log.snapshot, 0
+	p.sendingSnapshot = nil
 	c.sendSnapshotChunk(to)
 }
 
@@ -238,8 +243,9 @@
 func (c *Core) sendSnapshotChunk(to string) {
 	p := c.progress[to]
 	if p.sendingSnapshot != c.log.snapshot {
-		p.sendingSnapshot, p.snapshotOffset = c.log.snapshot, 0
+		p.sendingSnapshot, p.snapshotOffset, p.chunkWait = c.log.snapshot, 0, uint64(c.cfg.ElectionTicks)
 	}
+	p.chunkSentAt = c.now
 	c.send(to, &laburnumv1.ConsensusMessage{
 		Type: laburnumv1.ConsensusType_CONSENSUS_TYPE_SNAPSHOT, Snapshot: p.sendingSnapshot, Offset: p.snapshotOffset, Round: c.heartbeatRound,
 	})
@@ -309,7 +315,7 @@
 	if p == nil || p.sendingSnapshot == nil || m.Index != p.sendingSnapshot.Index || m.Offset == p.snapshotOffset {
 		return
 	}
-	p.snapshotOffset = m.Offset
+	p.snapshotOffset, p.chunkWait = m.Offset, uint64(c.cfg.ElectionTicks)
 	c.sendSnapshotChunk(m.From)
 }
 
