Of too many voters, the one that has been silent for longest is removed

Of several voters that hadn't answered a new leader for a second, the first by name was removed: a slow one that works lost its vote, and the lost one kept it until it was replaced once more.

TestExtraVoterThatIsSilentLongestIsRemoved fails before (b is removed, silent for 1 s; c, silent for 3 s, stays). The tests of the package and those of the core pass.

--- a/internal/process/electorate/electorate.go
+++ b/internal/process/electorate/electorate.go
@@ -151,27 +151,30 @@
 	return Action{}
 }
 
+// mostSilent returns the member that has been silent for longest of those that match, the first by name of several; its name is empty
+// if none matches.
+func mostSilent(members []Member, matches func(Member) bool) (most Member) {
+	for _, m := range members {
+		if matches(m) && (most.Name == "" || m.Silent > most.Silent) {
+			most = m
+		}
+	}
+	return most
+}
+
 // removeExtraVoter removes a voter while there are too many, preferably one that needs replacement.
 func removeExtraVoter(members []Member, _ []Joiner, voters int) Action {
 	if count(members, isVoter) <= voters {
 		return Action{}
 	}
-	for _, m := range members {
-		if needsReplacement(m, members) {
-			return Action{Remove: m.Name, Reason: "another voter has taken its place"}
-		}
+	if m := mostSilent(members, func(m Member) bool { return needsReplacement(m, members) }); m.Name != "" {
+		return Action{Remove: m.Name, Reason: "another voter has taken its place"}
 	}
-	unheard := false
-	for _, m := range members {
-		if m.Learner || m.Self {
-			continue
-		}
-		if m.Silent >= extraSilentAfter {
-			return Action{Remove: m.Name, Reason: "there are too many voters, and it does not answer"}
-		}
-		unheard = unheard || !m.Heard
+	others := func(m Member) bool { return !m.Learner && !m.Self }
+	if m := mostSilent(members, others); m.Silent >= extraSilentAfter {
+		return Action{Remove: m.Name, Reason: "there are too many voters, and it does not answer"}
 	}
-	if unheard {
+	if count(members, func(m Member) bool { return others(m) && !m.Heard }) > 0 {
 		return Action{Reason: "there are too many voters, and one has not answered this leader yet"}
 	}
 	// All voters answer, so the replaced one is back. The last one by name is removed, but never the leader.
--- a/internal/process/electorate/electorate_test.go
+++ b/internal/process/electorate/electorate_test.go
@@ -70,3 +70,12 @@
 	must.Eq(t, "b", Next(members(extraSilentAfter, "a", "c", "d"), nil, 3).Remove)
 	must.Eq(t, "d", Next(members(0, "a", "b", "c", "d"), nil, 3).Remove, must.Sprint("the one that was to be replaced is back"))
 }
+
+// Guards against a lost voter that keeps its vote while a slow one loses its own: of several that haven't answered for a second, the
+// first by name was removed.
+func TestExtraVoterThatIsSilentLongestIsRemoved(t *testing.T) {
+	members := []Member{voter("a", 0), voter("b", extraSilentAfter), voter("c", deadAfter-1), voter("d", 0)}
+	must.Eq(t, "c", Next(members, nil, 3).Remove)
+	members = []Member{voter("a", 0), voter("b", deadAfter), voter("c", 2*deadAfter), voter("d", 0)}
+	must.Eq(t, "c", Next(members, nil, 3).Remove)
+}
