A connection to a member that pauses isn't taken for dead while it moves

A ping on a stream between replicas is answered after the bytes ahead of it, up to the receive buffer of 1 MiB. A machine that pauses for 0.3 s makes the sender ask, and if it then takes 2 MiB a second, the answer comes after 0.5 s more: the sender waits for 0.3 s, takes the connection for dead and closes it ("http2: client connection lost"), and everything begins anew. A large entry, such as a configuration, never arrives at such a member, though the time for a message allows for 0.25 MiB a second.

Change: the server for peers of control instances has receive buffers of 256 KiB. A sender of any version keeps to them.

TestLargeMessageArrivesAtMemberThatPauses (4 MiB, 2 MiB a second, 0.35 s of pause after each MiB) fails with buffers of 1 MiB: nothing arrives within a minute, whatever is sent again; it arrives at the first attempt with 256 KiB. The tests of the package pass. A control instance of the mode without jobs keeps its buffers (internal/process/server).

--- a/internal/connection/replication/link_test.go
+++ b/internal/connection/replication/link_test.go
@@ -55,7 +55,8 @@
 	_, handler := in.Handler(in)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	in.server = &http.Server{Protocols: protocols, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	buffers := &http.HTTP2Config{MaxReceiveBufferPerConnection: replication.ReceiveBufferBytes, MaxReceiveBufferPerStream: replication.ReceiveBufferBytes}
+	in.server = &http.Server{Protocols: protocols, HTTP2: buffers, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasSuffix(r.URL.Path, "/Stream") {
 			if in.old.Load() {
 				http.NotFound(w, r)
--- a/internal/connection/replication/receiver.go
+++ b/internal/connection/replication/receiver.go
@@ -18,6 +18,10 @@
 	errClosed = connect.NewError(connect.CodeUnavailable, errors.New("the receiver is closed"))
 )
 
+// ReceiveBufferBytes is the receive buffer for a connection, and for a stream, of a server that streams of replicas come to. A ping is
+// answered after the bytes that came before it: with a large buffer, a sender takes a connection that moves slowly for a dead one.
+const ReceiveBufferBytes = 256 << 10
+
 // Receiver takes what the other members send by Step and Stream, and keeps the order of each link. It is safe for
 // concurrent use.
 type Receiver struct {
--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"laburnumrouter/internal/connection/replication"
 	"laburnumrouter/internal/dispatch"
 	"laburnumrouter/internal/leader"
 	"laburnumrouter/internal/process/journal"
@@ -137,7 +138,9 @@
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	servers := []*http.Server{newServer(c.bodies.Handler(c.deps.Public(c.client.Do), nil)), newServer(&c.peers)}
-	servers[1].HTTP2 = &http.HTTP2Config{WriteByteTimeout: peerWriteTimeout}
+	servers[1].HTTP2 = &http.HTTP2Config{
+		WriteByteTimeout: peerWriteTimeout, MaxReceiveBufferPerConnection: replication.ReceiveBufferBytes, MaxReceiveBufferPerStream: replication.ReceiveBufferBytes,
+	}
 	shutdowns := []func(context.Context) error{servers[0].Shutdown, server.TrackSilentConns(servers[1]).Shutdown}
 	var group errgroup.Group
 	for i, l := range []net.Listener{public, peers} {
