--- a/internal/process/replica/core/catchup_test.go
+++ b/internal/process/replica/core/catchup_test.go
@@ -118,3 +118,36 @@
 		must.EqOp(t, 1, times, must.Sprintf("index %d", index))
 	}
 }
+
+// Guards against a lost voter that waits for a learner on a slow machine: it keeps up, but its answers take longer than an election timeout.
+func TestLearnerWithLongRoundsIsPromoted(t *testing.T) {
+	const delay = testElectionTicks + 1
+	n, a := newElectedNetwork(t, "a", "b", "c")
+	n.run(4 * testHeartbeatTicks)
+	n.add("d", nil, 0)
+	_, _, err := a.core.AddLearner("d", "")
+	must.NoError(t, err)
+	n.processReady(a)
+	var delayed [delay][]Message // answers of d, by the tick at which they arrive
+	for tick := range 20 * testElectionTicks {
+		_, _, err := n.propose(a, tick, 1)
+		must.NoError(t, err)
+		for _, m := range delayed[tick%delay] {
+			n.step(m)
+		}
+		delayed[tick%delay] = nil
+		for _, name := range n.names {
+			n.tick(n.peers[name])
+		}
+		for len(n.inFlight) > 0 {
+			if m := n.inFlight[0]; m.From == "d" {
+				n.inFlight, delayed[tick%delay] = n.inFlight[1:], append(delayed[tick%delay], m)
+				continue
+			}
+			n.deliver(0)
+		}
+		must.Less(t, a.core.log.commit, a.core.progress["d"].match, must.Sprint("never level"))
+	}
+	must.True(t, a.core.caughtUp("d"))
+	n.requireInvariants(t)
+}
--- a/internal/process/replica/core/election_test.go
+++ b/internal/process/replica/core/election_test.go
@@ -29,3 +29,19 @@
 	must.Len(t, 1, refused)
 	must.Eq(t, Refusal{Candidate: "d", Term: d.term + 1, Pre: true, Reason: refusedForLeader}, refused[0])
 }
+
+// Guards against a new leader that takes its own start, or that of its process, for the loss of the leader before it: a lost voter is
+// replaced too late, or one that works too early.
+func TestLeaderKnowsHowLongThereWasNone(t *testing.T) {
+	n, a := newElectedNetwork(t, "a", "b", "c")
+	n.run(10 * testElectionTicks)
+	n.crash(a)
+	ticks := 0
+	for ; n.leader() == nil && ticks < 40*testElectionTicks; ticks++ {
+		n.run(1)
+	}
+	must.NotNil(t, n.leader())
+	leaderless := n.leader().core.Status().LeaderlessTicks
+	must.GreaterEq(t, testElectionTicks, leaderless)
+	must.LessEq(t, uint64(ticks+testHeartbeatTicks), leaderless)
+}
