--- a/internal/process/replica/budget.go
+++ b/internal/process/replica/budget.go
@@ -32,6 +32,8 @@
 	// minLogShare and maxLogShare bound KeepBytes. A log of ordinary commands has some 4 MiB for each 4,096 entries.
 	minLogShare = 1 * mib
 	maxLogShare = 16 * mib
+	// minInflightBytes is a bound with which the queue to a replica has room for some chunks of a snapshot.
+	minInflightBytes = 4 * snapshotChunkBytes
 	// The log is held in memory and on disk up to three times its share: the entries before the snapshot, those after it, and
 	// those that are still to be committed or written.
 	memoryFractionOfLog = 16
@@ -54,7 +56,7 @@
 		share = min(share, disk/diskFractionOfLog)
 	}
 	keep := int(max(share, minLogShare))
-	inflight := max(keep/8, maxAppendBytes)
+	inflight := max(keep/8, minInflightBytes)
 	b := Budget{
 		KeepBytes: keep, SnapshotBytes: keep / 2, PendingBytes: keep / 2, ReceiveBytes: keep / 2,
 		InflightBytes: inflight, QueueBytes: 2 * inflight,
--- a/internal/process/replica/budget_test.go
+++ b/internal/process/replica/budget_test.go
@@ -185,3 +185,11 @@
 		must.Greater(t, usableDisk(least-mib), int64(BudgetFor(memory, least-mib).FolderPeakBytes()))
 	}
 }
+
+// Guards against a small process whose queue to another replica has no room for a chunk of a snapshot and what follows it: each heartbeat
+// would drop the chunk, so that a replica that needs the snapshot never gets it.
+func TestSmallestQueueHasRoomForSnapshotChunks(t *testing.T) {
+	for _, memory := range []int64{0, 1 * mib, 16 * mib, 32 * mib, 64 * mib} {
+		must.GreaterEq(t, 4*snapshotChunkBytes, BudgetFor(memory, 0).QueueBytes, must.Sprintf("memory of %d bytes", memory))
+	}
+}
