The formats of commands are asked of all members at once

Found in a search for repairs that need a fixed time in one go. The leader asked the members one after the other within one second, and from the beginning after that: with eight members that take 0.13 s each, the format of commands is never raised while the load lasts.

TestMemberFormatAsksAllAtOnce fails before (0 after 10 s, as no member answers before all are asked) and passes now, with the package's tests.

--- a/internal/leader/search.go
+++ b/internal/leader/search.go
@@ -193,13 +193,19 @@
 
 // MemberFormat returns the newest format of commands that the instances at all addresses understand; 0 if one doesn't answer.
 func (c *Client) MemberFormat(ctx context.Context, addresses []string) int {
-	lowest := ledger.NewestFormat
+	formats := make(chan int)
 	for _, address := range addresses {
-		status, err := c.probe(ctx, address)
-		if err != nil {
-			return 0
-		}
-		lowest = min(lowest, status.Format)
+		go func() {
+			status, err := c.probe(ctx, address)
+			if err != nil {
+				status = &LeaderStatus{}
+			}
+			formats <- status.Format
+		}()
+	}
+	lowest := ledger.NewestFormat
+	for range addresses {
+		lowest = min(lowest, <-formats)
 	}
 	return lowest
 }
