--- a/internal/jobcontrol/control.go
+++ b/internal/jobcontrol/control.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 
+	"laburnumrouter/internal/connection/replication"
 	"laburnumrouter/internal/dispatch"
 	"laburnumrouter/internal/leader"
 	"laburnumrouter/internal/process/journal"
@@ -138,7 +139,9 @@
 	defer stopWork()
 	servers := []*http.Server{newServer(c.deps.Public(c.client.Do)), newServer(&c.peers)}
 	servers[1].Protocols.SetUnencryptedHTTP2(true)
-	servers[1].HTTP2 = &http.HTTP2Config{WriteByteTimeout: peerWriteTimeout}
+	servers[1].HTTP2 = &http.HTTP2Config{
+		WriteByteTimeout: peerWriteTimeout, MaxReceiveBufferPerConnection: replication.ReceiveBufferBytes, MaxReceiveBufferPerStream: replication.ReceiveBufferBytes,
+	}
 	shutdowns := []func(context.Context) error{servers[0].Shutdown, server.TrackSilentConns(servers[1]).Shutdown}
 	var group errgroup.Group
 	go c.intake.Run(work)
--- a/internal/process/replica/budget.go
+++ b/internal/process/replica/budget.go
@@ -32,14 +32,14 @@
 	// minLogShare and maxLogShare bound KeepBytes. A log of ordinary commands has some 4 MiB for each 4,096 entries.
 	minLogShare = 1 * mib
 	maxLogShare = 16 * mib
+	// minInflightBytes is a bound with which the queue to a replica has room for some chunks of a snapshot.
+	minInflightBytes = 4 * snapshotChunkBytes
 	// The log is held in memory and on disk up to three times its share: the entries before the snapshot, those after it, and
 	// those that are still to be committed or written.
 	memoryFractionOfLog = 16
 	diskFractionOfLog   = 6
 	// diskReserveFraction is the part of the disk that is left for the small files, and for the blocks that files end in.
 	diskReserveFraction = 16
-	// minInflightBytes and the queue of twice that have room for a part of a snapshot beside entries.
-	minInflightBytes = mib
 	// minStateBytes is a bound below which little could be served.
 	minStateBytes = 8 * mib
 	// commandsPerState is the size of the largest snapshot in relation to the largest command.
