Log the way of a large configuration: attempts, proposals, large messages, reads

When a large configuration wasn't acknowledged, no line told whether it had reached the leader, how often it was proposed, how long its entry took to each member, or whether reading it back was what failed.

- the instance that forwards: each attempt of a call or answer of 64 KiB or more, or that ran out of time
- the leader: configuration proposed (sizes, version in force, earlier copies), decided or not decided, with the time; read
- the log: a message above the size of a full append queued, written to the stream, received
- leader changed: for how long no leader was heard

Metrics config_proposals, config_entry_bytes, config_commit_latency.

--- a/internal/connection/replication/link.go
+++ b/internal/connection/replication/link.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"laburnumrouter/internal/connection/peer"
+	"laburnumrouter/internal/process/logging"
 	"laburnumrouter/internal/process/settings"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
@@ -68,10 +69,11 @@
 	// failureLoggedAt is when a failed stream was last logged, failuresOmitted how many were not since.
 	failureLoggedAt time.Time
 	failuresOmitted int
+	largeLog        logging.Limit
 }
 
 func newLink(address string, dial func() *peer.Dialer, maxBytes int) *link {
-	l := &link{id: rand.Uint64() | 1, address: address, dial: dial, maxBytes: maxBytes, log: hclog.NewNullLogger(), wake: make(chan struct{}, 1)}
+	l := &link{id: rand.Uint64() | 1, address: address, dial: dial, maxBytes: maxBytes, log: hclog.NewNullLogger(), wake: make(chan struct{}, 1), largeLog: logging.Limit{Lines: 5, Every: failureLogInterval}}
 	l.redial()
 	return l
 }
@@ -247,7 +249,9 @@
 		l.stream.watchdog.Reset(limit)
 	}
 	defer l.stream.watchdog.Stop()
+	began := time.Now()
 	err := l.stream.Send(req)
+	l.logLarge(piece, bytes, limit, time.Since(began), err)
 	if errors.Is(err, io.EOF) { // the stream has ended; its response tells why
 		_, err = l.stream.CloseAndReceive()
 		if err == nil {
@@ -269,6 +273,17 @@
 	l.failureLoggedAt, l.failuresOmitted = now, 0
 }
 
+// logLarge logs what became of a message that exceeds a piece. When the stream has failed, the cause follows by logFailure.
+func (l *link) logLarge(piece []*laburnumv1.ReplicaMessage, bytes int, limit, took time.Duration, err error) {
+	if bytes <= maxPieceBytes {
+		return
+	}
+	if omitted, ok := l.largeLog.Allow(time.Now()); ok {
+		l.log.Info("large message written to a member's stream", "address", l.address, "to", piece[0].To, "bytes", bytes, "took", took,
+			"limit", limit, "given_up", err != nil, "omitted", omitted)
+	}
+}
+
 func (l *link) closeStream() {
 	if l.stream != nil {
 		l.stream.cancel()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -185,8 +185,9 @@
 	}
 	reply.Leader = d.address
 	d.stats.scope.Tagged(map[string]string{"op": string(c.Op), "outcome": string(reply.Outcome)}).Counter("calls").Inc(1)
-	d.stats.call.Record(boottime.Now() - began)
-	s.logCall(c, reply)
+	took := boottime.Now() - began
+	d.stats.call.Record(took)
+	s.logCall(c, reply, took)
 	return reply, nil
 }
 
@@ -194,14 +195,16 @@
 	return op == OpState || op == OpPending || op == OpGetConfig || op == OpWaveState || op == OpExplain || op == OpStatus
 }
 
-// logCall logs the outcome of submissions, cancellations, operators' changes and leaving servers, and of failed state
+// logCall logs the outcome of submissions, cancellations, operators' changes and reads of the configuration, and leaving servers, and of failed state
 // queries.
-func (s *session) logCall(c *Call, r *Reply) {
+func (s *session) logCall(c *Call, r *Reply, took time.Duration) {
 	switch c.Op {
+	case OpGetConfig:
+		s.log.Info("configuration read", "request", c.RequestID, "outcome", r.Outcome, "bytes", len(r.Config), "took", took)
 	case OpSubmit, OpCancel:
 		s.log.Info("request decided", "op", c.Op, "request", c.RequestID, "path", c.Path, "outcome", r.Outcome, "reason", r.Reason)
 	case OpPutConfig, OpStartWave, OpLeave:
-		s.log.Info("order decided", "op", c.Op, "request", c.RequestID, "outcome", r.Outcome, "reason", r.Reason)
+		s.log.Info("order decided", "op", c.Op, "request", c.RequestID, "outcome", r.Outcome, "reason", r.Reason, "took", took)
 	case OpState:
 		if r.Outcome != OK {
 			s.log.Info("request decided", "op", c.Op, "request", c.RequestID, "path", c.Path, "outcome", r.Outcome, "reason", r.Reason)
--- a/internal/dispatch/jobcalls.go
+++ b/internal/dispatch/jobcalls.go
@@ -171,11 +171,10 @@
 	if refusal := s.refuseStored(command); refusal != nil {
 		return refusal, nil
 	}
-	result, err := s.propose(command)
+	result, err := s.proposeConfig(c, command)
 	if err != nil {
 		return nil, err
 	}
-	s.log.Info("configuration decided", "version", c.Config.Version, "verdict", result.Config)
 	if result.Config == ledger.Conflict {
 		return &Reply{Outcome: Conflict, Reason: "other content is in force under this version"}, nil
 	}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -110,7 +110,8 @@
 	// dueServers are the servers, by ID, whose machines still have an upkeep before them.
 	dueServers map[string]bool
 	// proposedBytes is the size of the records that are being committed (reserve).
-	proposedBytes int64
+	proposedBytes   int64
+	configProposals configProposals
 	// planned counts the planned starts per server that are not yet committed.
 	planned map[string]int
 	// movedAt, movedTo and moveUnanswered record when a machine was last moved, to which pool, and whether the call went
--- a/internal/dispatch/stats.go
+++ b/internal/dispatch/stats.go
@@ -23,7 +23,12 @@
 	// crashed counts the runs whose server crashed, or may have, if that tells something about their task. givenUp counts the
 	// tasks that were given up for it.
 	crashed, givenUp tally.Counter
-	scope            tally.Scope
+	// configProposals counts the proposals of configurations, copies included. configBytes is the size of the last one in the log, and
+	// configCommit how long they took.
+	configProposals tally.Counter
+	configBytes     tally.Gauge
+	configCommit    tally.Timer
+	scope           tally.Scope
 }
 
 // latencyBuckets double from 0.5 ms to 8 s. They range from the time of a plan to beyond proposeTimeout.
@@ -36,6 +41,7 @@
 		refused: scope.Counter("orders_refused"), machineCalls: scope.Counter("machine_calls"), entries: scope.Counter("log_entries"), planDelay: timer("plan_delay"), scope: scope,
 		evacuatedDataCentres: scope.Gauge("evacuated_data_centres"), startsDroppedEvacuated: scope.Counter("starts_dropped_evacuated"),
 		crashed: scope.Counter("runs_crashed"), givenUp: scope.Counter("tasks_given_up"),
+		configProposals: scope.Counter("config_proposals"), configBytes: scope.Gauge("config_entry_bytes"), configCommit: timer("config_commit_latency"),
 	}
 }
 
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -86,6 +86,8 @@
 type Client struct {
 	http *http.Client
 	log  hclog.Logger
+	// attempts logs what became of large and late calls.
+	attempts *attemptLog
 	// local executes calls in this process while this instance leads; nil on entry instances and while none is set.
 	local atomic.Pointer[dispatch.Dispatcher]
 	// timeoutPerAttempt bounds one attempt of a call; attemptTimeout except in tests.
@@ -118,7 +120,7 @@
 		DialContext: dialer.DialContext, MaxConnsPerHost: maxConns, MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
-	c := &Client{http: &http.Client{Transport: transport}, log: log, seeds: seeds, timeoutPerAttempt: attemptTimeout,
+	c := &Client{http: &http.Client{Transport: transport}, log: log, attempts: newAttemptLog(log), seeds: seeds, timeoutPerAttempt: attemptTimeout,
 		startedAt: time.Now(), leaderFound: make(chan struct{})}
 	c.local.Store(local)
 	return c
@@ -161,8 +163,8 @@
 		return &dispatch.Reply{Outcome: dispatch.Invalid, Reason: err.Error()}
 	}
 	anyMayHaveRun, began := false, boottime.Now()
-	for {
-		reply, attemptMayHaveRun, err := c.try(ctx, call, body)
+	for number := 1; ; number++ {
+		reply, attemptMayHaveRun, err := c.try(ctx, call, body, number)
 		anyMayHaveRun = anyMayHaveRun || attemptMayHaveRun
 		if err == nil {
 			renewed, outdated := call.Renew(reply)
@@ -206,9 +208,9 @@
 // errNoLeader is returned when no reachable instance reports that it leads.
 var errNoLeader = Error.New("no control instance leads that can be reached")
 
-// try makes one attempt, locally if this instance leads. If err is set, mayHaveRun reports whether the call may have been
+// try makes one attempt, the first of which has the number 1, locally if this instance leads. If err is set, mayHaveRun reports whether the call may have been
 // executed nevertheless.
-func (c *Client) try(ctx context.Context, call *dispatch.Call, body []byte) (reply *dispatch.Reply, mayHaveRun bool, err error) {
+func (c *Client) try(ctx context.Context, call *dispatch.Call, body []byte, number int) (reply *dispatch.Reply, mayHaveRun bool, err error) {
 	if local := c.local.Load(); local != nil && local.Leads() {
 		reply, err := local.Do(ctx, call)
 		if err == nil {
@@ -222,7 +224,9 @@
 	if err != nil {
 		return nil, false, err
 	}
+	began := time.Now()
 	reply, mayHaveRun, err = c.send(ctx, target, body)
+	c.attempts.record(call, attempt{number: number, target: target, bytes: len(body), took: time.Since(began), reply: reply, err: err})
 	if err == nil {
 		c.recordContact()
 		return reply, false, nil
--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -408,6 +408,8 @@
 	Active []string
 	// LeaderlessTicks is the time for which this leader heard no other before it began to lead; 0 on replicas that don't lead.
 	LeaderlessTicks uint64
+	// SilentTicks is the time for which this replica has heard no leader; 0 while it leads.
+	SilentTicks uint64
 	// CaughtUp lists the learners that Promote makes voters. It is empty on replicas that don't lead.
 	CaughtUp []string
 }
@@ -420,6 +422,7 @@
 		QuorumAlive: c.role == Leader || (c.leader != "" && c.heardByLeader), Members: c.members.current(), MembersIndex: c.members.index(),
 	}
 	if c.role != Leader {
+		s.SilentTicks = c.now - c.ledUntil
 		return s
 	}
 	s.LeaderlessTicks = c.leaderless
--- a/internal/process/replica/node.go
+++ b/internal/process/replica/node.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"laburnumrouter/internal/process/journal"
+	"laburnumrouter/internal/process/logging"
 	"laburnumrouter/internal/process/replica/core"
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
@@ -121,6 +122,7 @@
 	running   context.Context
 	stop      context.CancelFunc
 	receiving *semaphore.Weighted // bytes of the messages that Receive has queued
+	largeLog  logging.Limit
 
 	// The fields below are used by the goroutine of Run only.
 	started            time.Time
@@ -164,6 +166,7 @@
 		nextRead:     randomID(),
 		pendingReads: make(map[uint64]chan struct{}),
 		dropReasons:  make(map[string]core.DropReason),
+		largeLog:     logging.Limit{Lines: 10, Every: time.Second},
 		receiving:    semaphore.NewWeighted(int64(opts.Budget.ReceiveBytes)),
 	}
 	n.running, n.stop = context.WithCancel(context.Background())
@@ -370,7 +373,7 @@
 	if !ok {
 		return errNotTaken
 	}
-	batch, err := decodeMessages(messages)
+	batch, err := n.decodeMessages(messages)
 	if err != nil {
 		release()
 		return Error.Wrap(err)
--- a/internal/process/replica/process.go
+++ b/internal/process/replica/process.go
@@ -98,6 +98,7 @@
 		if byReceiver[m.To] == nil {
 			order = append(order, m.To)
 		}
+		n.logLarge("large message queued", "to", m.To, m.ConsensusMessage, len(data))
 		byReceiver[m.To] = append(byReceiver[m.To], &laburnumv1.ReplicaMessage{From: m.From, To: m.To, Data: data})
 	}
 	for _, to := range order {
@@ -115,7 +116,7 @@
 	return &laburnumv1.Member{Name: name}
 }
 
-func decodeMessages(messages []*laburnumv1.ReplicaMessage) ([]core.Message, error) {
+func (n *Node) decodeMessages(messages []*laburnumv1.ReplicaMessage) ([]core.Message, error) {
 	batch := make([]core.Message, 0, len(messages))
 	for _, m := range messages {
 		decoded := &laburnumv1.ConsensusMessage{}
@@ -123,6 +124,7 @@
 			return nil, err
 		}
 		batch = append(batch, core.Message{From: m.From, To: m.To, ConsensusMessage: decoded})
+		n.logLarge("large message received", "from", m.From, decoded, len(m.Data))
 	}
 	return batch, nil
 }
@@ -201,7 +203,7 @@
 	}
 	old := n.status.Load()
 	if old != nil && old.Leader != next.Leader {
-		n.opts.Log.Info("leader changed", "leader", next.Leader, "term", next.Term)
+		n.opts.Log.Info("leader changed", "leader", next.Leader, "term", next.Term, "last_heard", time.Duration(s.SilentTicks)*n.opts.Tick)
 	}
 	if old != nil && !slices.Equal(old.Voters, next.Voters) {
 		n.opts.Log.Info("voters changed", "voters", next.Voters, "learners", next.Learners)
