--- a/internal/jobcontrol/outage_test.go
+++ b/internal/jobcontrol/outage_test.go
@@ -20,9 +20,14 @@
 	"laburnumrouter/proto/laburnum/v1/laburnumv1connect"
 )
 
-// statusHandler answers each call with the leader's status.
+// statusHandler answers each call with the leader's status, unless it is one of operatorHandler.
 func statusHandler(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
+	operators := operatorHandler(do)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == configPath {
+			operators.ServeHTTP(w, r)
+			return
+		}
 		ctx, cancel := context.WithTimeout(r.Context(), 2*time.Second)
 		defer cancel()
 		_ = json.NewEncoder(w).Encode(do(ctx, &dispatch.Call{Op: dispatch.OpStatus}))
