Review: the stand-in fills the number of descriptors in the templates

Cause: the templates of control and entry processes have the setting max_fds since clients are bounded; review/standin, which fills them like the platform, didn't know the placeholder.

Change: it fills 4096 for control and 4100 for entry, as the deployments have. All checks stay as they are.

--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -153,9 +153,9 @@
 	for i := range c.controls {
 		zones = append(zones, fmt.Sprintf("%q", fmt.Sprintf("z%d", i+1)))
 	}
-	memory := "284"
+	memory, fds := "284", "4100"
 	if p.role == "control" {
-		memory = "280"
+		memory, fds = "280", "4096"
 	}
 	filled := regexp.MustCompile(`\{\{#zones\}\}.*\{\{/zones\}\}`).ReplaceAllString(string(text), strings.Join(zones, ","))
 	filled = strings.NewReplacer(
@@ -164,6 +164,7 @@
 		"{{listen_addrs.readiness}}", fmt.Sprintf("%s:%d", p.ip, c.readyPort),
 		"{{data_dir}}", p.dataDir, "{{seeds|json}}", string(seeds), "{{bootstrap}}", fmt.Sprint(bootstrap),
 		"{{fault_tolerance.machines}}", "1", "{{limits.memory_mb}}", memory, "{{cloud_api.address}}", c.machinesAddress,
+		"{{limits.max_fds}}", fds,
 		"{{bounds.lease_ms}}", "3000",
 	).Replace(filled)
 	if strings.Contains(filled, "{{") {
