Order forwarding: calls on a silent link are given up after the table without it is in force

The leader's callers see an order that is unanswered until the link fails at 400 ms.

A caller that went on in between, as after a hold that was given up, found the silent link in the table, and a start isn't repeated over another path. Change: the table is stored first. Evidence: TestSilentForwarderGetsNoCallsOnceHoldsAreGivenUp holds the update between two holds that it gives up, and asks for the route then. Ruled out: marks that pass after the proxy's pause, and allSilent with one link.

--- a/internal/orderforward/client.go
+++ b/internal/orderforward/client.go
@@ -199,9 +199,11 @@
 	}
 }
 
-// updateTable replaces links that have failed and stores the table of those that may get calls.
+// updateTable replaces links that have failed and stores the table of those that may get calls. Calls are given up after that, so that
+// a caller whose call was given up makes no other on the same link.
 func (c *Client) updateTable(term uint64, now time.Duration, late bool) {
 	next := &table{term: term}
+	var silent []*link
 	allSilent := c.allSilent(now)
 	for slot, name := range c.slots {
 		l := c.links[name]
@@ -218,7 +220,7 @@
 			} else if l.stopping.Load() {
 				c.Log.Info("forwarder out of use", "forwarder", name, "term", term, "reason", "it stops")
 			} else {
-				l.giveUpIdempotent()
+				silent = append(silent, l)
 				c.Log.Info("forwarder out of use", "forwarder", name, "term", term, "reason", "not heard for a while")
 			}
 		}
@@ -231,6 +233,9 @@
 		!slices.Equal(before.hashes, next.hashes) {
 		c.table.Store(next)
 	}
+	for _, l := range silent {
+		l.giveUpIdempotent()
+	}
 }
 
 // allSilent reports whether several links are in use and all of them have become silent: then this process is more likely to be
--- a/internal/orderforward/decisions_test.go
+++ b/internal/orderforward/decisions_test.go
@@ -159,3 +159,26 @@
 		must.EqOp(t, c.inUse < 2, len(hold.done) == 1, must.Sprint(c.name))
 	}
 }
+
+// Guards against a start that goes to a silent forwarder, and stays unanswered, after a hold on it was given up.
+func TestSilentForwarderGetsNoCallsOnceHoldsAreGivenUp(t *testing.T) {
+	const now = time.Hour
+	client := NewClient(Options{Log: hclog.NewNullLogger(), Scope: tally.NoopScope})
+	l := &link{name: "a", cancel: func() {}, inUse: true, pending: map[uint64]*pendingCall{}, wake: make(chan struct{}, 1)}
+	l.mark.Store(1)
+	l.heardAt.Store(int64(now - suspectAfter - 1))
+	l.sentAt.Store(int64(now))
+	client.slots, client.links[l.name] = []string{l.name}, l
+	client.table.Store(&table{term: 1, links: []*link{l}, hashes: []uint64{slotHash(0)}})
+	given := make(chan struct{}) // unbuffered: the update waits while the first caller goes on
+	for number := range uint64(2) {
+		l.pending[number] = &pendingCall{message: &laburnumv1.OrderCall{Kind: laburnumv1.OrderKind_ORDER_KIND_HOLD}, sent: true, done: given}
+	}
+	ended := make(chan struct{})
+	go func() { defer close(ended); client.updateTable(1, now, false) }()
+	<-given
+	got := client.route("i-1", 1)
+	<-given
+	<-ended
+	must.Nil(t, got)
+}
