A process without memory_mb gives clients a part of 1 GiB at most

Seen: the quick start's entry, which sets no memory_mb, grew to 1,054 MB under 500 bodies of 1 MiB on a machine with 32 GiB, as its bound was a twelfth of the machine's memory. Several processes on one machine each took that part. Cause: the bound of a process without a limit grew with the machine. Change: a quarter of the machine's memory, but at most 1 GiB, stands for the limit; clients may hold a third of it. Who needs more sets memory_mb. TestDefaultMemoryIsBoundedOnLargeMachines would get 8 GiB for 32 GiB before.

--- a/internal/process/server/choose_test.go
+++ b/internal/process/server/choose_test.go
@@ -92,3 +92,10 @@
 	must.Eq(t, 2048<<10, memTotal([]byte("MemFree: 1 kB\nMemTotal:       2048 kB\n")))
 	must.Zero(t, memTotal([]byte("MemTotal: some kB")))
 }
+
+// What clients may hold at a process without memory_mb must not grow with the machine: several processes may share it.
+func TestDefaultMemoryIsBoundedOnLargeMachines(t *testing.T) {
+	must.Eq(t, 1<<30, defaultMemory([]byte("MemTotal: 33554432 kB\n")))
+	must.Eq(t, 512<<20, defaultMemory([]byte("MemTotal: 2097152 kB\n")))
+	must.Eq(t, 1<<30, defaultMemory(nil))
+}
--- a/internal/process/server/limits.go
+++ b/internal/process/server/limits.go
@@ -35,8 +35,10 @@
 	fileReserve = 200
 	// receiveRate is the least rate, in bytes per second, at which a large body must arrive: a quarter of a link with 2 Mbit/s.
 	receiveRate = 64 << 10
-	// machineFraction is the part of the machine's memory that a process without a memory limit is taken to have.
-	machineFraction = 4
+	// machineFraction is the part of the machine's memory that a process without a memory limit is taken to have, up to
+	// maxDefaultMemory: several such processes may share the machine.
+	machineFraction  = 4
+	maxDefaultMemory = 1 << 30
 	// leastConns is the number of connections that are accepted however low the limits are.
 	leastConns = 16
 )
@@ -58,7 +60,8 @@
 func LimitsFor(n *settings.Node, bodyCost int64, outgoing int) Limits {
 	memory, files := n.MemoryMB<<20, n.MaxFDs
 	if memory <= 0 {
-		memory = defaultMemory()
+		meminfo, _ := os.ReadFile("/proc/meminfo") // without it, defaultMemory returns its bound
+		memory = defaultMemory(meminfo)
 	}
 	if files <= 0 {
 		files = openFileLimit()
@@ -76,17 +79,12 @@
 	}
 }
 
-// defaultMemory returns the memory of a process that was given no limit.
-func defaultMemory() int64 {
-	const unknown = 1 << 30
-	data, err := os.ReadFile("/proc/meminfo")
-	if err != nil {
-		return unknown
-	}
-	if total := memTotal(data); total > 0 {
-		return total / machineFraction
+// defaultMemory returns the memory of a process that was given no limit, from the content of /proc/meminfo.
+func defaultMemory(meminfo []byte) int64 {
+	if total := memTotal(meminfo); total > 0 {
+		return min(total/machineFraction, maxDefaultMemory)
 	}
-	return unknown
+	return maxDefaultMemory
 }
 
 // memTotal returns the machine's memory, in bytes, from the content of /proc/meminfo; 0 if that can't be read.
--- a/internal/process/settings/node.go
+++ b/internal/process/settings/node.go
@@ -40,8 +40,8 @@
 	PeerListen string `toml:"peer_listen"`
 	// StopTimeout limits the duration of a graceful stop. Default 30s.
 	StopTimeout Duration `toml:"stop_timeout"`
-	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit. What clients may hold is a part of it, or of the
-	// machine's memory if there is no limit.
+	// MemoryMB is the memory that the process may use, in MiB; 0 means no limit. What clients may hold is a part of it, or, if there
+	// is no limit, of a quarter of the machine's memory but at most 1 GiB.
 	MemoryMB int64 `toml:"memory_mb"`
 	// MaxFDs is the number of descriptors that the process may open; 0 means the limit of the operating system (RLIMIT_NOFILE).
 	MaxFDs int `toml:"max_fds"`
