Ends of runs: what a server reports precedes what the leader concluded

Cause: the queue of ends kept the first end of a run until it was committed. A lapse that the leader had concluded for want of a report was kept when the report came, while it was pending, while its entry waited for its turn, and through all repetitions of an entry that failed. Change: an end that a server reported replaces `lapsed` and `lost` until the entry is proposed; the ends of an entry are read when it is proposed. Ruled out: that the end's number is acknowledged before an end of its run is committed; batches are committed one after another. A lapse that is committed before the report stands, as the rule allows.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -26,6 +26,8 @@
 // part is a command that may share a log entry with others. It has only the fields Submit, Cancel, Begun, Ends and Starts.
 type part struct {
 	command *ledger.Command
+	// ends, if set, returns the ends of the command when it is proposed.
+	ends func() []ledger.End
 	// result and err are set before done is closed.
 	result *ledger.Result
 	err    error
@@ -51,7 +53,7 @@
 
 func (p *part) class() int {
 	switch {
-	case len(p.command.Ends) > 0:
+	case p.ends != nil:
 		return classEnds
 	case len(p.command.Starts) > 0 || len(p.command.Begun) > 0:
 		return classStarts
@@ -64,7 +66,16 @@
 	if (c.Submit != nil || c.Cancel != "") && !b.session.listsAllowed() {
 		return b.session.propose(c) // members of an earlier version ignore lists of submissions
 	}
-	p := &part{command: c, done: make(chan struct{})}
+	return b.commitPart(&part{command: c, done: make(chan struct{})})
+}
+
+// commitEnds commits a command with the ends that the function returns when the command is proposed; c then has them.
+func (b *batcher) commitEnds(c *ledger.Command, ends func() []ledger.End) error {
+	_, err := b.commitPart(&part{command: c, ends: ends, done: make(chan struct{})})
+	return err
+}
+
+func (b *batcher) commitPart(p *part) (*ledger.Result, error) {
 	b.mu.Lock()
 	b.queued[p.class()] = append(b.queued[p.class()], p)
 	b.sendLocked()
@@ -113,6 +124,11 @@
 func (b *batcher) propose(batch []*part) {
 	err := replica.ErrNotLeader // after the end of the session nothing is proposed
 	if b.session.ctx.Err() == nil {
+		for _, p := range batch {
+			if p.ends != nil {
+				p.command.Ends = p.ends()
+			}
+		}
 		var result *ledger.Result
 		if result, err = b.session.propose(mergeParts(batch)); err == nil {
 			err = splitResult(batch, result)
--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -14,27 +14,31 @@
 	session *session
 
 	mu      sync.Mutex
-	pending []ledger.End
-	queued  map[runKey]bool
+	pending []runKey
+	// ends holds the end of each run that is pending or being committed.
+	ends map[runKey]ledger.End
 	// pendingDone is closed once the pending ends are committed.
 	pendingDone chan struct{}
 	wake        chan struct{}
 }
 
 func newEndQueue(s *session) *endQueue {
-	return &endQueue{session: s, queued: make(map[runKey]bool), pendingDone: make(chan struct{}), wake: make(chan struct{}, 1)}
+	return &endQueue{session: s, ends: make(map[runKey]ledger.End), pendingDone: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
-// add queues ends and returns a channel that is closed once they are committed. An end that is already pending is not
-// queued twice.
+// add queues ends and returns a channel that is closed once an end of each run is committed. A run is queued once, with the end
+// that takes precedence.
 func (q *endQueue) add(ends ...ledger.End) <-chan struct{} {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, e := range ends {
 		key := runKey{e.Task, e.Run}
-		if !q.queued[key] {
-			q.queued[key] = true
-			q.pending = append(q.pending, e)
+		known, queued := q.ends[key]
+		if !queued {
+			q.pending = append(q.pending, key)
+		}
+		if !queued || takesPrecedence(e, known) {
+			q.ends[key] = e
 		}
 	}
 	select {
@@ -44,11 +48,18 @@
 	return q.pendingDone
 }
 
-// has reports whether the end of a run is queued or being committed.
-func (q *endQueue) has(run runKey) bool {
+// takesPrecedence reports whether an end replaces one of the same run that isn't committed yet: the server knows how its run ended, and
+// the leader only concludes that it lapsed or is lost.
+func takesPrecedence(e, known ledger.End) bool {
+	return known.How.Inconclusive() && !e.How.Inconclusive()
+}
+
+// news reports whether adding an end would change what is to be committed.
+func (q *endQueue) news(e ledger.End) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.queued[run]
+	known, queued := q.ends[runKey{e.Task, e.Run}]
+	return !queued || takesPrecedence(e, known)
 }
 
 // run commits pending ends until the session ends.
@@ -70,8 +81,10 @@
 	q.pending, q.pendingDone = nil, make(chan struct{})
 	q.mu.Unlock()
 	for len(batch) > 0 {
-		_, err := q.session.batcher.commit(&ledger.Command{Begun: q.session.unrecorded(), Ends: batch})
+		c := &ledger.Command{Begun: q.session.unrecorded()}
+		err := q.session.batcher.commitEnds(c, func() []ledger.End { return q.endsOf(batch) })
 		if err == nil {
+			q.committed(c.Ends)
 			break
 		}
 		q.session.log.Warn("ends not committed yet", "ends", len(batch), "error", err)
@@ -85,10 +98,29 @@
 		case <-time.After(stopRetryDelay):
 		}
 	}
+	close(done)
+}
+
+// endsOf returns the ends of runs as they are known now.
+func (q *endQueue) endsOf(batch []runKey) []ledger.End {
 	q.mu.Lock()
-	for _, e := range batch {
-		delete(q.queued, runKey{e.Task, e.Run})
+	defer q.mu.Unlock()
+	ends := make([]ledger.End, len(batch))
+	for i, key := range batch {
+		ends[i] = q.ends[key]
+	}
+	return ends
+}
+
+// committed removes committed ends.
+func (q *endQueue) committed(ends []ledger.End) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, e := range ends {
+		key := runKey{e.Task, e.Run}
+		if known := q.ends[key]; known.How != e.How {
+			q.session.log.Warn("end reported while another was being committed", "task", e.Task, "run", e.Run, "server", e.Worker, "committed", e.How, "reported", known.How)
+		}
+		delete(q.ends, key)
 	}
-	q.mu.Unlock()
-	close(done)
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -127,10 +127,11 @@
 			continue
 		}
 		s.runBeganLocked(key, h.serverID)
-		if !s.ends.has(key) {
+		e := ledger.End{Task: f.Task, Run: f.Run, Worker: h.serverID, How: f.How, Checkpoint: f.Checkpoint}
+		if s.ends.news(e) {
 			h.recordHealthLocked(server, j, f, now)
 		}
-		ends = append(ends, ledger.End{Task: f.Task, Run: f.Run, Worker: h.serverID, How: f.How, Checkpoint: f.Checkpoint})
+		ends = append(ends, e)
 	}
 	return ends, newest
 }
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -158,6 +158,9 @@
 	return false
 }
 
+// Inconclusive reports whether the leader may have concluded an end of this cause without a report of the run's end.
+func (c EndCause) Inconclusive() bool { return c == EndLapsed || c == EndLost }
+
 // Start orders a run of a task. Worker is the ID of the backend server, Born its incarnation.
 type Start struct {
 	Task   TaskID
