Plain mode: a body that arrives too late is answered with 408, without the socket's error

Callers whose body stalled got 400 `bad-body` with "read tcp ...: i/o timeout" and both addresses in the detail, as if the request were malformed.

Cause: an entry gives each part of a body 20 s, by a deadline on the connection. When that passes before the process's own bound (receive_timeout, 15 s, and a second for each 64 KiB, which is later from 320 KiB on), the read's error is the socket's, which counted as a fault of the caller. Change: a read that ends by a deadline is ErrBodySlow, and entries of the mode without jobs answer it with 408 `not-received`, outcome not-run, with Retry-After. Want of room stays 503. Mode jobs has no deadlines of handlers, so there the bound alone cuts off, with 503 as before: the platform's protocol says of 429 and 503 that a job never runs, and of 4xx that an operator's call ends at the third. Evidence: TestBodyBeyondHandlersTimeIsSlow fails without the change with the socket's text.

--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -145,7 +145,11 @@
 // bodyRefusal returns the refusal of a request whose body could not be read. reason is that of a fault of the caller.
 func bodyRefusal(reason string, err error) *outcome.Refusal {
 	if server.BodyRefused(err) {
-		return outcome.Refuse(http.StatusServiceUnavailable, "not-received", "%v", err).WithRetryAfter(notReceivedRetryAfter)
+		status := http.StatusServiceUnavailable
+		if errors.Is(err, server.ErrBodySlow) {
+			status = http.StatusRequestTimeout
+		}
+		return outcome.Refuse(status, "not-received", "%v", err).WithRetryAfter(notReceivedRetryAfter)
 	}
 	return outcome.Refuse(http.StatusBadRequest, reason, "the body could not be read: %v", err)
 }
--- a/internal/process/server/intake_test.go
+++ b/internal/process/server/intake_test.go
@@ -230,6 +230,23 @@
 	c.awaitEnd()
 }
 
+// Guards against a body that arrives too late by the handler's own bound and is taken for a malformed one, with the socket's error in the
+// answer.
+func TestBodyBeyondHandlersTimeIsSlow(t *testing.T) {
+	got := make(chan error, 1)
+	s := newIntakeServer(t, Limits{}, func(w http.ResponseWriter, r *http.Request) {
+		must.NoError(t, http.NewResponseController(w).SetReadDeadline(past))
+		_, err := io.ReadAll(r.Body)
+		got <- err
+		RejectBody(w, r)
+	})
+	c := s.dial()
+	c.post(1000, 999)
+	must.EqOp(t, http.StatusServiceUnavailable, c.answer().StatusCode)
+	must.EqOp(t, ErrBodySlow, <-got)
+	c.awaitEnd()
+}
+
 // Guards against bodies that are passed on and count as held, so that a large one is refused, and against connections that count
 // without end.
 func TestPassedBodiesAreNotCounted(t *testing.T) {
--- a/internal/process/server/receive.go
+++ b/internal/process/server/receive.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -126,9 +127,13 @@
 	if errors.Is(err, io.EOF) && !b.refused {
 		b.complete = h.enter(stageWorking)
 	}
-	if b.refused || h.current() == stageEvicted {
+	switch {
+	case b.refused || h.current() == stageEvicted:
 		b.refused = true
 		return n, b.refusal()
+	case errors.Is(err, os.ErrDeadlineExceeded): // of the handler's own bound
+		b.refused = true
+		return n, ErrBodySlow
 	}
 	return n, err
 }
