Stage chunks in the replicated state and put manifests in force

Change: format 10 (FormatConfigChunks). Command.Chunks stages chunks, Command.Manifest puts the configuration in force that they make up. Both have no effect in earlier formats. - Verdicts: Incomplete (Result.Missing lists what lacks; empty if the format is earlier) and Malformed. - Ledger.Decided gives the verdict on a version that is in force or overtaken, without chunks; MissingChunks and Assemble are for the leader before it proposes. Chunks of earlier configurations (Former) expire one by one, 2 MiB at most: a stream of changes doesn't take up the room of other records.

--- a/internal/request/ledger/apply.go
+++ b/internal/request/ledger/apply.go
@@ -16,6 +16,10 @@
 			l.packed = packedConfig{config: c.Config, bytes: c.PackedConfig}
 		}
 	}
+	l.stage(c.Chunks)
+	if c.Manifest != nil {
+		r.Config = l.applyManifest(c.Manifest, r)
+	}
 	if c.Submit != nil {
 		r.Submit = l.applySubmit(c.Submit)
 	}
@@ -78,6 +82,7 @@
 	}
 	l.expireFinished()
 	l.expireDepartures()
+	l.expireChunks()
 	return r
 }
 
@@ -85,21 +90,31 @@
 // and is reported as superseded; different content under the present version is a conflict.
 func (l *Ledger) applyConfig(c *accepted.Config, r *Result) Verdict {
 	if l.Config != nil && c.Version <= l.Config.Version {
-		if c.Version < l.Config.Version {
-			return Superseded
-		}
-		if c.SameContent(l.Config) {
-			return Accepted
-		}
-		return Conflict
+		return l.verdictOnVersion(c.Version, c.SameContent(l.Config))
+	}
+	l.putInForce(c, nil, r)
+	return Accepted
+}
+
+// verdictOnVersion returns the verdict on a configuration whose version isn't higher than the present one.
+func (l *Ledger) verdictOnVersion(version int64, sameContent bool) Verdict {
+	switch {
+	case version < l.Config.Version:
+		return Superseded
+	case sameContent:
+		return Accepted
 	}
-	fewer := queuesWithFewerAttempts(l.index, c)
-	l.Config = c
-	l.index = accepted.NewIndex(c)
+	return Conflict
+}
+
+// putInForce replaces the configuration; the manifest is nil if it came whole.
+func (l *Ledger) putInForce(c *accepted.Config, m *accepted.Manifest, r *Result) {
+	fewer, index := queuesWithFewerAttempts(l.index, c), accepted.NewIndex(c)
+	l.Config, l.index, l.packed = c, index, packedConfig{}
+	l.replaceChunks(m)
 	if l.Format >= FormatGangRuns && len(fewer) > 0 {
 		l.giveUpExhausted(fewer, r)
 	}
-	return Accepted
 }
 
 // applySubmit accepts a job. One whose steps are inconsistent is not accepted; Check, which the leader has called, rejects more.
--- a/internal/request/ledger/command.go
+++ b/internal/request/ledger/command.go
@@ -13,8 +13,12 @@
 	Config *accepted.Config `json:",omitempty"`
 	// PackedConfig is a configuration as accepted.Config.Pack encodes it, in place of Config. Earlier versions ignore it, so it is
 	// used only from FormatPackedConfig on.
-	PackedConfig []byte      `json:",omitempty"`
-	Submit       *Submission `json:",omitempty"`
+	PackedConfig []byte `json:",omitempty"`
+	// Chunks are staged for a Manifest that follows, in this command or a later one. Manifest puts a configuration in force whose
+	// chunks are staged, or belong to earlier ones. Both have no effect before FormatConfigChunks.
+	Chunks   []accepted.Chunk   `json:",omitempty"`
+	Manifest *accepted.Manifest `json:",omitempty"`
+	Submit   *Submission        `json:",omitempty"`
 	// Submits and Cancels hold several submissions and cancellations. Earlier versions ignore them, so they are used only
 	// from FormatLists on.
 	Submits []*Submission `json:",omitempty"`
@@ -71,8 +75,10 @@
 	FormatGangCheckpoint = 8
 	// FormatCompletedWaves: of a completed wave only a digest of its order is kept, and the records of completed waves are bounded.
 	FormatCompletedWaves = 9
+	// FormatConfigChunks: commands may have Chunks and Manifest, and snapshots hold the chunks of configurations.
+	FormatConfigChunks = 10
 	// NewestFormat is the newest format that this version understands.
-	NewestFormat = FormatCompletedWaves
+	NewestFormat = FormatConfigChunks
 )
 
 // minPackedBytes is the size of a configuration as sent from which on it is compressed. A smaller one, as on most days, isn't worth
@@ -314,13 +320,20 @@
 	// NotConfigured: there is no configuration, or the one in force lacks the job's queue, or the queue isn't open and the
 	// configuration lacks the job's workspace.
 	NotConfigured Verdict = "unserved"
+	// Incomplete: chunks of the configuration are missing, or the log's format has no chunks yet. Nothing has changed.
+	Incomplete Verdict = "incomplete"
+	// Malformed: the manifest is invalid, or its chunks don't make up the configuration that it describes. Nothing has changed.
+	Malformed Verdict = "malformed"
 )
 
 // Result holds the outcome of each part of a command; the verdict on a part that the command lacks is empty.
 type Result struct {
+	// Config is the verdict on the configuration or the manifest.
 	Config Verdict `json:",omitempty"`
-	Submit Verdict `json:",omitempty"`
-	Cancel Verdict `json:",omitempty"`
+	// Missing holds the digests of the chunks that an incomplete configuration lacks.
+	Missing [][]byte `json:",omitempty"`
+	Submit  Verdict  `json:",omitempty"`
+	Cancel  Verdict  `json:",omitempty"`
 	// Submits and Cancels are the verdicts on the lists, in order.
 	Submits []Verdict `json:",omitempty"`
 	Cancels []Verdict `json:",omitempty"`
--- a/internal/request/ledger/ledger.go
+++ b/internal/request/ledger/ledger.go
@@ -12,9 +12,10 @@
 	Config *accepted.Config `json:",omitempty"`
 	// PackedConfig replaces Config in a snapshot; it is nil otherwise (Command.PackedConfig).
 	PackedConfig []byte `json:",omitempty"`
-	Jobs         map[string]*Job
-	Servers      map[string]Server `json:",omitempty"`
-	Waves        map[int64]*Wave   `json:",omitempty"`
+	chunkState
+	Jobs    map[string]*Job
+	Servers map[string]Server `json:",omitempty"`
+	Waves   map[int64]*Wave   `json:",omitempty"`
 	// Orders holds, by machine, the term of the leader that last ordered its upkeep or its move to another pool.
 	Orders map[string]uint64 `json:",omitempty"`
 	// Intents holds, by machine, what was last ordered for it. Members of earlier versions don't have it; no command depends on it.
@@ -42,6 +43,12 @@
 	contents
 	index  *accepted.Index
 	packed packedConfig
+	// chunkData holds the data of the chunks of all lists of chunkState.
+	chunkData map[accepted.Digest][]byte
+	// chunksBytes, stagedBytes and formerBytes are the approximate sizes of these lists in a snapshot.
+	chunksBytes, stagedBytes, formerBytes int
+	// assembled is a configuration whose manifest the leader is about to propose.
+	assembled assembled
 	// open holds the jobs that aren't in a final state, and those in a final state that still have live runs.
 	open map[string]*Job
 	// bytes is the approximate size of all jobs, servers, waves and departures.
@@ -82,7 +89,9 @@
 // Snapshot encodes the state.
 func (l *Ledger) Snapshot() ([]byte, error) {
 	stored := l.contents
-	if l.packed.bytes != nil && l.packed.config == l.Config {
+	if l.Manifest != nil {
+		stored.Config = nil
+	} else if l.packed.bytes != nil && l.packed.config == l.Config {
 		stored.Config, stored.PackedConfig = nil, l.packed.bytes
 	}
 	data, err := json.Marshal(&stored)
@@ -111,6 +120,9 @@
 		fresh.Config, fresh.packed = config, packedConfig{config: config, bytes: fresh.PackedConfig}
 		fresh.PackedConfig = nil
 	}
+	if err := fresh.restoreChunks(); err != nil {
+		return err
+	}
 	if fresh.contents.Intents == nil {
 		fresh.contents.Intents = make(map[string]MachineIntent)
 	}
@@ -128,6 +140,7 @@
 	if l.Config != nil {
 		l.index = accepted.NewIndex(l.Config)
 	}
+	l.boundChunks()
 	l.open = make(map[string]*Job)
 	l.waiting = make(map[WaitingClass]map[string]*Job)
 	l.unstarted, l.lasting = make(map[string]int), make(map[string]int)
--- a/internal/request/ledger/size.go
+++ b/internal/request/ledger/size.go
@@ -32,9 +32,9 @@
 	unpackedFactor = 3
 )
 
-// Bytes returns the approximate size of all records but the configuration. It is an upper bound of their size in a snapshot.
+// Bytes returns the approximate size of all records but the configuration in force. It is an upper bound of their size in a snapshot.
 func (l *Ledger) Bytes() int {
-	return l.bytes + entryBytes*(len(l.Orders)+len(l.contents.Intents)+len(l.Sizes)) + evacuationBytes*len(l.Evacuations)
+	return l.bytes + l.stagedBytes + l.formerBytes + entryBytes*(len(l.Orders)+len(l.contents.Intents)+len(l.Sizes)) + evacuationBytes*len(l.Evacuations)
 }
 
 // Bytes returns the approximate size of the record of a job when it is accepted.
@@ -57,13 +57,16 @@
 	if l.Config == nil {
 		return 0
 	}
+	if l.Manifest != nil {
+		return manifestBytes + digestBytes*len(l.Manifest.Chunks) + l.chunksBytes
+	}
 	if l.packed.config != l.Config {
 		return configBytes(l.Config, nil)
 	}
 	return configBytes(l.Config, l.packed.bytes)
 }
 
-// ConfigBytes returns the approximate size of the configuration of a command in a snapshot.
+// ConfigBytes returns the approximate size of the whole configuration of a command in a snapshot.
 func (c *Command) ConfigBytes() int { return configBytes(c.Config, c.PackedConfig) }
 
 func configBytes(c *accepted.Config, packed []byte) int {
