--- a/internal/request/ledger/chunks.go
+++ b/internal/request/ledger/chunks.go
@@ -54,7 +54,9 @@
 }
 
 // ChunkBytes returns the approximate size of a staged chunk in a snapshot.
-func ChunkBytes(c *accepted.Chunk) int { return chunkBytes + base64.StdEncoding.EncodedLen(len(c.Data)) }
+func ChunkBytes(c *accepted.Chunk) int {
+	return chunkBytes + base64.StdEncoding.EncodedLen(len(c.Data))
+}
 
 // ManifestBytes returns the approximate size of a configuration in a snapshot, without the chunks that the ledger lacks.
 func (l *Ledger) ManifestBytes(m *accepted.Manifest) int {
