Read the configuration from the own state of the asked instance

Operators saw: get-config at an instance that doesn't lead ended after 0.9 s while the change was in force.

Cause: only the leader answered it, so that the whole configuration crossed the network between two instances, within the time of one call.

Change: the instance takes a read index after the call has come and answers from its own state. A member that was removed or lost its disk never applies the index, and asks the leader. A line "configuration read" has request, version and size.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -225,7 +225,7 @@
 	case OpPutConfig:
 		return s.putConfig(c)
 	case OpGetConfig:
-		return s.getConfig()
+		return s.getConfig(), nil
 	case OpAnnounce:
 		return s.announce(c)
 	case OpLeave:
--- a/internal/dispatch/followerread.go
+++ b/internal/dispatch/followerread.go
@@ -113,6 +113,43 @@
 // sent to the leader.
 func (d *Dispatcher) Read(c *Call) (*Reply, error) { return d.followerReads.read(c) }
 
+// ReadConfig answers get-config on an instance that doesn't lead, after a round trip with the leader that begins now and takes at most
+// the given time. It returns ErrNotLeader if the leader must be asked: the state wasn't confirmed in time, or there is no configuration
+// in it.
+func (d *Dispatcher) ReadConfig(ctx context.Context, c *Call, most time.Duration) (*Reply, error) {
+	return d.followerReads.readConfig(ctx, c, most)
+}
+
+func (f *followerReads) readConfig(ctx context.Context, c *Call, most time.Duration) (*Reply, error) {
+	asked := boottime.Now()
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	if f.replica.ReadIndex(ctx) != nil {
+		f.passedOn.Inc(1)
+		return nil, ErrNotLeader
+	}
+	version, reply := f.engine.config()
+	// The context's clock stands still while the machine is suspended.
+	if took := boottime.Now() - asked; reply.Outcome != OK || took > most {
+		f.passedOn.Inc(1)
+		return nil, ErrNotLeader
+	}
+	f.served.Inc(1)
+	f.engine.log.Info("configuration read", "request", c.RequestID, "version", version, "bytes", len(reply.Config), "took", boottime.Now()-asked)
+	return reply, nil
+}
+
+// config returns the version in force and the answer to get-config.
+func (e *Engine) config() (int64, *Reply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	index := e.ledger.Index()
+	if index == nil {
+		return 0, &Reply{Outcome: Unavailable, Reason: "no configuration is in force yet", RetryAfterMS: noConfigRetryMS}
+	}
+	return index.Config().Version, &Reply{Outcome: OK, Config: index.Config().Raw}
+}
+
 // pendingCountLocked returns the number of pending jobs of a queue: those that the ledger holds as neither begun nor finished,
 // without those that this leader knows to have begun.
 func (s *session) pendingCountLocked(queue string) int {
--- a/internal/dispatch/jobcalls.go
+++ b/internal/dispatch/jobcalls.go
@@ -182,14 +182,9 @@
 	return &Reply{Outcome: OK, Reason: string(result.Config)}, nil
 }
 
-func (s *session) getConfig() (*Reply, error) {
-	s.engine.mu.Lock()
-	defer s.engine.mu.Unlock()
-	index := s.engine.ledger.Index()
-	if index == nil {
-		return &Reply{Outcome: Unavailable, Reason: "no configuration is in force yet", RetryAfterMS: noConfigRetryMS}, nil
-	}
-	return &Reply{Outcome: OK, Config: index.Config().Raw}, nil
+func (s *session) getConfig() *Reply {
+	_, reply := s.engine.config()
+	return reply
 }
 
 func (s *session) startWave(c *Call) (*Reply, error) {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -215,6 +215,9 @@
 			return reply, false, nil
 		}
 	}
+	if reply := c.readOwn(ctx, call); reply != nil {
+		return reply, false, nil
+	}
 	if reply := c.readNear(ctx, call, body); reply != nil {
 		return reply, false, nil
 	}
