Hand configurations in by chunks that can be resumed at any instance

Operators saw: tries of a large configuration at instances that don't lead each ended after 0.9 s, and none reached the leader.

Cause: an instance sent the configuration to the leader in one call with the time of one attempt, again from the beginning in each attempt and each try. An attempt that ran out of time also gave up the leader.

Change: the instance checks and cuts the configuration and offers the manifest; it stages what the log lacks in calls of at most 32 KiB compressed, two at a time, and offers again. The formats that instances report are kept by address: a leader of an earlier version gets the whole configuration, as does one that doesn't know the calls or whose log has an earlier format. An attempt has a second a MiB of its body in addition. A leader that answered something else since an attempt began isn't given up, nor for a call with chunks whose caller's time ended. The answer is Unavailable only if no offer stayed without an answer.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -21,6 +21,7 @@
 
 	"laburnumrouter/internal/dispatch"
 	"laburnumrouter/internal/process/boottime"
+	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/version/accepted"
 )
 
@@ -33,6 +34,8 @@
 	// attemptTimeout bounds one attempt of a call. A commit takes about 30 ms, so a connection that is silent for this
 	// long is given up.
 	attemptTimeout = 900 * time.Millisecond
+	// attemptTimePerMiB is what an attempt gets in addition for the size of its body.
+	attemptTimePerMiB = time.Second
 	// leaderCheckDelay is how long a call may stay unanswered before the client checks whether another instance leads now:
 	// the time of about ten commits. It repeats the check every leaderCheckInterval.
 	leaderCheckDelay    = 250 * time.Millisecond
@@ -106,6 +109,7 @@
 	searchFailedAt time.Time
 	seedsReadAt    time.Time
 	lastContact    time.Time
+	formats        map[string]int // by address, as last reported
 	limits         accepted.Limits
 	near           near
 	cutOff         bool          // the last search found no leader and reached no majority of the members
@@ -121,7 +125,7 @@
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
 	c := &Client{http: &http.Client{Transport: transport}, log: log, attempts: newAttemptLog(log), seeds: seeds, timeoutPerAttempt: attemptTimeout,
-		startedAt: time.Now(), leaderFound: make(chan struct{})}
+		startedAt: time.Now(), leaderFound: make(chan struct{}), formats: make(map[string]int)}
 	c.local.Store(local)
 	return c
 }
@@ -158,9 +162,18 @@
 	if call.RequestID == "" {
 		call.RequestID = uuid.NewString()
 	}
+	if call.Op == dispatch.OpPutConfig && call.Config != nil {
+		return c.putConfig(ctx, call)
+	}
+	reply, _ := c.forward(ctx, call)
+	return reply
+}
+
+// forward sends a call as Do describes. mayHaveRun reports whether an attempt without an answer may have been executed.
+func (c *Client) forward(ctx context.Context, call *dispatch.Call) (reply *dispatch.Reply, mayHaveRun bool) {
 	body, err := json.Marshal(call)
 	if err != nil {
-		return &dispatch.Reply{Outcome: dispatch.Invalid, Reason: err.Error()}
+		return &dispatch.Reply{Outcome: dispatch.Invalid, Reason: err.Error()}, false
 	}
 	anyMayHaveRun, began := false, boottime.Now()
 	for number := 1; ; number++ {
@@ -169,11 +182,11 @@
 		if err == nil {
 			renewed, outdated := call.Renew(reply)
 			if !outdated || ctx.Err() != nil || boottime.Now()-began > renewalTime {
-				return settleReply(call, reply, anyMayHaveRun)
+				return settleReply(call, reply, anyMayHaveRun), anyMayHaveRun
 			}
 			call = renewed
 			if body, err = json.Marshal(call); err != nil {
-				return &dispatch.Reply{Outcome: dispatch.Invalid, Reason: err.Error()}
+				return &dispatch.Reply{Outcome: dispatch.Invalid, Reason: err.Error()}, anyMayHaveRun
 			}
 			continue
 		}
@@ -181,7 +194,7 @@
 			continue
 		}
 		if errors.Is(err, errNoLeader) || ctx.Err() != nil {
-			return failedReply(anyMayHaveRun, err)
+			return failedReply(anyMayHaveRun, err), anyMayHaveRun
 		}
 	}
 }
@@ -227,12 +240,18 @@
 	if err != nil {
 		return nil, false, err
 	}
+	if call.InChunks() && c.formatOf(target) < ledger.FormatConfigChunks {
+		return wholeWanted(), false, nil
+	}
 	began := time.Now()
 	reply, mayHaveRun, err = c.send(ctx, target, body)
 	c.attempts.record(call, attempt{number: number, target: target, bytes: len(body), took: time.Since(began), reply: reply, err: err})
 	if err == nil {
 		c.recordContact()
-		return reply, false, nil
+		return understood(call, reply), false, nil
+	}
+	if c.answeredSince(target, began) || call.InChunks() && ctx.Err() != nil {
+		return nil, mayHaveRun, err // it is the connection that failed, or the caller's time that ended
 	}
 	c.dropLeader(target, err)
 	return nil, mayHaveRun, err
@@ -240,7 +259,7 @@
 
 // send posts a call to an instance. Its results are those of try.
 func (c *Client) send(ctx context.Context, target string, body []byte) (reply *dispatch.Reply, mayHaveRun bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeoutPerAttempt)
+	ctx, cancel := context.WithTimeout(ctx, c.timeoutPerAttempt+sendTime(len(body)))
 	defer cancel()
 	replacementCheck := time.AfterFunc(leaderCheckDelay, func() { c.cancelWhenReplaced(ctx, target, cancel) })
 	defer replacementCheck.Stop()
@@ -248,6 +267,11 @@
 	return reply, err != nil && !misdirected && !dialFailed(err), err
 }
 
+// sendTime returns the time that an attempt gets for the size of its body.
+func sendTime(body int) time.Duration {
+	return time.Duration(float64(body) / (1 << 20) * float64(attemptTimePerMiB))
+}
+
 // post posts a call to an instance. misdirected is set if the instance answered that it doesn't lead.
 func (c *Client) post(ctx context.Context, target string, body []byte) (reply *dispatch.Reply, misdirected bool, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+CallPath, bytes.NewReader(body))
@@ -301,6 +325,13 @@
 	c.lastContact, c.cutOff = time.Now(), false
 }
 
+// answeredSince reports whether the leader is target and has answered a call or a check since a time.
+func (c *Client) answeredSince(target string, since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader == target && c.lastContact.After(since)
+}
+
 // dropLeader forgets the leader if it is target, which failed with err.
 func (c *Client) dropLeader(target string, err error) {
 	c.mu.Lock()
--- a/internal/leader/search.go
+++ b/internal/leader/search.go
@@ -188,7 +188,30 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	status := &LeaderStatus{}
-	return status, Error.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(status))
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(status); err != nil {
+		return status, Error.Wrap(err)
+	}
+	c.recordFormat(target, status.Format)
+	return status, nil
+}
+
+// maxFormats bounds the addresses whose formats are kept, in case that members change often.
+const maxFormats = 256
+
+func (c *Client) recordFormat(address string, format int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.formats) >= maxFormats {
+		clear(c.formats)
+	}
+	c.formats[address] = format
+}
+
+// formatOf returns the newest format of commands that an instance understood when it was last asked; 0 if that is unknown.
+func (c *Client) formatOf(address string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.formats[address]
 }
 
 // MemberFormat returns the newest format of commands that the instances at all addresses understand; 0 if one doesn't answer.
