--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -81,7 +81,8 @@
 	client       *leader.Client
 	seq          int64
 	log          logBuffer
-	handler      http.Handler // handles the operators' calls; nil means statusHandler
+	handler      http.Handler // handles the operators' calls; nil means public
+	public       func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler
 	disks        [4]disk
 	// volumes replace disks where they are set; diskMB is their size by the settings.
 	volumes [4]*volume
@@ -192,7 +193,7 @@
 	t.Helper()
 	c := &cluster{
 		t: t, servers: &fakeServers{startedAt: time.Now(), starts: make(map[string]int)}, publicPort: freePort(t),
-		handler: operators,
+		handler: operators, public: statusHandler,
 	}
 	for c.peerPort = freePort(t); c.peerPort == c.publicPort; {
 		c.peerPort = freePort(t)
@@ -246,7 +247,7 @@
 	must.EqOp(c.t, 0, len(faults.List()))
 	deps := Dependencies{Servers: c.servers, FS: &c.disks[i], ReloadSeeds: reload, Public: func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
 		if c.handler == nil {
-			return statusHandler(do)
+			return c.public(do)
 		}
 		return c.handler
 	}}
