Leader client: a call that runs out of time doesn't lose the leader

Cause: each failed attempt dropped the leader, also when only the call's own time was over.

A check that is late loses the leader only if nothing was answered meanwhile.

--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -31,7 +31,7 @@
 	// dialTimeout bounds connection setup; a round trip between data centres takes a few milliseconds.
 	dialTimeout = 300 * time.Millisecond
 	// attemptTimeout bounds one attempt of a call. A commit takes about 30 ms, so a connection that is silent for this
-	// long is given up.
+	// long is given up. Whether the leader is, attemptFailed decides.
 	attemptTimeout = 900 * time.Millisecond
 	// leaderCheckDelay is how long a call may stay unanswered before the client checks whether another instance leads now:
 	// the time of about ten commits. It repeats the check every leaderCheckInterval.
@@ -93,6 +93,8 @@
 	// timeoutPerAttempt bounds one attempt of a call; attemptTimeout except in tests.
 	timeoutPerAttempt time.Duration
 
+	checking atomic.Bool // a check of checkSoon is running
+
 	startedAt time.Time
 	// readSeeds reads the seeds anew while no leader is found; nil if they never change.
 	readSeeds func() ([]string, error)
@@ -231,7 +233,7 @@
 		c.recordContact()
 		return reply, false, nil
 	}
-	c.dropLeader(target, err)
+	c.attemptFailed(ctx, target, began, err)
 	return nil, mayHaveRun, err
 }
 
--- a/internal/leader/leader_test.go
+++ b/internal/leader/leader_test.go
@@ -31,8 +31,8 @@
 	drop atomic.Bool
 	// reads makes it answer calls also if it doesn't lead, as a follower answers reads.
 	reads atomic.Bool
-	// hang blocks calls until the channel is closed.
-	hang atomic.Pointer[chan struct{}]
+	// hang blocks calls until the channel is closed, silent its reports.
+	hang, silent atomic.Pointer[chan struct{}]
 }
 
 func newInstance(t *testing.T, status LeaderStatus) *instance {
@@ -41,6 +41,9 @@
 	i.status.Store(&status)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+LeaderPath, func(w http.ResponseWriter, _ *http.Request) {
+		if silent := i.silent.Load(); silent != nil {
+			<-*silent
+		}
 		_ = json.NewEncoder(w).Encode(i.status.Load())
 	})
 	mux.HandleFunc("POST "+CallPath, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/leader/monitor.go
+++ b/internal/leader/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
@@ -37,12 +38,16 @@
 	if err != nil {
 		return false
 	}
+	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	status, err := c.probe(ctx, target)
 	if err == nil && !status.Leads {
 		err = Error.New("%s no longer leads", target)
 	}
+	if errors.Is(err, context.DeadlineExceeded) && c.LastContact().After(began) {
+		return true // it answered something else meanwhile
+	}
 	if err != nil {
 		c.dropLeader(target, err)
 		return false
--- a/internal/leader/search.go
+++ b/internal/leader/search.go
@@ -77,7 +77,9 @@
 	switch {
 	case found == "":
 		c.searchFailedAt = now
-	case found != c.leader:
+	case found == c.leader:
+		c.lastContact = now
+	default:
 		lost := time.Duration(0)
 		if c.gap.open {
 			lost = now.Sub(c.startedAt) - c.gap.since
