--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -252,9 +252,6 @@
 		c.recordContact()
 		return understood(call, reply), false, nil
 	}
-	if c.answeredSince(target, began) || call.InChunks() && ctx.Err() != nil {
-		return nil, mayHaveRun, err // it is the connection that failed, or the caller's time that ended
-	}
 	c.attemptFailed(ctx, target, began, err)
 	return nil, mayHaveRun, err
 }
@@ -327,13 +324,6 @@
 	c.lastContact, c.cutOff = time.Now(), false
 }
 
-// answeredSince reports whether the leader is target and has answered a call or a check since a time.
-func (c *Client) answeredSince(target string, since time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leader == target && c.lastContact.After(since)
-}
-
 // dropLeader forgets the leader if it is target, which failed with err.
 func (c *Client) dropLeader(target string, err error) {
 	c.mu.Lock()
