Soak: storms of changes of large configurations

Change: in seeded storms of 4 s, every 8 to 16 s, the operators send one change after the other, with 200 to 600 routes more, of which a tenth changes from one to the next. The draw is its own, so that the faults and bursts of a seed stay as they were. Full disks of real processes are left out: a full file system takes a mount or a quota, which need root, and a limit on the size of files gives EFBIG, which no full disk does.

--- a/test/soak/load/operators.go
+++ b/test/soak/load/operators.go
@@ -30,6 +30,7 @@
 	version int64
 	keys    []string
 	queues  []string
+	unused  int // queues that no caller uses
 	body    []byte
 }
 
@@ -48,6 +49,7 @@
 	Pools     []string
 	Refused   func(address string) bool // as for Callers
 	Tamper    *Tamper
+	Storms    []Storm
 
 	mu        sync.Mutex
 	newest    *config
@@ -68,8 +70,12 @@
 // Run changes and reads the configuration until ctx ends.
 func (o *Operators) Run(ctx context.Context, seed uint64) error {
 	rng := rand.New(rand.NewPCG(seed, 3000))
-	for ctx.Err() == nil {
-		o.put(ctx, rng, o.next(rng))
+	for began := time.Now(); ctx.Err() == nil; {
+		unused := stormRoutesAt(o.Storms, time.Since(began))
+		o.put(ctx, rng, o.next(rng, unused))
+		if unused > 0 {
+			continue
+		}
 		if rng.IntN(4) == 0 {
 			o.mu.Lock()
 			again := o.newest
@@ -87,7 +93,7 @@
 // Change sends one more configuration until it is acknowledged or ctx ends.
 func (o *Operators) Change(ctx context.Context, seed uint64) bool {
 	rng := rand.New(rand.NewPCG(seed, 3001))
-	return o.put(ctx, rng, o.next(rng))
+	return o.put(ctx, rng, o.next(rng, 0))
 }
 
 // ReadAll reads the configuration at each control instance until each has answered or ctx ends.
@@ -99,11 +105,11 @@
 	}
 }
 
-// next draws the configuration that follows the newest one: a key or a queue comes or goes.
-func (o *Operators) next(rng *rand.Rand) *config {
+// next draws the configuration that follows the newest one: a key or a queue comes or goes. unused is the number of queues beside them.
+func (o *Operators) next(rng *rand.Rand, unused int) *config {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	c := &config{version: o.newest.version + 1 + rng.Int64N(3), keys: slices.Clone(o.newest.keys), queues: slices.Clone(o.newest.queues)}
+	c := &config{version: o.newest.version + 1 + rng.Int64N(3), keys: slices.Clone(o.newest.keys), queues: slices.Clone(o.newest.queues), unused: unused}
 	switch {
 	case rng.IntN(3) == 0:
 		o.changeQueues(c)
@@ -137,6 +143,7 @@
 		}
 		sheet.Queues = append(sheet.Queues, outside.Queue{Name: q, Host: host, Pool: pool, MaxAttempts: MaxAttempts})
 	}
+	sheet.Queues = append(sheet.Queues, unusedQueues(c.unused, c.version, o.Pools[0])...)
 	for i, p := range o.Pools {
 		sheet.Pools = append(sheet.Pools, outside.Pool{Name: p, Guards: i == 0})
 	}
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -128,7 +128,7 @@
 	names := faults.Names{Controls: processNames(s.cluster.Controls), Entries: processNames(s.cluster.Entries), Workers: processNames(s.cluster.Workers)}
 	s.schedule = faults.Schedule(s.Seed, s.Duration, names)
 	tamper := &load.Tamper{Plant: s.Plant}
-	s.operators = &load.Operators{Out: s.out, Names: names.Controls, Addresses: s.cluster.Public, Pools: cluster.Pools, Refused: s.cluster.Network.Refused, Tamper: tamper}
+	s.operators = &load.Operators{Out: s.out, Names: names.Controls, Addresses: s.cluster.Public, Pools: cluster.Pools, Refused: s.cluster.Network.Refused, Tamper: tamper, Storms: load.DrawStorms(s.Seed, s.Duration)}
 	s.callers = &load.Callers{
 		Out: s.out, Names: names.Entries, Addresses: s.cluster.Frontends, Operators: s.operators, Refused: s.cluster.Network.Refused, Tamper: tamper,
 		Rate: min(60, 4*float64(shape.Workers)), Bursts: drawBursts(s.Seed, s.Duration), Capacity: int64(shape.Workers) * cluster.WorkerCapacity,
@@ -157,6 +157,9 @@
 	for _, u := range s.callers.Bursts {
 		fmt.Fprintf(&b, "%8.3fs for %.3fs  burst of %.1f times the load\n", u.From.Seconds(), (u.Until - u.From).Seconds(), u.Factor)
 	}
+	for _, storm := range s.operators.Storms {
+		fmt.Fprintln(&b, storm)
+	}
 	return os.WriteFile(filepath.Join(s.dir, "schedule.txt"), []byte(b.String()), 0o600)
 }
 
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -14,6 +14,7 @@
 
 	"laburnumrouter/test/harness"
 	"laburnumrouter/test/soak/faults"
+	"laburnumrouter/test/soak/load"
 )
 
 // programs returns the folder of the built programs and the soak's own.
@@ -93,6 +94,13 @@
 	names := faults.Names{Controls: []string{"control-1", "control-2", "control-3"}, Entries: []string{"entry-1"}, Workers: []string{"worker-1"}}
 	const duration = 30 * time.Second
 	for seed := range uint64(50) {
+		storms := load.DrawStorms(seed, duration)
+		must.Eq(t, storms, load.DrawStorms(seed, duration))
+		must.SliceNotEmpty(t, storms)
+		for _, s := range storms {
+			must.LessEq(t, duration, s.Until)
+			must.Positive(t, s.Routes)
+		}
 		schedule := faults.Schedule(seed, duration, names)
 		must.Eq(t, schedule, faults.Schedule(seed, duration, names))
 		lost := 0
