--- a/internal/request/ledger/chunks_test.go
+++ b/internal/request/ledger/chunks_test.go
@@ -186,6 +186,8 @@
 	l, c := chunkLedger(), largeConfig(7, 300)
 	m, first := transfer(t, l, c)
 	l.Apply(&Command{Chunks: first})
+	_, _, err := l.Assemble(m)
+	must.NoError(t, err)
 	others := randomChunks(t, 130, 50_000)
 	for batch := range slices.Chunk(others, 16) {
 		l.Apply(&Command{Chunks: batch})
@@ -213,9 +215,24 @@
 	command, err := ConfigCommand(largeConfig(3, 300), NewestFormat)
 	must.NoError(t, err)
 	l.Apply(command)
-	must.EqOp(t, Accepted, l.Apply(&Command{Manifest: put(t, l, largeConfig(4, 300))}).Config)
+	put(t, l, largeConfig(4, 300))
 	must.StrNotContains(t, stateOf(t, l), "PackedConfig")
 	must.Eq(t, largeConfig(4, 300), reload(t, l).Config)
+	must.Nil(t, l.packed.bytes, must.Sprint("only one form is kept compressed"))
+}
+
+// Guards against a configuration that the leader puts in force alone, as it had assembled another one than the log brings.
+func TestManifestBringsItsOwnConfiguration(t *testing.T) {
+	l := chunkLedger()
+	next, chunks := transfer(t, l, largeConfig(1, 300))
+	l.Apply(&Command{Chunks: chunks})
+	other, chunks := transfer(t, l, largeConfig(2, 200))
+	l.Apply(&Command{Chunks: chunks})
+	_, _, err := l.Assemble(other)
+	must.NoError(t, err)
+	l.Apply(&Command{Manifest: next})
+	must.Eq(t, largeConfig(1, 300), l.Config)
+	must.Nil(t, l.assembled.config)
 }
 
 // Guards against replicas that differ in their verdicts or their state: the one that assembled a configuration beforehand, those that
@@ -226,7 +243,16 @@
 		leader, follower, restored := chunkLedger(), chunkLedger(), chunkLedger()
 		version, queues := int64(0), []int{100, 200, 300, 301}
 		var known []accepted.Chunk
-		for i := range 50 {
+		var earlier *accepted.Manifest
+		apply := func(c *Command) {
+			read := decoded(t, c)
+			want := leader.Apply(c)
+			must.Eq(t, want, follower.Apply(read), must.Sprint("seed ", seed))
+			must.Eq(t, want, restored.Apply(decoded(t, c)), must.Sprint("seed ", seed))
+			must.EqOp(t, stateOf(t, leader), stateOf(t, follower), must.Sprint("seed ", seed))
+			must.EqOp(t, stateOf(t, leader), stateOf(t, restored), must.Sprint("seed ", seed))
+		}
+		for range 50 {
 			command := &Command{NowMS: leader.ClockMS + rng.Int64N(20_000)}
 			config := largeConfig(version+rng.Int64N(3), queues[rng.IntN(len(queues))])
 			m, missing := transfer(t, leader, config)
@@ -240,23 +266,22 @@
 			case 2:
 				command.Chunks = known[rng.IntN(len(known)+1):]
 			case 3:
-				command.Manifest = m
+				command.Manifest = earlier
+				_, _, _ = leader.Assemble(m)
 			default:
-				command.Chunks, command.Manifest = missing, m
+				apply(&Command{Chunks: missing})
 				_, _, _ = leader.Assemble(m)
+				command.Manifest = m
 			}
+			earlier = m
 			if rng.IntN(4) == 0 {
 				restored = reload(t, restored)
 			}
 			if rng.IntN(8) == 0 {
 				follower.Reindex() // as after an entry whose application was broken off
 			}
-			read := decoded(t, command)
-			want := leader.Apply(command)
-			must.Eq(t, want, follower.Apply(read))
-			must.Eq(t, want, restored.Apply(decoded(t, command)))
-			must.EqOp(t, stateOf(t, leader), stateOf(t, restored), must.Sprintf("seed %d, entry %d", seed, i))
-			must.EqOp(t, stateOf(t, leader), stateOf(t, follower))
+			apply(command)
+			must.MapLen(t, len(leader.Chunks)+len(leader.Staged)+len(leader.Former), leader.chunkData)
 			must.GreaterEq(t, len(stateOf(t, leader)), leader.Bytes()+leader.ConfigBytes()+500)
 			if leader.Config != nil {
 				version = leader.Config.Version
