Compare a repeated manifest with the digest in force without hashing; export MaxStagedBytes

Ledger.Decided, which the leader calls under its lock for each attempt of an operator, hashed the configuration in force each time. It takes the digest of the manifest in force if there is one. MaxStagedBytes tells callers beyond which size of its chunks a configuration can't be staged. Evidence: go test ./internal/request/ledger ./internal/version/accepted pass.

--- a/internal/request/ledger/chunks.go
+++ b/internal/request/ledger/chunks.go
@@ -13,8 +13,8 @@
 const (
 	// chunkRetentionMS is how long chunks are kept without use.
 	chunkRetentionMS = 60_000
-	// maxStagedBytes and maxFormerBytes bound staged and former chunks, as they count in a snapshot; the oldest are dropped first.
-	maxStagedBytes = 8 << 20
+	// MaxStagedBytes and maxFormerBytes bound staged and former chunks, as ChunkBytes counts them; the oldest are dropped first.
+	MaxStagedBytes = 8 << 20
 	maxFormerBytes = 2 << 20
 )
 
@@ -100,8 +100,16 @@
 	if l.Config == nil || m.Version > l.Config.Version {
 		return ""
 	}
+	return l.verdictOnVersion(m.Version, bytes.Equal(l.sentDigest(), m.Sent))
+}
+
+// sentDigest returns the SHA-256 of the bytes in which the configuration in force was sent.
+func (l *Ledger) sentDigest() []byte {
+	if l.Manifest != nil {
+		return l.Manifest.Sent
+	}
 	sent := l.Config.Digest()
-	return l.verdictOnVersion(m.Version, bytes.Equal(sent[:], m.Sent))
+	return sent[:]
 }
 
 // applyManifest puts a configuration in force whose chunks the ledger has, as applyConfig does with a whole one.
@@ -211,7 +219,7 @@
 
 // boundChunks drops the oldest chunks beyond the bounds, and rebuilds what is derived from the lists.
 func (l *Ledger) boundChunks() {
-	l.Staged, l.stagedBytes = newest(l.Staged, maxStagedBytes)
+	l.Staged, l.stagedBytes = newest(l.Staged, MaxStagedBytes)
 	l.Former, l.formerBytes = newest(l.Former, maxFormerBytes)
 	l.chunkData = make(map[accepted.Digest][]byte, len(l.Chunks)+len(l.Staged)+len(l.Former))
 	l.chunksBytes = 0
--- a/internal/request/ledger/chunks_test.go
+++ b/internal/request/ledger/chunks_test.go
@@ -191,9 +191,9 @@
 	others := randomChunks(t, 130, 50_000)
 	for batch := range slices.Chunk(others, 16) {
 		l.Apply(&Command{Chunks: batch})
-		must.LessEq(t, maxStagedBytes, l.Bytes())
+		must.LessEq(t, MaxStagedBytes, l.Bytes())
 	}
-	must.Greater(t, maxStagedBytes*99/100, l.Bytes())
+	must.Greater(t, MaxStagedBytes*99/100, l.Bytes())
 	must.Eq(t, others[len(others)-1], l.Staged[len(l.Staged)-1].Chunk)
 	must.SliceLen(t, len(first), l.MissingChunks(m))
 	must.EqOp(t, Incomplete, l.Apply(&Command{Manifest: m}).Config)
