Log long turns of the replica, late reads by stage, and lapses of the leader lease

Callers got "this instance does not lead" from a leader that stayed leader of the log, and no line said why its lease lapsed: whether the confirmation waited for its turn, for the quorum or for the entries before it.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -87,7 +87,7 @@
 
 // Run starts and ends sessions as this instance gains and loses leadership, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	go d.leaderLease.run(ctx, d.replica)
+	go d.leaderLease.run(ctx, d.replica, d.log)
 	go d.followerReads.run(ctx)
 	ticker := time.NewTicker(leadershipCheckInterval)
 	defer ticker.Stop()
--- a/internal/dispatch/leaderlease.go
+++ b/internal/dispatch/leaderlease.go
@@ -5,7 +5,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"laburnumrouter/internal/process/boottime"
+	"laburnumrouter/internal/process/replica"
 )
 
 const (
@@ -26,6 +29,9 @@
 	term       atomic.Uint64
 	// revokedThrough is the last term in which the lease must not be held any more.
 	revokedThrough atomic.Uint64
+	// lapseLogged and lapsedAt describe the last lapse that was logged. Only run uses them.
+	lapseLogged bool
+	lapsedAt    time.Duration
 }
 
 func newLeaderLease(election time.Duration) *leaderLease {
@@ -52,12 +58,13 @@
 func (l *leaderLease) revoke(term uint64) { l.revokedThrough.Store(term) }
 
 // run renews the lease while this instance leads, until ctx ends.
-func (l *leaderLease) run(ctx context.Context, r Replica) {
+func (l *leaderLease) run(ctx context.Context, r Replica, log hclog.Logger) {
 	for ctx.Err() == nil {
 		pause := leaseRetryDelay
 		if l.confirm(ctx, r) {
 			pause = leaseConfirmInterval
 		}
+		l.logChange(r.Status(), log)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -84,3 +91,19 @@
 	l.validUntil.Store(int64(asked + l.validFor))
 	return true
 }
+
+// logChange logs when this instance has lost its lease while it leads, and when it holds it again.
+func (l *leaderLease) logChange(status replica.Status, log hclog.Logger) {
+	lapsed := status.IsLeader && l.term.Load() == status.Term && status.Term > l.revokedThrough.Load() && !l.Held()
+	if lapsed == l.lapseLogged {
+		return
+	}
+	l.lapseLogged = lapsed
+	if lapsed {
+		confirmed := time.Duration(l.validUntil.Load()) - l.validFor
+		log.Warn("leader lease lapsed", "term", status.Term, "confirmed", boottime.Now()-confirmed)
+	} else if status.IsLeader {
+		log.Info("leader lease held again", "term", status.Term, "lapsed_for", boottime.Now()-l.lapsedAt)
+	}
+	l.lapsedAt = time.Duration(l.validUntil.Load())
+}
--- a/internal/process/replica/node.go
+++ b/internal/process/replica/node.go
@@ -123,6 +123,7 @@
 	stop      context.CancelFunc
 	receiving *semaphore.Weighted // bytes of the messages that Receive has queued
 	largeLog  logging.Limit
+	readLog   logging.Limit
 
 	// The fields below are used by the goroutine of Run only.
 	started            time.Time
@@ -133,11 +134,12 @@
 	// retrySnapshot is when a snapshot is taken again for which the disk had no room; zero if it had room for the last one.
 	retrySnapshot   time.Time
 	proposalWaiters map[uint64]*proposalWaiter
-	pendingReads    map[uint64]chan struct{}
+	pendingReads    map[uint64]pendingRead
 	nextRead        uint64
 	appliedWaiters  []appliedWaiter
 	dropReasons     map[string]core.DropReason
 	electionLog     electionLog
+	turn            turnLog
 }
 
 var _ Log = (*Node)(nil)
@@ -164,9 +166,11 @@
 		proposalWaiters: make(map[uint64]*proposalWaiter),
 		// Read ids start at a random number, so that a late answer to a read from before a restart matches none.
 		nextRead:     randomID(),
-		pendingReads: make(map[uint64]chan struct{}),
+		pendingReads: make(map[uint64]pendingRead),
 		dropReasons:  make(map[string]core.DropReason),
 		largeLog:     logging.Limit{Lines: 10, Every: time.Second},
+		readLog:      logging.Limit{Lines: 5, Every: time.Second},
+		turn:         turnLog{limit: logging.Limit{Lines: 5, Every: time.Second}},
 		receiving:    semaphore.NewWeighted(int64(opts.Budget.ReceiveBytes)),
 	}
 	n.running, n.stop = context.WithCancel(context.Background())
@@ -279,7 +283,7 @@
 		case call := <-n.calls:
 			n.setTime()
 			call()
-			n.drainCalls()
+			n.turn.calls = 1 + n.drainCalls()
 		case result := <-n.storage.finished:
 			n.setTime()
 			if result.err != nil {
@@ -290,11 +294,15 @@
 		if err := n.processReady(); err != nil {
 			return err
 		}
+		n.logTurn()
 	}
 }
 
-// setTime tells the core the time before it handles an event.
-func (n *Node) setTime() { n.core.SetTime(time.Since(n.started)) }
+// setTime tells the core the time before it handles an event, with which a turn begins.
+func (n *Node) setTime() {
+	n.turn.begin(time.Now())
+	n.core.SetTime(time.Since(n.started))
+}
 
 // handOver lets this leader hand over to the best of the other replicas, if any is active.
 func (n *Node) handOver(reason string) {
@@ -330,19 +338,18 @@
 }
 
 // drainCalls runs the calls that are already queued, at most maxBatch, so that one write and one message make their
-// effects known.
-func (n *Node) drainCalls() {
-	if n.opts.SerialCommits {
-		return
-	}
-	for range maxBatch {
+// effects known. It returns their number.
+func (n *Node) drainCalls() (drained int) {
+	for !n.opts.SerialCommits && drained < maxBatch {
 		select {
 		case call := <-n.calls:
 			call()
+			drained++
 		default:
-			return
+			return drained
 		}
 	}
+	return drained
 }
 
 // enqueue queues f for the goroutine of Run. It returns false if f was not queued. If Run stops, a queued f may not
--- a/internal/process/replica/process.go
+++ b/internal/process/replica/process.go
@@ -142,16 +142,19 @@
 	for _, e := range r.Committed {
 		var result []byte
 		if e.Kind == laburnumv1.EntryKind_ENTRY_KIND_COMMAND {
+			began := time.Now()
 			result = n.opts.Machine.Apply(e.Index, e.Data)
+			n.turn.applied(time.Since(began), len(e.Data))
 		}
 		n.bytesSinceSnapshot += core.EntryBytes(e)
 		n.applied = e.Index
 		n.completeProposal(e, result)
 	}
 	for _, read := range r.Reads {
-		if done, ok := n.pendingReads[read.ID]; ok {
+		if waiting, ok := n.pendingReads[read.ID]; ok {
 			delete(n.pendingReads, read.ID)
-			n.appliedWaiters = append(n.appliedWaiters, appliedWaiter{index: read.Index, done: done})
+			waiting.confirmed(read.Index, n.applied, time.Since(n.started))
+			n.appliedWaiters = append(n.appliedWaiters, appliedWaiter{index: read.Index, done: waiting.done})
 		}
 	}
 	n.notifyAppliedWaiters()
@@ -173,7 +176,9 @@
 	if n.savingSnapshot || !retry && !n.opts.snapshotDue(n.applied-n.snapshotIndex, n.bytesSinceSnapshot, n.core.SendingSnapshot()) {
 		return nil
 	}
+	began := time.Now()
 	data, err := n.opts.Machine.Snapshot()
+	n.turn.snapshot = time.Since(began)
 	if err != nil {
 		return err
 	}
--- a/internal/process/replica/propose.go
+++ b/internal/process/replica/propose.go
@@ -172,15 +172,18 @@
 // readOnce requests a read index once. If that fails, it returns how long to wait before the next attempt.
 func (n *Node) readOnce(ctx context.Context) (ok bool, wait time.Duration) {
 	done, refused := make(chan struct{}), make(chan struct{})
+	trace := &readTrace{queued: time.Since(n.started)}
+	defer func() { n.logRead(trace, ok) }()
 	var id uint64
 	taken := n.enqueue(ctx, func() {
+		trace.begun.Store(int64(time.Since(n.started)))
 		n.nextRead++
 		id = n.nextRead
 		if err := n.core.ReadIndex(id); err != nil {
 			close(refused)
 			return
 		}
-		n.pendingReads[id] = done
+		n.pendingReads[id] = pendingRead{done, trace}
 	})
 	if !taken {
 		return false, retryPause
