Log each lapse of the leader lease, also one that ends with the next confirmation

The line came only if a confirmation failed. A lease also lapses while one confirmation after another succeeds, each later than the end of the one before.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -87,7 +87,7 @@
 
 // Run starts and ends sessions as this instance gains and loses leadership, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	go d.leaderLease.run(ctx, d.replica, d.log)
+	go d.leaderLease.run(ctx, d.replica)
 	go d.followerReads.run(ctx)
 	ticker := time.NewTicker(leadershipCheckInterval)
 	defer ticker.Stop()
@@ -106,6 +106,7 @@
 func (d *Dispatcher) checkLeadership(ctx context.Context) {
 	d.reportEvacuations()
 	status := d.replica.Status()
+	d.leaderLease.logLapse(status, d.log)
 	current := d.session.Load()
 	if current != nil && (!status.IsLeader || status.Term != current.holder.Fence) {
 		d.endSession(fmt.Sprintf("term %d, leader %q", status.Term, status.Leader))
--- a/internal/dispatch/leaderlease.go
+++ b/internal/dispatch/leaderlease.go
@@ -29,9 +29,8 @@
 	term       atomic.Uint64
 	// revokedThrough is the last term in which the lease must not be held any more.
 	revokedThrough atomic.Uint64
-	// lapseLogged and lapsedAt describe the last lapse that was logged. Only run uses them.
-	lapseLogged bool
-	lapsedAt    time.Duration
+	// lapsedAt is when the lease lapsed, if it has and that was logged. Only logLapse uses it.
+	lapsedAt time.Duration
 }
 
 func newLeaderLease(election time.Duration) *leaderLease {
@@ -58,13 +57,12 @@
 func (l *leaderLease) revoke(term uint64) { l.revokedThrough.Store(term) }
 
 // run renews the lease while this instance leads, until ctx ends.
-func (l *leaderLease) run(ctx context.Context, r Replica, log hclog.Logger) {
+func (l *leaderLease) run(ctx context.Context, r Replica) {
 	for ctx.Err() == nil {
 		pause := leaseRetryDelay
 		if l.confirm(ctx, r) {
 			pause = leaseConfirmInterval
 		}
-		l.logChange(r.Status(), log)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
@@ -92,18 +90,19 @@
 	return true
 }
 
-// logChange logs when this instance has lost its lease while it leads, and when it holds it again.
-func (l *leaderLease) logChange(status replica.Status, log hclog.Logger) {
+// logLapse logs when this instance has lost its lease in a term in which it leads, and when it holds it again.
+func (l *leaderLease) logLapse(status replica.Status, log hclog.Logger) {
+	until := time.Duration(l.validUntil.Load())
 	lapsed := status.IsLeader && l.term.Load() == status.Term && status.Term > l.revokedThrough.Load() && !l.Held()
-	if lapsed == l.lapseLogged {
+	if lapsed == (l.lapsedAt != 0) {
 		return
 	}
-	l.lapseLogged = lapsed
+	now := boottime.Now()
 	if lapsed {
-		confirmed := time.Duration(l.validUntil.Load()) - l.validFor
-		log.Warn("leader lease lapsed", "term", status.Term, "confirmed", boottime.Now()-confirmed)
-	} else if status.IsLeader {
-		log.Info("leader lease held again", "term", status.Term, "lapsed_for", boottime.Now()-l.lapsedAt)
+		l.lapsedAt = until
+		log.Warn("leader lease lapsed", "term", status.Term, "confirmed", now-until+l.validFor)
+		return
 	}
-	l.lapsedAt = time.Duration(l.validUntil.Load())
+	log.Info("leader lease no longer lapsed", "term", status.Term, "held", l.Held(), "lapsed_for", now-l.lapsedAt)
+	l.lapsedAt = 0
 }
