Renew the leader lease with each heartbeat that a quorum answers

What callers saw: with a quarter of the processor a leader that led the log without a break answered "this instance does not lead" again and again, and calls waited for a leader.

Cause: the lease (400 ms) was renewed by one read index at a time: the next began 125 ms after the answer to the one before. Once two in a row took more than 275 ms together, the lease lapsed between them though a quorum answered each in time. In the plays the read index waited for the quorum (200 to 400 ms); it waited neither in the queue of calls (some 50 µs) nor for entries to be applied, and no turn of the replica lasted 100 ms.

Change: each broadcast of heartbeats is a round with a start time. Once a quorum has answered a round, the lease runs from its start, however many later ones are under way. In each term a read index still comes first, as it shows that all earlier entries are applied.

--- a/internal/process/replica/core/read.go
+++ b/internal/process/replica/core/read.go
@@ -31,13 +31,12 @@
 }
 
 func (c *Core) startRead(r pendingRead) {
-	c.heartbeatRound++
+	c.broadcastHeartbeat()
 	r.round = c.heartbeatRound
 	if c.committedInTerm() {
 		r.index = c.log.commit
 	}
 	c.reads = append(c.reads, r)
-	c.broadcastHeartbeat()
 	c.confirmReads()
 }
 
