Raise the format for a large configuration; keep chunks off small disks

A large configuration that came within a second of a leader's start went whole, as the format of the log is checked once a second: over links of 20 Mbit/s its entry cost the leader its members' contact, and another leader began anew (TestLargeConfigurationOverSlowLinks, leader changed from 1 to 2 meanwhile). The leader now asks the members at once, for at most 250 ms.

--- a/internal/dispatch/commit.go
+++ b/internal/dispatch/commit.go
@@ -211,23 +211,43 @@
 			return
 		case <-ticker.C:
 		}
-		ctx, cancel := context.WithTimeout(s.ctx, formatCheckInterval)
-		understood := min(s.memberFormat(ctx), ledger.NewestFormat)
-		cancel()
-		if understood <= format {
-			continue
-		}
-		if _, err := s.propose(&ledger.Command{Format: understood}); err != nil {
-			s.log.Warn("format of the log not raised yet", "error", err)
-			continue
-		}
-		s.log.Info("format of the log raised; earlier versions can't join any more", "format", understood)
+		s.checkFormat(formatCheckInterval)
+	}
+}
+
+// checkFormat raises the format of commands if all members are known, within a time, to understand a newer one.
+func (s *session) checkFormat(most time.Duration) {
+	ctx, cancel := context.WithTimeout(s.ctx, most)
+	understood := min(s.memberFormat(ctx), ledger.NewestFormat)
+	cancel()
+	if understood <= s.format() {
+		return
 	}
+	if _, err := s.propose(&ledger.Command{Format: understood}); err != nil {
+		s.log.Warn("format of the log not raised yet", "error", err)
+		return
+	}
+	s.log.Info("format of the log raised; earlier versions can't join any more", "format", understood)
+}
+
+// needFormat reports whether a format of commands is in force. If it isn't, the members are asked at once, as a large configuration that
+// comes shortly after the first start, or after an update, would be sent whole otherwise.
+func (s *session) needFormat(format int) bool {
+	if s.format() < format && s.memberFormat != nil {
+		_, _, _ = s.configCalls.decisions.Do("format", func() (any, error) {
+			s.contain("format", func() { s.checkFormat(promptFormatCheck) })
+			return nil, nil
+		})
+	}
+	return s.format() >= format
 }
 
 // formatCheckInterval is the time between checks of the formats that the members understand.
 const formatCheckInterval = time.Second
 
+// promptFormatCheck bounds a check that a call waits for. Members answer within some milliseconds, or 200 ms if a packet is lost.
+const promptFormatCheck = 250 * time.Millisecond
+
 // localProposal is a command of this instance on its way through the log.
 type localProposal struct {
 	command *ledger.Command
--- a/internal/dispatch/configcalls.go
+++ b/internal/dispatch/configcalls.go
@@ -104,7 +104,7 @@
 	if err := c.Config.Check(); err != nil {
 		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
 	}
-	if s.format() >= ledger.FormatConfigChunks && len(c.Config.Raw) >= MinChunkedBytes {
+	if len(c.Config.Raw) >= MinChunkedBytes && s.takesChunks() {
 		return s.putChunked(c.RequestID, c.Config)
 	}
 	command, err := ledger.ConfigCommand(c.Config, s.format())
@@ -123,8 +123,8 @@
 
 // putManifest commits the configuration that a manifest describes, or answers which chunks the log lacks.
 func (s *session) putManifest(request string, m *accepted.Manifest) (*Reply, error) {
-	if s.format() < ledger.FormatConfigChunks {
-		return &Reply{Outcome: Unavailable, Reason: "the format of the log has no chunks yet", Whole: true}, nil
+	if !s.takesChunks() {
+		return &Reply{Outcome: Unavailable, Reason: "the log takes no chunks", Whole: true}, nil
 	}
 	s.engine.mu.Lock()
 	config, missing, err := s.engine.ledger.Assemble(m)
@@ -152,6 +152,11 @@
 	return verdictReply(result.Config), nil
 }
 
+// takesChunks reports whether configurations go through the log in chunks.
+func (s *session) takesChunks() bool {
+	return !s.limits.WholeConfigs && s.needFormat(ledger.FormatConfigChunks)
+}
+
 func missingReply(missing [][]byte) *Reply {
 	return &Reply{Outcome: Unavailable, Reason: "chunks of the configuration are missing", Missing: missing, RetryAfterMS: noConfigRetryMS}
 }
--- a/internal/dispatch/configcalls_test.go
+++ b/internal/dispatch/configcalls_test.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/version/accepted"
 )
@@ -159,6 +163,39 @@
 	must.True(t, r.do(&Call{Op: OpStageConfig, Chunks: others[:1]}).Whole)
 }
 
+// Guards against a large configuration that is sent whole because it came before the first regular check of the members' formats.
+func TestFormatIsRaisedForLargeConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newSlowLog()
+		d, stop := leadInBubble(t, log, func(context.Context) int { return ledger.NewestFormat })
+		began := time.Now()
+		reply, err := d.Do(context.Background(), &Call{Op: OpPutConfig, Config: randomConfig(2, 100_000)})
+		must.NoError(t, err)
+		must.EqOp(t, OK, reply.Outcome)
+		must.Less(t, formatCheckInterval, time.Since(began))
+		must.StrContains(t, strings.Join(log.recorded(0), ""), `"Manifest":`)
+		stop()
+	})
+}
+
+// Guards against chunks of earlier and coming configurations that fill a small disk.
+func TestSmallDiskTakesConfigurationsWhole(t *testing.T) {
+	for disk, whole := range map[int64]bool{4 << 20: true, 48 << 20: true, 106 << 20: false, 0: false} {
+		must.EqOp(t, whole, LimitsFor(280<<20, replica.BudgetFor(280<<20, disk)).WholeConfigs)
+	}
+	r := newRig(t, newFakeServers())
+	r.d.limits.WholeConfigs = true
+	r.d.endSession("the limits have changed")
+	r.until(r.d.Leads)
+	proposed := r.commands()
+	config := randomConfig(2, 100_000)
+	m, chunks := split(t, config)
+	must.True(t, r.do(&Call{Op: OpPutConfig, Manifest: m}).Whole)
+	must.True(t, r.do(&Call{Op: OpStageConfig, Chunks: chunks[:1]}).Whole)
+	must.EqOp(t, OK, r.do(&Call{Op: OpPutConfig, Config: config}).Outcome)
+	must.SliceLen(t, 1, proposed())
+}
+
 // Guards against staged chunks that fill the disk of every replica.
 func TestChunksWithoutRoomAreRejected(t *testing.T) {
 	const state = 1 << 20
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -16,6 +16,8 @@
 	RecordBytes int64
 	// StateBytes is the size of the largest snapshot, and CommandBytes that of the largest command.
 	StateBytes, CommandBytes int64
+	// WholeConfigs is set if the disk has no room for the chunks of earlier and coming configurations.
+	WholeConfigs bool
 }
 
 const (
@@ -26,6 +28,9 @@
 	// growthFraction is the part of a snapshot that is left for what accepted records grow by, such as the ends of runs, and for
 	// the next configuration.
 	growthFraction = 8
+	// leastChunkedState is the size of the largest snapshot from which on configurations go through the log in chunks: twice those that
+	// are staged at most.
+	leastChunkedState = 16 << 20
 )
 
 // LimitsFor returns the limits of a process with a limit on its memory, in bytes, and the budget of its log.
@@ -33,6 +38,7 @@
 	return Limits{
 		ConfigBytes: memory / configFraction, RecordBytes: memory / recordsFraction,
 		StateBytes: int64(b.StateBytes), CommandBytes: int64(b.CommandBytes),
+		WholeConfigs: b.StateBytes > 0 && b.StateBytes < leastChunkedState,
 	}
 }
 
--- a/internal/dispatch/stage.go
+++ b/internal/dispatch/stage.go
@@ -10,8 +10,8 @@
 
 // stageConfig stages the chunks of a call.
 func (s *session) stageConfig(ctx context.Context, c *Call) (*Reply, error) {
-	if s.format() < ledger.FormatConfigChunks {
-		return &Reply{Outcome: Unavailable, Reason: "the format of the log has no chunks yet", Whole: true}, nil
+	if !s.takesChunks() {
+		return &Reply{Outcome: Unavailable, Reason: "the log takes no chunks", Whole: true}, nil
 	}
 	for i := range c.Chunks {
 		if err := c.Chunks[i].Check(); err != nil {
--- a/internal/jobcontrol/control_test.go
+++ b/internal/jobcontrol/control_test.go
@@ -81,8 +81,7 @@
 	client       *leader.Client
 	seq          int64
 	log          logBuffer
-	handler      http.Handler // handles the operators' calls; nil means public
-	public       func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler
+	handler      http.Handler // handles the operators' calls; nil means statusHandler
 	disks        [4]disk
 	// volumes replace disks where they are set; diskMB is their size by the settings.
 	volumes [4]*volume
@@ -193,7 +192,7 @@
 	t.Helper()
 	c := &cluster{
 		t: t, servers: &fakeServers{startedAt: time.Now(), starts: make(map[string]int)}, publicPort: freePort(t),
-		handler: operators, public: statusHandler,
+		handler: operators,
 	}
 	for c.peerPort = freePort(t); c.peerPort == c.publicPort; {
 		c.peerPort = freePort(t)
@@ -247,7 +246,7 @@
 	must.EqOp(c.t, 0, len(faults.List()))
 	deps := Dependencies{Servers: c.servers, FS: &c.disks[i], ReloadSeeds: reload, Public: func(do func(context.Context, *dispatch.Call) *dispatch.Reply) http.Handler {
 		if c.handler == nil {
-			return c.public(do)
+			return statusHandler(do)
 		}
 		return c.handler
 	}}
