Ends of runs are committed in entries of at most 512

After an outage thousands of ends may be pending. Change: entries have at most 512 ends, some 80 KB; what is committed isn't proposed again. TestPendingEndsAreCommittedInBoundedEntries: 1,537 ends came in one entry before.

--- a/internal/dispatch/ends.go
+++ b/internal/dispatch/ends.go
@@ -9,6 +9,9 @@
 	"laburnumrouter/internal/request/ledger"
 )
 
+// maxEndsPerEntry bounds the ends in one entry of the log, to some 80 KB. After an outage thousands may be pending.
+const maxEndsPerEntry = 512
+
 // endQueue commits the ends of runs. All ends that are pending together go into one log entry.
 type endQueue struct {
 	session *session
@@ -74,18 +77,20 @@
 	}
 }
 
-// commit commits the pending ends. It retries while this instance leads.
+// commit commits the pending ends, in entries of at most maxEndsPerEntry. It retries while this instance leads.
 func (q *endQueue) commit() {
 	q.mu.Lock()
 	batch, done := q.pending, q.pendingDone
 	q.pending, q.pendingDone = nil, make(chan struct{})
 	q.mu.Unlock()
 	for len(batch) > 0 {
+		next := batch[:min(len(batch), maxEndsPerEntry)]
 		c := &ledger.Command{Begun: q.session.unrecorded()}
-		err := q.session.batcher.commitEnds(c, func() []ledger.End { return q.endsOf(batch) })
+		err := q.session.batcher.commitEnds(c, func() []ledger.End { return q.endsOf(next) })
 		if err == nil {
 			q.committed(c.Ends)
-			break
+			batch = batch[len(next):]
+			continue
 		}
 		q.session.log.Warn("ends not committed yet", "ends", len(batch), "error", err)
 		// A retry is safe: an end that is committed a second time has no effect.
--- a/internal/dispatch/ends_test.go
+++ b/internal/dispatch/ends_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/json"
 	"slices"
 	"testing"
 
@@ -50,6 +51,24 @@
 	}
 }
 
+// Guards against an entry of the log that is as large as what an outage left pending, and is proposed again as a whole when it fails.
+func TestPendingEndsAreCommittedInBoundedEntries(t *testing.T) {
+	r := newRig(t, newFakeServers("a"))
+	q, most := r.d.session.Load().ends, 0
+	r.log.beforePropose = func(command []byte) {
+		c := &ledger.Command{}
+		must.NoError(t, json.Unmarshal(command, c))
+		most = max(most, len(c.Ends))
+	}
+	ends := make([]ledger.End, 3*maxEndsPerEntry+1)
+	for i := range ends {
+		ends[i] = ledger.End{Task: ledger.TaskID{Job: "j", Index: i}, Run: 1, Worker: "a", How: ledger.EndDone}
+	}
+	<-q.add(ends...)
+	must.EqOp(t, maxEndsPerEntry, most)
+	must.MapEmpty(t, q.ends)
+}
+
 // holdOrders returns the hold calls so far.
 func (f *fakeServers) holdOrders() []HoldOrder {
 	f.mu.Lock()
