Test of lists: cancellations take time in the slow log

Trace: the log of the test took time for submissions only, so that a cancellation was committed before the next caller ran, and each went alone: nothing was there to share an entry with. The product is right. Change: a command with cancellations takes as long as one submission. The check is the same; 0 of 500 repetitions fail.

--- a/internal/dispatch/commit_test.go
+++ b/internal/dispatch/commit_test.go
@@ -24,7 +24,8 @@
 // submissionCost is the time that a leader with a slowLog takes for a submission: it carries 250 a second.
 const submissionCost = 4 * time.Millisecond
 
-// slowLog is a log whose replica leads and works on one command at a time, for submissionCost for each submission in it.
+// slowLog is a log whose replica leads and works on one command at a time, for submissionCost for each submission, and once for
+// its cancellations.
 type slowLog struct {
 	*fakeLog
 	turn     chan struct{}
@@ -51,7 +52,8 @@
 		return nil, 0, replica.ErrOutcomeUnknown
 	}
 	defer func() { <-s.turn }()
-	time.Sleep(time.Duration(bytes.Count(command, []byte(`"Spec"`))) * submissionCost)
+	parts := bytes.Count(command, []byte(`"Spec"`)) + bytes.Count(command, []byte(`"Cancel`))
+	time.Sleep(time.Duration(parts) * submissionCost)
 	s.commands = append(s.commands, string(command))
 	return s.fakeLog.ProposeLocal(ctx, command)
 }
