Limit the lines about configurations in chunks and reads of them

Each call of an operator wrote some lines, and a client that repeats large configurations could write any number of them. They are limited to 50 a second of each kind of place, as those of attempts are, and counted.

--- a/internal/dispatch/configcalls.go
+++ b/internal/dispatch/configcalls.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"golang.org/x/sync/singleflight"
 
+	"laburnumrouter/internal/process/logging"
 	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/version/accepted"
@@ -25,6 +27,15 @@
 	decisions singleflight.Group
 	// staging holds the chunks that are being proposed. Guarded by engine.mu.
 	staging map[accepted.Digest]chan struct{}
+	// lines limits the lines about chunks.
+	lines logging.Limit
+}
+
+// logChunks logs a step of a configuration in chunks, within a limit.
+func (s *session) logChunks(message string, fields ...any) {
+	if omitted, ok := s.configCalls.lines.Allow(time.Now()); ok {
+		s.log.Info(message, append(fields, "omitted", omitted)...)
+	}
 }
 
 // putConfig decides a configuration that a call has whole or as a manifest. One that is too large for the memory or the disk of this
@@ -136,7 +147,7 @@
 		return refusal, nil
 	}
 	if len(missing) > 0 {
-		s.log.Info("configuration lacks chunks", "request", request, "version", m.Version, "missing", len(missing), "chunks", len(m.Chunks))
+		s.logChunks("configuration lacks chunks", "request", request, "version", m.Version, "missing", len(missing), "chunks", len(m.Chunks))
 		return missingReply(missing), nil
 	}
 	if err := config.Check(); err != nil {
--- a/internal/dispatch/followerread.go
+++ b/internal/dispatch/followerread.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"laburnumrouter/internal/process/boottime"
+	"laburnumrouter/internal/process/logging"
 )
 
 const (
@@ -31,10 +32,12 @@
 	wanted      chan struct{}
 	served      tally.Counter
 	passedOn    tally.Counter
+	// lines limits the lines about reads of the configuration.
+	lines logging.Limit
 }
 
 func newFollowerReads(engine *Engine, replica Log, scope tally.Scope) *followerReads {
-	return &followerReads{engine: engine, replica: replica, wanted: make(chan struct{}, 1), served: scope.Counter("follower_reads"), passedOn: scope.Counter("follower_reads_passed_on")}
+	return &followerReads{engine: engine, replica: replica, wanted: make(chan struct{}, 1), served: scope.Counter("follower_reads"), passedOn: scope.Counter("follower_reads_passed_on"), lines: logging.Limit{Lines: 50, Every: time.Second}}
 }
 
 // fresh reports whether a confirmation is young enough to answer from.
@@ -135,7 +138,9 @@
 		return nil, ErrNotLeader
 	}
 	f.served.Inc(1)
-	f.engine.log.Info("configuration read", "request", c.RequestID, "version", version, "bytes", len(reply.Config), "took", boottime.Now()-asked)
+	if omitted, ok := f.lines.Allow(time.Now()); ok {
+		f.engine.log.Info("configuration read", "request", c.RequestID, "version", version, "bytes", len(reply.Config), "took", boottime.Now()-asked, "omitted", omitted)
+	}
 	return reply, nil
 }
 
--- a/internal/dispatch/stage.go
+++ b/internal/dispatch/stage.go
@@ -55,7 +55,7 @@
 	defer release()
 	began := time.Now()
 	_, err := s.propose(&ledger.Command{Chunks: own})
-	s.log.Info("configuration chunks staged", "request", request, "chunks", len(own), "bytes", bytes, "took", time.Since(began), "error", err)
+	s.logChunks("configuration chunks staged", "request", request, "chunks", len(own), "bytes", bytes, "took", time.Since(began), "error", err)
 	return nil, err
 }
 
--- a/internal/leader/handin.go
+++ b/internal/leader/handin.go
@@ -49,12 +49,19 @@
 	h := &handIn{
 		client: c, log: c.log.With("request", call.RequestID, "version", config.Version), call: call, manifest: manifest, parts: parts,
 	}
-	h.log.Info("configuration received", "bytes", len(config.Raw), "chunks", len(manifest.Chunks))
+	h.info("configuration received", "bytes", len(config.Raw), "chunks", len(manifest.Chunks))
 	reply := h.run(ctx)
-	h.log.Info("configuration handed in", "outcome", reply.Outcome, "reason", reply.Reason, "took", time.Since(began))
+	h.info("configuration handed in", "outcome", reply.Outcome, "reason", reply.Reason, "took", time.Since(began))
 	return reply
 }
 
+// info logs a step, within a limit.
+func (h *handIn) info(message string, fields ...any) {
+	if omitted, ok := h.client.handIns.Allow(time.Now()); ok {
+		h.log.Info(message, append(fields, "omitted", omitted)...)
+	}
+}
+
 // run offers and stages until the leader has decided or the call can't go on.
 func (h *handIn) run(ctx context.Context) *dispatch.Reply {
 	for range maxOffers {
@@ -77,7 +84,7 @@
 	began := time.Now()
 	reply, mayHaveRun := h.client.forward(ctx, &dispatch.Call{Op: dispatch.OpPutConfig, RequestID: h.call.RequestID, Manifest: h.manifest})
 	h.mayHaveRun = h.mayHaveRun || mayHaveRun
-	h.log.Info("configuration offered", "outcome", reply.Outcome, "missing", len(reply.Missing), "whole", reply.Whole, "took", time.Since(began))
+	h.info("configuration offered", "outcome", reply.Outcome, "missing", len(reply.Missing), "whole", reply.Whole, "took", time.Since(began))
 	return reply
 }
 
@@ -142,7 +149,7 @@
 		})
 	}
 	_ = group.Wait() // no call returns an error
-	h.log.Info("configuration staged", "bytes", state.bytes, "calls", state.calls, "answered", state.staged, "took", time.Since(began))
+	h.info("configuration staged", "bytes", state.bytes, "calls", state.calls, "answered", state.staged, "took", time.Since(began))
 	if err := ctx.Err(); err != nil && state.refusal == nil {
 		return failedReply(false, Error.Wrap(err))
 	}
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -21,6 +21,7 @@
 
 	"laburnumrouter/internal/dispatch"
 	"laburnumrouter/internal/process/boottime"
+	"laburnumrouter/internal/process/logging"
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/version/accepted"
 )
@@ -91,6 +92,8 @@
 	log  hclog.Logger
 	// attempts logs what became of large and late calls.
 	attempts *attemptLog
+	// handIns limits the lines about configurations that are sent in chunks.
+	handIns logging.Limit
 	// local executes calls in this process while this instance leads; nil on entry instances and while none is set.
 	local atomic.Pointer[dispatch.Dispatcher]
 	// timeoutPerAttempt bounds one attempt of a call; attemptTimeout except in tests.
@@ -125,7 +128,7 @@
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
 	c := &Client{http: &http.Client{Transport: transport}, log: log, attempts: newAttemptLog(log), seeds: seeds, timeoutPerAttempt: attemptTimeout,
-		startedAt: time.Now(), leaderFound: make(chan struct{}), formats: make(map[string]int)}
+		startedAt: time.Now(), handIns: logging.Limit{Lines: 50, Every: time.Second}, leaderFound: make(chan struct{}), formats: make(map[string]int)}
 	c.local.Store(local)
 	return c
 }
