Send configurations whole of which more is missing than can be staged

The log keeps at most 8 MiB of staged chunks and drops the oldest, so that a larger configuration of new content would be offered and staged until the call's time is over. The instance and the leader now send it whole. Only a machine without a limit on its disk takes a configuration of that size.

--- a/internal/dispatch/configcalls.go
+++ b/internal/dispatch/configcalls.go
@@ -116,7 +116,9 @@
 		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
 	}
 	if len(c.Config.Raw) >= MinChunkedBytes && s.takesChunks() {
-		return s.putChunked(c.RequestID, c.Config)
+		if reply, err := s.putChunked(c.RequestID, c.Config); reply != nil || err != nil {
+			return reply, err
+		}
 	}
 	command, err := ledger.ConfigCommand(c.Config, s.format())
 	if err != nil {
@@ -175,7 +177,8 @@
 // maxRestages bounds how often the chunks of one configuration are staged for a call that has it whole.
 const maxRestages = 3
 
-// putChunked commits a configuration that was sent whole in chunks, so that no entry of the log is large.
+// putChunked commits a configuration that was sent whole in chunks, so that no entry of the log is large. It returns nil if more is
+// missing than can be staged at a time.
 func (s *session) putChunked(request string, config *accepted.Config) (*Reply, error) {
 	m, parts, err := config.Split()
 	if err != nil {
@@ -193,6 +196,9 @@
 		if refusal := s.refuseChunked(m, size); refusal != nil {
 			return refusal, nil
 		}
+		if size > ledger.MaxStagedBytes {
+			return nil, nil
+		}
 		for len(chunks) > 0 {
 			n := firstChunks(chunks)
 			if refusal, err := s.stage(s.ctx, request, chunks[:n]); refusal != nil || err != nil {
--- a/internal/leader/handin.go
+++ b/internal/leader/handin.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"laburnumrouter/internal/dispatch"
+	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/version/accepted"
 )
 
@@ -72,7 +73,12 @@
 		case len(reply.Missing) == 0:
 			return h.settle(reply)
 		}
-		if refusal := h.stage(ctx, reply.Missing); refusal != nil {
+		refusal := h.stage(ctx, reply.Missing)
+		switch {
+		case refusal == nil:
+		case refusal.Whole:
+			return h.sendWhole(ctx)
+		default:
 			return h.settle(refusal)
 		}
 	}
@@ -100,7 +106,8 @@
 	mu            sync.Mutex
 	calls, staged int
 	bytes         int
-	refusal       *dispatch.Reply // nil if no call was refused
+	size          int             // as ledger.ChunkBytes counts it
+	refusal       *dispatch.Reply // nil if no call was refused; wholeWanted if more is missing than can be staged
 }
 
 func (s *staging) begin(chunks []accepted.Chunk) {
@@ -109,6 +116,7 @@
 	s.calls++
 	for i := range chunks {
 		s.bytes += len(chunks[i].Data)
+		s.size += ledger.ChunkBytes(&chunks[i])
 	}
 }
 
@@ -119,7 +127,7 @@
 	switch {
 	case r.Outcome == dispatch.OK:
 		s.staged++
-	case r.Outcome != dispatch.OutcomeUnknown && !r.Whole:
+	case r.Outcome != dispatch.OutcomeUnknown:
 		s.refusal = r
 	}
 }
@@ -130,7 +138,8 @@
 	return s.refusal
 }
 
-// stage sends chunks. It returns the reply that ends the hand-in, or nil if the manifest is to be offered again.
+// stage sends chunks. It returns the reply that ends the hand-in or asks for the whole configuration, or nil if the manifest is to be
+// offered again.
 func (h *handIn) stage(ctx context.Context, missing [][]byte) *dispatch.Reply {
 	began, state := time.Now(), &staging{}
 	var group errgroup.Group
@@ -141,7 +150,10 @@
 			return &dispatch.Reply{Outcome: dispatch.Invalid, Reason: err.Error()}
 		}
 		missing = missing[len(chunks):]
-		state.begin(chunks)
+		if state.begin(chunks); state.size > ledger.MaxStagedBytes {
+			state.end(wholeWanted())
+			break
+		}
 		group.Go(func() error {
 			reply, _ := h.client.forward(ctx, &dispatch.Call{Op: dispatch.OpStageConfig, RequestID: h.call.RequestID, Chunks: chunks})
 			state.end(reply)
