Share the decision only of calls with the same manifest; decided first

A call got the verdict on another manifest of the same configuration, whose chunks may lack or differ. A version that is in force was refused by a leader with less memory than the one before.

--- a/internal/dispatch/configcalls.go
+++ b/internal/dispatch/configcalls.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"time"
 
@@ -49,13 +51,13 @@
 	} else if err := m.Check(); err != nil {
 		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
 	}
-	if refusal := s.refuseConfig(int64(m.SentBytes)); refusal != nil {
-		return refusal, nil
-	}
 	if reply, err := s.decidedConfig(m); reply != nil || err != nil {
 		return reply, err
 	}
-	key := fmt.Sprintf("%d %x %t", m.Version, m.Sent, c.Config != nil)
+	if refusal := s.refuseConfig(int64(m.SentBytes)); refusal != nil {
+		return refusal, nil
+	}
+	key := fmt.Sprintf("%d %x %d %x", m.Version, m.Sent, m.Bytes, sha256.Sum256(bytes.Join(m.Chunks, nil)))
 	shared := s.configCalls.decisions.DoChan(key, func() (any, error) {
 		var reply *Reply
 		err := Error.New("unexpected error")
