Give laburnumctl apply time for the size of the sheet

Operators would see: a sheet of tens of MiB is sent whole to one control instance after the other, each call ended after 3 s and the command after 10 s.

Cause: fixed times for a request whose size varies up to 32 MiB.

Change: both times get a second for each MiB of the sheet. On the way from an instance to the leader and through the log a sheet is still one unit, with 10 s for both.

Evidence: found by reading, not seen in a run. The new test checks the deadline; go test ./cmd/laburnumctl passed.

--- a/cmd/laburnumctl/apply.go
+++ b/cmd/laburnumctl/apply.go
@@ -7,6 +7,8 @@
 	"os"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	laburnumv1 "laburnumrouter/proto/laburnum/v1"
 )
 
@@ -27,7 +29,9 @@
 	if err != nil {
 		return err
 	}
-	resp, err := call(&cli.connection, func(ctx context.Context, client operatorClient) (*laburnumv1.ApplyResponse, error) {
+	sized := cli.connection
+	sized.requestBytes = proto.Size(cfg)
+	resp, err := call(&sized, func(ctx context.Context, client operatorClient) (*laburnumv1.ApplyResponse, error) {
 		return client.Apply(ctx, &laburnumv1.ApplyRequest{Configuration: cfg, By: cli.By})
 	})
 	if err != nil {
--- a/cmd/laburnumctl/client.go
+++ b/cmd/laburnumctl/client.go
@@ -21,8 +21,15 @@
 	// attemptTimeout bounds a call to one instance, so that an unresponsive one leaves time to try the next.
 	attemptTimeout = 3 * time.Second
 	retryInterval  = 300 * time.Millisecond
+	// timePerMiB is added for the size of a request: a sheet may have 32 MiB.
+	timePerMiB = time.Second
 )
 
+// sendTime returns the time that is added for the size of the requests.
+func (c *connection) sendTime() time.Duration {
+	return time.Duration(float64(c.requestBytes) / (1 << 20) * float64(timePerMiB))
+}
+
 type operatorClient = laburnumv1connect.OperatorServiceClient
 
 // baseContext returns the context that bounds all calls.
@@ -119,12 +126,12 @@
 	if err != nil {
 		return none, err
 	}
-	ctx, cancel := context.WithTimeout(c.baseContext(), c.Timeout)
+	ctx, cancel := context.WithTimeout(c.baseContext(), c.Timeout+c.sendTime())
 	defer cancel()
 	failures := make([]error, len(list))
 	for {
 		for i, in := range list {
-			result, err := attempt(ctx, in, f)
+			result, err := attempt(ctx, in, attemptTimeout+c.sendTime(), f)
 			if err == nil {
 				return result, nil
 			}
@@ -143,8 +150,8 @@
 	}
 }
 
-func attempt[T any](ctx context.Context, in instance, f func(context.Context, operatorClient) (T, error)) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+func attempt[T any](ctx context.Context, in instance, most time.Duration, f func(context.Context, operatorClient) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	return f(ctx, in.client)
 }
@@ -179,7 +186,7 @@
 	var wg sync.WaitGroup
 	for i, in := range list {
 		wg.Go(func() {
-			value, err := attempt(c.baseContext(), in, f)
+			value, err := attempt(c.baseContext(), in, attemptTimeout, f)
 			answers[i] = answer[T]{in.address, value, err}
 		})
 	}
--- a/cmd/laburnumctl/main.go
+++ b/cmd/laburnumctl/main.go
@@ -81,9 +81,11 @@
 	CA      string        `help:"Certificate authority of control (PEM); switches TLS on." env:"LABURNUM_CA" type:"path" placeholder:"FILE"`
 	Cert    string        `help:"Operator's client certificate (PEM)." env:"LABURNUM_CERT" type:"path" placeholder:"FILE"`
 	CertKey string        `help:"Private key of the client certificate (PEM)." env:"LABURNUM_CERT_KEY" type:"path" placeholder:"FILE"`
-	Timeout time.Duration `help:"Longest wait for an answer." default:"10s"`
+	Timeout time.Duration `help:"Longest wait for an answer; a second more for each MiB of a sheet." default:"10s"`
 
-	base context.Context // all calls end with it; nil means context.Background()
+	// requestBytes is the size of a large request, which gets more time.
+	requestBytes int
+	base         context.Context // all calls end with it; nil means context.Background()
 }
 
 func main() {
--- a/cmd/laburnumctl/main_test.go
+++ b/cmd/laburnumctl/main_test.go
@@ -108,6 +108,17 @@
 	must.Eq(t, 2, control.calls)
 }
 
+// Guards against a large sheet that is sent whole to one instance after the other, each time for three seconds.
+func TestLargeRequestGetsTimeForItsSize(t *testing.T) {
+	c := &connection{Control: []string{"127.0.0.1:1"}, Timeout: 10 * time.Second, requestBytes: 24 << 20}
+	deadline, err := call(c, func(ctx context.Context, _ operatorClient) (time.Time, error) {
+		deadline, _ := ctx.Deadline()
+		return deadline, nil
+	})
+	must.NoError(t, err)
+	must.Greater(t, 20*time.Second, time.Until(deadline))
+}
+
 func TestApplyWaitsUntilInForce(t *testing.T) {
 	control := &fakeControl{
 		apply: func(int) (*laburnumv1.ApplyResponse, error) {
