--- a/internal/leader/handin.go
+++ b/internal/leader/handin.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"laburnumrouter/internal/dispatch"
+	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/version/accepted"
 )
 
@@ -49,12 +50,19 @@
 	h := &handIn{
 		client: c, log: c.log.With("request", call.RequestID, "version", config.Version), call: call, manifest: manifest, parts: parts,
 	}
-	h.log.Info("configuration received", "bytes", len(config.Raw), "chunks", len(manifest.Chunks))
+	h.info("configuration received", "bytes", len(config.Raw), "chunks", len(manifest.Chunks))
 	reply := h.run(ctx)
-	h.log.Info("configuration handed in", "outcome", reply.Outcome, "reason", reply.Reason, "took", time.Since(began))
+	h.info("configuration handed in", "outcome", reply.Outcome, "reason", reply.Reason, "took", time.Since(began))
 	return reply
 }
 
+// info logs a step, within a limit.
+func (h *handIn) info(message string, fields ...any) {
+	if omitted, ok := h.client.handIns.Allow(time.Now()); ok {
+		h.log.Info(message, append(fields, "omitted", omitted)...)
+	}
+}
+
 // run offers and stages until the leader has decided or the call can't go on.
 func (h *handIn) run(ctx context.Context) *dispatch.Reply {
 	for range maxOffers {
@@ -65,7 +73,12 @@
 		case len(reply.Missing) == 0:
 			return h.settle(reply)
 		}
-		if refusal := h.stage(ctx, reply.Missing); refusal != nil {
+		refusal := h.stage(ctx, reply.Missing)
+		switch {
+		case refusal == nil:
+		case refusal.Whole:
+			return h.sendWhole(ctx)
+		default:
 			return h.settle(refusal)
 		}
 	}
@@ -77,7 +90,7 @@
 	began := time.Now()
 	reply, mayHaveRun := h.client.forward(ctx, &dispatch.Call{Op: dispatch.OpPutConfig, RequestID: h.call.RequestID, Manifest: h.manifest})
 	h.mayHaveRun = h.mayHaveRun || mayHaveRun
-	h.log.Info("configuration offered", "outcome", reply.Outcome, "missing", len(reply.Missing), "whole", reply.Whole, "took", time.Since(began))
+	h.info("configuration offered", "outcome", reply.Outcome, "missing", len(reply.Missing), "whole", reply.Whole, "took", time.Since(began))
 	return reply
 }
 
@@ -93,7 +106,8 @@
 	mu            sync.Mutex
 	calls, staged int
 	bytes         int
-	refusal       *dispatch.Reply // nil if no call was refused
+	size          int             // as ledger.ChunkBytes counts it
+	refusal       *dispatch.Reply // nil if no call was refused; wholeWanted if more is missing than can be staged
 }
 
 func (s *staging) begin(chunks []accepted.Chunk) {
@@ -102,6 +116,7 @@
 	s.calls++
 	for i := range chunks {
 		s.bytes += len(chunks[i].Data)
+		s.size += ledger.ChunkBytes(&chunks[i])
 	}
 }
 
@@ -112,7 +127,7 @@
 	switch {
 	case r.Outcome == dispatch.OK:
 		s.staged++
-	case r.Outcome != dispatch.OutcomeUnknown && !r.Whole:
+	case r.Outcome != dispatch.OutcomeUnknown:
 		s.refusal = r
 	}
 }
@@ -123,7 +138,8 @@
 	return s.refusal
 }
 
-// stage sends chunks. It returns the reply that ends the hand-in, or nil if the manifest is to be offered again.
+// stage sends chunks. It returns the reply that ends the hand-in or asks for the whole configuration, or nil if the manifest is to be
+// offered again.
 func (h *handIn) stage(ctx context.Context, missing [][]byte) *dispatch.Reply {
 	began, state := time.Now(), &staging{}
 	var group errgroup.Group
@@ -134,7 +150,10 @@
 			return &dispatch.Reply{Outcome: dispatch.Invalid, Reason: err.Error()}
 		}
 		missing = missing[len(chunks):]
-		state.begin(chunks)
+		if state.begin(chunks); state.size > ledger.MaxStagedBytes {
+			state.end(wholeWanted())
+			break
+		}
 		group.Go(func() error {
 			reply, _ := h.client.forward(ctx, &dispatch.Call{Op: dispatch.OpStageConfig, RequestID: h.call.RequestID, Chunks: chunks})
 			state.end(reply)
@@ -142,7 +161,7 @@
 		})
 	}
 	_ = group.Wait() // no call returns an error
-	h.log.Info("configuration staged", "bytes", state.bytes, "calls", state.calls, "answered", state.staged, "took", time.Since(began))
+	h.info("configuration staged", "bytes", state.bytes, "calls", state.calls, "answered", state.staged, "took", time.Since(began))
 	if err := ctx.Err(); err != nil && state.refusal == nil {
 		return failedReply(false, Error.Wrap(err))
 	}
