Streams to members: a peer that runs late isn't taken for a dead connection

What was seen: with a quarter of the processor all streams of a leader broke within a few ms, again and again ('http2: client connection lost'), also while a large message was on its way. What was in them was sent again, and members heard nothing meanwhile.

Cause: a connection was closed when a ping wasn't answered within 300 ms. The answer waits behind what is in the buffers, and until both processes run: silence alone doesn't show a dead path. TCP_USER_TIMEOUT was weighed in place of the pings: the kernel, or a proxy on the way, acknowledges for a path that delivers nothing (TestSilentStreamIsReplaced has one), and a window closed by a paused peer counts against it as well.

Change: the owner of a stream watches when something was last read. After 400 ms it asks the peer on a new connection. Only if that is answered, and the old connection stays silent for 600 ms, longer by the time of the bytes written since at 256 KiB a second, the stream is replaced. Pings of the transport close a connection only after 15 s. A piece that isn't taken still ends by its own time.

Evidence: TestMemberThatRunsLateKeepsItsStream failed before (messages 19 to 30 lost with their stream) and passes. The silent stream is replaced after 0.62 s in one run with -race.

--- a/internal/connection/peer/peer.go
+++ b/internal/connection/peer/peer.go
@@ -50,6 +50,7 @@
 type Dialer struct {
 	client *http.Client
 	scheme string
+	source *tlsconf.Source // nil without TLS
 }
 
 // NewDialer returns a dialer for HTTP/2 without TLS.
@@ -57,43 +58,38 @@
 
 // NewSecureDialer returns a dialer for HTTP/2 over mutual TLS, or without TLS if source is nil.
 func NewSecureDialer(source *tlsconf.Source) *Dialer {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	return newDialer(source, dialer.DialContext, &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout})
+}
+
+// newDialer returns a dialer whose connections are opened by dial, for HTTP/2 over mutual TLS, or without TLS if source is nil.
+func newDialer(source *tlsconf.Source, dial dialFunc, pings *http.HTTP2Config) *Dialer {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(source == nil)
 	protocols.SetHTTP2(source != nil)
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	transport := &http.Transport{
-		DialContext:     dialer.DialContext,
-		Protocols:       protocols,
-		IdleConnTimeout: idleLinkTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-	}
+	transport := &http.Transport{DialContext: dial, Protocols: protocols, IdleConnTimeout: idleLinkTimeout, HTTP2: pings}
 	scheme := "http"
 	if source != nil {
 		scheme = "https"
-		transport.DialTLSContext = dialTLS(dialer, source)
+		transport.DialTLSContext = dialTLS(dial, source)
 	}
-	return &Dialer{client: &http.Client{Transport: transport}, scheme: scheme}
-}
-
-// WithPings returns a dialer with connections of its own, on which silence is found earlier: a connection from which nothing
-// came for after is closed unless a ping is answered within timeout.
-func (d *Dialer) WithPings(after, timeout time.Duration) *Dialer {
-	transport := d.client.Transport.(*http.Transport).Clone()
-	transport.HTTP2 = &http.HTTP2Config{SendPingTimeout: after, PingTimeout: timeout}
-	return &Dialer{client: &http.Client{Transport: transport}, scheme: d.scheme}
+	return &Dialer{client: &http.Client{Transport: transport}, scheme: scheme, source: source}
 }
 
 // CloseIdle closes the connections of the dialer's peers that aren't in use.
 func (d *Dialer) CloseIdle() { d.client.CloseIdleConnections() }
 
+// dialFunc opens a connection.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // dialTLS returns a dial function that uses the current certificates of source and logs a failed TLS handshake.
-func dialTLS(dialer *net.Dialer, source *tlsconf.Source) func(context.Context, string, string) (net.Conn, error) {
+func dialTLS(dial dialFunc, source *tlsconf.Source) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		host, _, err := net.SplitHostPort(address)
 		if err != nil {
 			return nil, err
 		}
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/connection/replication/link.go
+++ b/internal/connection/replication/link.go
@@ -26,10 +26,6 @@
 	maxPieceBytes = 128 << 10
 	// leastRate is the rate in bytes a second at which a message still moves.
 	leastRate = 256 << 10
-	// pingAfter and pingTimeout bound the time for which a stream's connection may be silent. A stream carries no answers, so
-	// that a dead connection is found by the pings, at three a second and connection, at the latest after sendTimeout.
-	pingAfter   = sendTimeout / 2
-	pingTimeout = sendTimeout / 2
 	// maxQueuedMessages bounds the queue to one peer, beside its size in bytes. When it is full, the queued messages are dropped;
 	// the log sends them again.
 	maxQueuedMessages = 256
@@ -54,9 +50,10 @@
 	wake     chan struct{} // holds an element if the queue is not empty
 
 	mu      sync.Mutex
-	dialers []*peer.Dialer // of peer and streams
+	calls   *peer.Dialer // of peer
+	watched *peer.Watched
 	peer    *peer.Peer
-	streams *peer.Peer // connections for streams only, as their pings find silence earlier
+	streams *peer.Peer // of watched, whose connection is for streams only
 	queue   []*laburnumv1.ReplicaMessage
 	bytes   int // total size of queue
 	running bool
@@ -180,12 +177,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
 	defer cancel()
-	_, streams := l.peers()
-	s, err := streams.Replica.Stream(ctx)
-	if err == nil {
-		_ = s.Send(&laburnumv1.StepRequest{}) // the answer tells whether it failed
-		_, err = s.CloseAndReceive()
-	}
+	_, streams, _ := l.peers()
+	err := ask(ctx, streams)
 	switch {
 	case err == nil:
 		l.streaming = true
@@ -236,7 +229,7 @@
 	limit := sendTime(bytes)
 	if l.stream == nil {
 		ctx, cancel := context.WithCancel(context.Background())
-		_, streams := l.peers()
+		_, streams, watched := l.peers()
 		client, err := streams.Replica.Stream(ctx)
 		if err != nil {
 			cancel()
@@ -245,6 +238,7 @@
 		l.connection++
 		req.Link, req.Connection = l.id, l.connection
 		l.stream = &stream{client, cancel, time.AfterFunc(limit, cancel)}
+		go l.watch(ctx, watched, cancel)
 	} else {
 		l.stream.watchdog.Reset(limit)
 	}
@@ -299,7 +293,7 @@
 	if l.connection == 0 {
 		l.connection = 1
 	}
-	p, _ := l.peers()
+	p, _, _ := l.peers()
 	_, err := p.Replica.Step(ctx, &laburnumv1.StepRequest{Messages: batch, Link: l.id, Connection: l.connection})
 	if err != nil && ctx.Err() != nil {
 		l.connection++
@@ -310,20 +304,21 @@
 // redial replaces the connections, which may be dead, by new ones.
 func (l *link) redial() {
 	calls := l.dial()
-	dialers := []*peer.Dialer{calls, calls.WithPings(pingAfter, pingTimeout)}
+	watched := calls.Watched(pingAfter)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, d := range l.dialers {
-		d.CloseIdle()
+	if l.calls != nil {
+		l.calls.CloseIdle()
+		l.watched.CloseIdle()
 	}
-	l.dialers = dialers
-	l.peer = dialers[0].Peer(settings.Peer{Address: l.address})
-	l.streams = dialers[1].Peer(settings.Peer{Address: l.address})
+	l.calls, l.watched = calls, watched
+	l.peer = calls.Peer(settings.Peer{Address: l.address})
+	l.streams = watched.Peer(settings.Peer{Address: l.address})
 }
 
-// peers returns the peer with its current connections, for calls and for streams.
-func (l *link) peers() (calls, streams *peer.Peer) {
+// peers returns the peer with its current connections, for calls and for streams, and the dialer of the latter.
+func (l *link) peers() (calls, streams *peer.Peer, watched *peer.Watched) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.peer, l.streams
+	return l.peer, l.streams, l.watched
 }
--- a/internal/connection/replication/replication.go
+++ b/internal/connection/replication/replication.go
@@ -46,7 +46,7 @@
 // Peer returns the current connection to a member, or nil if its address isn't known.
 func (t *Links) Peer(to *laburnumv1.Member) *peer.Peer {
 	if l := t.link(to); l != nil {
-		calls, _ := l.peers()
+		calls, _, _ := l.peers()
 		return calls
 	}
 	return nil
