--- a/internal/connection/replication/watch.go
+++ b/internal/connection/replication/watch.go
@@ -17,7 +17,7 @@
 	probeLead = sendTimeout / 3
 	graceTime = 50 * time.Millisecond
 	// probePause is the time between such questions.
-	probePause = pingAfter
+	probePause = 100 * time.Millisecond
 	// maxUnanswered is the most that a pong waits for: what the buffers on both sides hold.
 	maxUnanswered = 2 * ReceiveBufferBytes
 )
