--- a/internal/jobcontrol/slowlink_test.go
+++ b/internal/jobcontrol/slowlink_test.go
@@ -154,8 +154,8 @@
 	return nil, false
 }
 
-// manyQueues returns a configuration of largeQueues queues beside that of rollingConfig.
-func manyQueues(version int64) *accepted.Config {
+// largeConfig returns a configuration of largeQueues queues beside that of rollingConfig.
+func largeConfig(version int64) *accepted.Config {
 	config, random := rollingConfig(version), rand.New(rand.NewPCG(1, 2))
 	for i := range largeQueues {
 		config.Queues = append(config.Queues, accepted.Queue{
@@ -201,7 +201,7 @@
 	c, _ := newLinkedCluster(t)
 	first, term := c.leads()
 	beside := c.submitSteadily(t.Context())
-	config := manyQueues(2)
+	config := largeConfig(2)
 	before := beside.Load()
 	_, ok := c.tryUntil((first+1)%founders, http.MethodPut, config.Raw)
 	must.True(t, ok, must.Sprint("it wasn't acknowledged in time"))
@@ -217,7 +217,7 @@
 func TestLargeConfigurationAfterLeaderStopped(t *testing.T) {
 	c, in := newLinkedCluster(t)
 	first, _ := c.leads()
-	config := manyQueues(2)
+	config := largeConfig(2)
 	before, ended := in[first].bytes.Load(), make(chan struct{})
 	go func() {
 		defer close(ended)
