Reject an invalid configuration also when its version is overtaken

An operator who sent an invalid configuration whose version is lower than the one in force got 200 (superseded) instead of 400, if it was smaller than 16 KiB or came whole from an instance of an earlier version: the leader answered from the versions before it checked the content.

The leader checks a whole configuration before it looks at its version.

Evidence: TestInvalidConfigurationOfOvertakenVersionIsRejected failed (outcome ok) and passes now.

--- a/internal/dispatch/configcalls.go
+++ b/internal/dispatch/configcalls.go
@@ -48,6 +48,10 @@
 	if c.Config != nil {
 		sent := c.Config.Digest()
 		m = &accepted.Manifest{Version: c.Config.Version, Sent: sent[:], SentBytes: len(c.Config.Raw)}
+		// An invalid one is rejected whatever its version is.
+		if err := c.Config.Check(); err != nil {
+			return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
+		}
 	} else if err := m.Check(); err != nil {
 		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
 	}
@@ -112,11 +116,8 @@
 	return &Reply{Outcome: OK, Reason: string(v)}
 }
 
-// putWhole commits a configuration that was sent whole.
+// putWhole commits a valid configuration that was sent whole.
 func (s *session) putWhole(c *Call) (*Reply, error) {
-	if err := c.Config.Check(); err != nil {
-		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
-	}
 	if len(c.Config.Raw) >= MinChunkedBytes && s.takesChunks() {
 		if reply, err := s.putChunked(c.RequestID, c.Config); reply != nil || err != nil {
 			return reply, err
--- a/internal/dispatch/configcalls_test.go
+++ b/internal/dispatch/configcalls_test.go
@@ -215,3 +215,14 @@
 	must.LessEq(t, state, len(snapshot))
 	must.Less(t, len(chunks), len(proposed()))
 }
+
+// Guards against an invalid configuration that is acknowledged because its version is overtaken.
+func TestInvalidConfigurationOfOvertakenVersionIsRejected(t *testing.T) {
+	r := newRig(t, newFakeServers())
+	must.EqOp(t, OK, r.do(&Call{Op: OpPutConfig, Config: randomConfig(3, 100_000)}).Outcome)
+	for _, size := range []int{0, 100_000} {
+		invalid := randomConfig(2, size)
+		invalid.Queues[0].Pool = "unknown"
+		must.EqOp(t, Invalid, r.do(&Call{Op: OpPutConfig, Config: invalid}).Outcome, must.Sprint(size))
+	}
+}
