Leader client: no refusal when the leader asks for unknown chunks

An operator got 400 for a valid configuration if the leader listed a missing chunk that the configuration hasn't, as in an answer to an instance of another release. Nothing is wrong with the configuration: the call ends with 503 and can be repeated.

Evidence: TestUnknownChunksDontMakeConfigurationInvalid failed (outcome invalid) and passes now.

--- a/internal/leader/handin.go
+++ b/internal/leader/handin.go
@@ -147,7 +147,7 @@
 	for len(missing) > 0 && ctx.Err() == nil && state.refused() == nil {
 		chunks, err := h.nextChunks(missing)
 		if err != nil {
-			return &dispatch.Reply{Outcome: dispatch.Invalid, Reason: err.Error()}
+			return failedReply(false, err)
 		}
 		missing = missing[len(chunks):]
 		if state.begin(chunks); state.size > ledger.MaxStagedBytes {
--- a/internal/leader/handin_test.go
+++ b/internal/leader/handin_test.go
@@ -290,3 +290,13 @@
 		return k.active == 0
 	}), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond))
 }
+
+// Guards against a valid configuration that is called invalid because the leader asks for chunks that it doesn't have.
+func TestUnknownChunksDontMakeConfigurationInvalid(t *testing.T) {
+	k := newKeeper(t, ledger.NewestFormat)
+	k.answer = func(*dispatch.Call) *dispatch.Reply {
+		return &dispatch.Reply{Outcome: dispatch.Unavailable, Missing: [][]byte{make([]byte, 32)}, Chunked: true}
+	}
+	c, call := k.client(t, largeConfig())
+	must.EqOp(t, dispatch.Unavailable, c.Do(t.Context(), call).Outcome)
+}
