Test that an assembled configuration isn't put in force for another one of the same version

Two operators may hand in different content under one version. The leader keeps the configuration that it assembled last; a mutation that recognizes it by its version alone passed all tests of the ledger, and would put another configuration in force on the leader than on the other replicas.

Evidence: the test fails with that mutation.

--- a/internal/request/ledger/chunks_test.go
+++ b/internal/request/ledger/chunks_test.go
@@ -223,16 +223,18 @@
 
 // Guards against a configuration that the leader puts in force alone, as it had assembled another one than the log brings.
 func TestManifestBringsItsOwnConfiguration(t *testing.T) {
-	l := chunkLedger()
-	next, chunks := transfer(t, l, largeConfig(1, 300))
-	l.Apply(&Command{Chunks: chunks})
-	other, chunks := transfer(t, l, largeConfig(2, 200))
-	l.Apply(&Command{Chunks: chunks})
-	_, _, err := l.Assemble(other)
-	must.NoError(t, err)
-	l.Apply(&Command{Manifest: next})
-	must.Eq(t, largeConfig(1, 300), l.Config)
-	must.Nil(t, l.assembled.config)
+	for _, version := range []int64{1, 2} { // of the other one; two operators may use the same
+		l := chunkLedger()
+		next, chunks := transfer(t, l, largeConfig(1, 300))
+		l.Apply(&Command{Chunks: chunks})
+		other, chunks := transfer(t, l, largeConfig(version, 200))
+		l.Apply(&Command{Chunks: chunks})
+		_, _, err := l.Assemble(other)
+		must.NoError(t, err)
+		l.Apply(&Command{Manifest: next})
+		must.Eq(t, largeConfig(1, 300), l.Config)
+		must.Nil(t, l.assembled.config)
+	}
 }
 
 // Guards against replicas that differ in their verdicts or their state: the one that assembled a configuration beforehand, those that
