Replica: drop reads whose callers have left

A read index whose caller ran out of time stayed in the table of pending reads for ever: the request to drop it was queued with the caller's context, which had ended. Since instances answer reads of the configuration from their own state, each such read at an instance that can't confirm its state in time left an entry.

Evidence: TestReadsOfCallersThatLeftAreDropped failed (entries left) and passes now, 3 times with -race.

--- a/internal/process/replica/node_test.go
+++ b/internal/process/replica/node_test.go
@@ -390,3 +390,27 @@
 	defer f.mu.Unlock()
 	return f.syncs
 }
+
+// Guards against reads that are kept for ever because their callers left before a quorum confirmed the leader.
+func TestReadsOfCallersThatLeftAreDropped(t *testing.T) {
+	c := newCluster(t)
+	c.startAll("a", "b", "c")
+	c.await("a leader", func() bool { return c.leader() != "" })
+	leader := c.leader()
+	for _, name := range []string{"a", "b", "c"} {
+		if name != leader {
+			c.stop(name)
+		}
+	}
+	n := c.node(leader)
+	for range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), testTick)
+		must.Error(t, n.ReadIndex(ctx))
+		cancel()
+	}
+	c.await("no pending reads", func() bool {
+		pending := make(chan int, 1)
+		n.enqueue(context.Background(), func() { pending <- len(n.pendingReads) })
+		return <-pending == 0
+	})
+}
--- a/internal/process/replica/propose.go
+++ b/internal/process/replica/propose.go
@@ -193,7 +193,7 @@
 	case <-time.After(readTimeout):
 	case <-ctx.Done():
 	}
-	n.enqueue(ctx, func() { delete(n.pendingReads, id) })
+	go n.enqueue(context.WithoutCancel(ctx), func() { delete(n.pendingReads, id) }) // also if the caller has left
 	return false, 0
 }
 
