--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -33,7 +33,7 @@
 	// dialTimeout bounds connection setup; a round trip between data centres takes a few milliseconds.
 	dialTimeout = 300 * time.Millisecond
 	// attemptTimeout bounds one attempt of a call. A commit takes about 30 ms, so a connection that is silent for this
-	// long is given up.
+	// long is given up. Whether the leader is, attemptFailed decides.
 	attemptTimeout = 900 * time.Millisecond
 	// attemptTimePerMiB is what an attempt gets in addition for the size of its body.
 	attemptTimePerMiB = time.Second
@@ -99,6 +99,8 @@
 	// timeoutPerAttempt bounds one attempt of a call; attemptTimeout except in tests.
 	timeoutPerAttempt time.Duration
 
+	checking atomic.Bool // a check of checkSoon is running
+
 	startedAt time.Time
 	// readSeeds reads the seeds anew while no leader is found; nil if they never change.
 	readSeeds func() ([]string, error)
@@ -253,10 +255,7 @@
 		c.recordContact()
 		return understood(call, reply), false, nil
 	}
-	if c.answeredSince(target, began) || call.InChunks() && ctx.Err() != nil {
-		return nil, mayHaveRun, err // it is the connection that failed, or the caller's time that ended
-	}
-	c.dropLeader(target, err)
+	c.attemptFailed(ctx, target, began, err)
 	return nil, mayHaveRun, err
 }
 
@@ -328,13 +327,6 @@
 	c.lastContact, c.cutOff = time.Now(), false
 }
 
-// answeredSince reports whether the leader is target and has answered a call or a check since a time.
-func (c *Client) answeredSince(target string, since time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leader == target && c.lastContact.After(since)
-}
-
 // dropLeader forgets the leader if it is target, which failed with err.
 func (c *Client) dropLeader(target string, err error) {
 	c.mu.Lock()
