Test the bound on former chunks, and that a chunk staged again is renewed

Two mutations of the ledger passed all its tests: former chunks without a bound, and a chunk that expires as it was, although it was staged again for a manifest under way.

Evidence: the test fails with each of them.

--- a/internal/request/ledger/chunks_test.go
+++ b/internal/request/ledger/chunks_test.go
@@ -315,3 +315,26 @@
 	}
 	must.Less(t, changes*len(encodeConfig(t, l.Config, FormatPackedConfig))/10, chunked)
 }
+
+// Guards against a stream of changes whose former chunks take up the room of other records, and against one that expires although it was
+// staged again.
+func TestFormerChunksAreBoundedAndRenewed(t *testing.T) {
+	l, random := chunkLedger(), rand.NewChaCha8([32]byte{1})
+	var before *accepted.Config
+	for version := range int64(8) {
+		c := &accepted.Config{Version: version + 1, Raw: make([]byte, 600_000)}
+		_, _ = random.Read(c.Raw)
+		put(t, l, c)
+		must.LessEq(t, maxFormerBytes, l.Bytes())
+		if version < 7 {
+			before = c
+		}
+	}
+	must.Greater(t, maxFormerBytes*9/10, l.Bytes())
+	m, chunks := transfer(t, New(), before)
+	must.SliceEmpty(t, l.MissingChunks(m), must.Sprint("the newest former chunks stay"))
+	l.Apply(&Command{NowMS: l.ClockMS + chunkRetentionMS - 1, Chunks: chunks})
+	l.Apply(&Command{NowMS: l.ClockMS + 1})
+	must.SliceEmpty(t, l.Former)
+	must.SliceEmpty(t, l.MissingChunks(m))
+}
