Acknowledge a configuration only by a verdict that says so

Any verdict but a conflict and a malformed manifest was answered with 200, also one that says that chunks lack. No path led there, but no test would have noticed: without the branch for incomplete manifests in putManifest all tests passed, and a configuration that isn't in force was acknowledged.

A verdict that isn't accepted, superseded, conflict or malformed is an unknown outcome.

Evidence: TestManifestWithoutItsChunksIsNotAcknowledged failed for the verdicts without a meaning here; with -race, the tests of configurations of the package pass.

--- a/internal/dispatch/configcalls.go
+++ b/internal/dispatch/configcalls.go
@@ -108,12 +108,14 @@
 // verdictReply returns the reply to a configuration that the log has decided.
 func verdictReply(v ledger.Verdict) *Reply {
 	switch v {
+	case ledger.Accepted, ledger.Superseded:
+		return &Reply{Outcome: OK, Reason: string(v)}
 	case ledger.Conflict:
 		return &Reply{Outcome: Conflict, Reason: "other content is in force under this version"}
 	case ledger.Malformed:
 		return &Reply{Outcome: Invalid, Reason: "the chunks don't make up the configuration of the manifest"}
 	}
-	return &Reply{Outcome: OK, Reason: string(v)}
+	return &Reply{Outcome: OutcomeUnknown, Reason: fmt.Sprintf("the log's verdict is %q", v)}
 }
 
 // putWhole commits a valid configuration that was sent whole.
--- a/internal/dispatch/configcalls_test.go
+++ b/internal/dispatch/configcalls_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -226,3 +227,69 @@
 		must.EqOp(t, Invalid, r.do(&Call{Op: OpPutConfig, Config: invalid}).Outcome, must.Sprint(size))
 	}
 }
+
+// Guards against chunks that an instance is asked for though its configuration, decoded by another release, hasn't these.
+func TestOnlyCallsWithSameChunksShareProposal(t *testing.T) {
+	r := newRig(t, newFakeServers())
+	m, chunks := split(t, randomConfig(2, 100_000))
+	for i := range chunks {
+		must.EqOp(t, OK, r.do(&Call{Op: OpStageConfig, Chunks: chunks[i : i+1]}).Outcome)
+	}
+	proposed, goOn := make(chan struct{}), make(chan struct{})
+	r.log.mu.Lock()
+	r.log.beforePropose = func(data []byte) {
+		if strings.Contains(string(data), `"Manifest"`) {
+			close(proposed)
+			<-goOn
+		}
+	}
+	r.log.mu.Unlock()
+	var first sync.WaitGroup
+	first.Go(func() { _, _ = r.d.Do(context.Background(), &Call{Op: OpPutConfig, Manifest: m}) })
+	<-proposed
+	other := *m
+	other.Chunks = slices.Clone(m.Chunks)
+	other.Chunks[0] = make([]byte, len(m.Sent))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	reply, err := r.d.Do(ctx, &Call{Op: OpPutConfig, Manifest: &other})
+	close(goOn)
+	first.Wait()
+	must.NoError(t, err)
+	must.Eq(t, other.Chunks[:1], reply.Missing)
+}
+
+// Guards against a configuration that is never accepted because the log drops its first chunks before the last ones come.
+func TestConfigurationWithMoreChunksThanAreStagedMovesWhole(t *testing.T) {
+	r := newRig(t, newFakeServers())
+	config := randomConfig(2, 5<<20)
+	config.Raw = nil
+	config.Raw, _ = json.MarshalIndent(config, "", " ") // shares no chunks with the decoded parts
+	must.EqOp(t, OK, r.do(&Call{Op: OpPutConfig, Config: config}).Outcome)
+}
+
+// Guards against an acknowledgement of a configuration whose chunks the log dropped while its manifest was on its way.
+func TestManifestWithoutItsChunksIsNotAcknowledged(t *testing.T) {
+	r := newRig(t, newFakeServers())
+	m, chunks := split(t, randomConfig(2, 100_000))
+	for i := range chunks {
+		must.EqOp(t, OK, r.do(&Call{Op: OpStageConfig, Chunks: chunks[i : i+1]}).Outcome)
+	}
+	r.log.mu.Lock()
+	r.log.beforePropose = func(data []byte) {
+		if strings.Contains(string(data), `"Manifest"`) {
+			r.engine.mu.Lock()
+			defer r.engine.mu.Unlock()
+			r.engine.ledger.Staged = r.engine.ledger.Staged[1:]
+			r.engine.ledger.Reindex()
+		}
+	}
+	r.log.mu.Unlock()
+	reply := r.do(&Call{Op: OpPutConfig, Manifest: m})
+	must.EqOp(t, Unavailable, reply.Outcome)
+	must.Eq(t, m.Distinct()[:1], reply.Missing)
+	must.EqOp(t, "{}", string(r.do(&Call{Op: OpGetConfig}).Config))
+	for _, v := range []ledger.Verdict{"", ledger.Incomplete, ledger.Malformed} {
+		must.NotEq(t, OK, verdictReply(v).Outcome)
+	}
+}
