--- a/internal/dispatch/configcalls_test.go
+++ b/internal/dispatch/configcalls_test.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test/must"
 
+	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/version/accepted"
 )
@@ -159,6 +164,39 @@
 	must.True(t, r.do(&Call{Op: OpStageConfig, Chunks: others[:1]}).Whole)
 }
 
+// Guards against a large configuration that is sent whole because it came before the first regular check of the members' formats.
+func TestFormatIsRaisedForLargeConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newSlowLog()
+		d, stop := leadInBubble(t, log, func(context.Context) int { return ledger.NewestFormat })
+		began := time.Now()
+		reply, err := d.Do(context.Background(), &Call{Op: OpPutConfig, Config: randomConfig(2, 100_000)})
+		must.NoError(t, err)
+		must.EqOp(t, OK, reply.Outcome)
+		must.Less(t, formatCheckInterval, time.Since(began))
+		must.StrContains(t, strings.Join(log.recorded(0), ""), `"Manifest":`)
+		stop()
+	})
+}
+
+// Guards against chunks of earlier and coming configurations that fill a small disk.
+func TestSmallDiskTakesConfigurationsWhole(t *testing.T) {
+	for disk, whole := range map[int64]bool{4 << 20: true, 48 << 20: true, 106 << 20: false, 0: false} {
+		must.EqOp(t, whole, LimitsFor(280<<20, replica.BudgetFor(280<<20, disk)).WholeConfigs)
+	}
+	r := newRig(t, newFakeServers())
+	r.d.limits.WholeConfigs = true
+	r.d.endSession("the limits have changed")
+	r.until(r.d.Leads)
+	proposed := r.commands()
+	config := randomConfig(2, 100_000)
+	m, chunks := split(t, config)
+	must.True(t, r.do(&Call{Op: OpPutConfig, Manifest: m}).Whole)
+	must.True(t, r.do(&Call{Op: OpStageConfig, Chunks: chunks[:1]}).Whole)
+	must.EqOp(t, OK, r.do(&Call{Op: OpPutConfig, Config: config}).Outcome)
+	must.SliceLen(t, 1, proposed())
+}
+
 // Guards against staged chunks that fill the disk of every replica.
 func TestChunksWithoutRoomAreRejected(t *testing.T) {
 	const state = 1 << 20
@@ -178,3 +216,80 @@
 	must.LessEq(t, state, len(snapshot))
 	must.Less(t, len(chunks), len(proposed()))
 }
+
+// Guards against an invalid configuration that is acknowledged because its version is overtaken.
+func TestInvalidConfigurationOfOvertakenVersionIsRejected(t *testing.T) {
+	r := newRig(t, newFakeServers())
+	must.EqOp(t, OK, r.do(&Call{Op: OpPutConfig, Config: randomConfig(3, 100_000)}).Outcome)
+	for _, size := range []int{0, 100_000} {
+		invalid := randomConfig(2, size)
+		invalid.Queues[0].Pool = "unknown"
+		must.EqOp(t, Invalid, r.do(&Call{Op: OpPutConfig, Config: invalid}).Outcome, must.Sprint(size))
+	}
+}
+
+// Guards against chunks that an instance is asked for though its configuration, decoded by another release, hasn't these.
+func TestOnlyCallsWithSameChunksShareProposal(t *testing.T) {
+	r := newRig(t, newFakeServers())
+	m, chunks := split(t, randomConfig(2, 100_000))
+	for i := range chunks {
+		must.EqOp(t, OK, r.do(&Call{Op: OpStageConfig, Chunks: chunks[i : i+1]}).Outcome)
+	}
+	proposed, goOn := make(chan struct{}), make(chan struct{})
+	r.log.mu.Lock()
+	r.log.beforePropose = func(data []byte) {
+		if strings.Contains(string(data), `"Manifest"`) {
+			close(proposed)
+			<-goOn
+		}
+	}
+	r.log.mu.Unlock()
+	var first sync.WaitGroup
+	first.Go(func() { _, _ = r.d.Do(context.Background(), &Call{Op: OpPutConfig, Manifest: m}) })
+	<-proposed
+	other := *m
+	other.Chunks = slices.Clone(m.Chunks)
+	other.Chunks[0] = make([]byte, len(m.Sent))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	reply, err := r.d.Do(ctx, &Call{Op: OpPutConfig, Manifest: &other})
+	close(goOn)
+	first.Wait()
+	must.NoError(t, err)
+	must.Eq(t, other.Chunks[:1], reply.Missing)
+}
+
+// Guards against a configuration that is never accepted because the log drops its first chunks before the last ones come.
+func TestConfigurationWithMoreChunksThanAreStagedMovesWhole(t *testing.T) {
+	r := newRig(t, newFakeServers())
+	config := randomConfig(2, 5<<20)
+	config.Raw = nil
+	config.Raw, _ = json.MarshalIndent(config, "", " ") // shares no chunks with the decoded parts
+	must.EqOp(t, OK, r.do(&Call{Op: OpPutConfig, Config: config}).Outcome)
+}
+
+// Guards against an acknowledgement of a configuration whose chunks the log dropped while its manifest was on its way.
+func TestManifestWithoutItsChunksIsNotAcknowledged(t *testing.T) {
+	r := newRig(t, newFakeServers())
+	m, chunks := split(t, randomConfig(2, 100_000))
+	for i := range chunks {
+		must.EqOp(t, OK, r.do(&Call{Op: OpStageConfig, Chunks: chunks[i : i+1]}).Outcome)
+	}
+	r.log.mu.Lock()
+	r.log.beforePropose = func(data []byte) {
+		if strings.Contains(string(data), `"Manifest"`) {
+			r.engine.mu.Lock()
+			defer r.engine.mu.Unlock()
+			r.engine.ledger.Staged = r.engine.ledger.Staged[1:]
+			r.engine.ledger.Reindex()
+		}
+	}
+	r.log.mu.Unlock()
+	reply := r.do(&Call{Op: OpPutConfig, Manifest: m})
+	must.EqOp(t, Unavailable, reply.Outcome)
+	must.Eq(t, m.Distinct()[:1], reply.Missing)
+	must.EqOp(t, "{}", string(r.do(&Call{Op: OpGetConfig}).Config))
+	for _, v := range []ledger.Verdict{"", ledger.Incomplete, ledger.Malformed} {
+		must.NotEq(t, OK, verdictReply(v).Outcome)
+	}
+}
--- a/internal/jobcontrol/slowlink_test.go
+++ b/internal/jobcontrol/slowlink_test.go
@@ -100,6 +100,7 @@
 	}
 	c.startFounders()
 	c.configure()
+	c.waitUntil(func() bool { return c.log.has("format of the log raised") })
 	return c, in
 }
 
