--- a/internal/leader/own_test.go
+++ b/internal/leader/own_test.go
@@ -23,9 +23,6 @@
 	readIndex func(context.Context) error
 }
 
-// Confirmation implements dispatch.Replica. Only reads confirm the leader.
-func (*follower) Confirmation() replica.Confirmation { return replica.Confirmation{} }
-
 func (f *follower) Status() replica.Status { return replica.Status{} }
 
 func (f *follower) ProposeLocal(context.Context, []byte) ([]byte, uint64, error) {
--- a/test/measure/session/fakes.go
+++ b/test/measure/session/fakes.go
@@ -32,9 +32,6 @@
 	bytes   int64
 }
 
-// Confirmation implements dispatch.Replica. Only reads confirm the leader.
-func (*fakeLog) Confirmation() replica.Confirmation { return replica.Confirmation{} }
-
 func (f *fakeLog) Status() replica.Status {
 	return replica.Status{Node: "c1", Leader: "c1", IsLeader: true, Term: 1}
 }
