--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -23,8 +23,6 @@
 type Replica interface {
 	Log
 	Status() replica.Status
-	// Confirmation returns when a quorum last confirmed this instance as the leader of a term.
-	Confirmation() replica.Confirmation
 }
 
 // Options configures a Dispatcher.
@@ -78,7 +76,7 @@
 func New(o Options) *Dispatcher {
 	return &Dispatcher{
 		name: o.Name, address: o.Address, engine: o.Engine, replica: o.Replica, servers: o.Servers, machines: o.Machines,
-		log: o.Log, stats: newStats(o.Scope), leaderLease: newLeaderLease(o.ElectionTime, o.Replica), machineLease: o.MachineLease,
+		log: o.Log, stats: newStats(o.Scope), leaderLease: newLeaderLease(o.ElectionTime), machineLease: o.MachineLease,
 		dataCentres: o.DataCentres, cold: o.Cold, limits: o.Limits,
 		memberFormat: o.MemberFormat, followerReads: newFollowerReads(o.Engine, o.Replica, o.Scope),
 	}
@@ -89,7 +87,7 @@
 
 // Run starts and ends sessions as this instance gains and loses leadership, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	go d.leaderLease.run(ctx)
+	go d.leaderLease.run(ctx, d.replica)
 	go d.followerReads.run(ctx)
 	ticker := time.NewTicker(leadershipCheckInterval)
 	defer ticker.Stop()
--- a/internal/dispatch/fake_test.go
+++ b/internal/dispatch/fake_test.go
@@ -46,9 +46,6 @@
 	return f.status
 }
 
-// Confirmation implements Replica. Only reads confirm the leader.
-func (f *fakeLog) Confirmation() replica.Confirmation { return replica.Confirmation{} }
-
 func (f *fakeLog) ReadIndex(context.Context) error { return nil }
 
 func (f *fakeLog) ProposeLocal(_ context.Context, command []byte) ([]byte, uint64, error) {
--- a/internal/dispatch/leaderlease.go
+++ b/internal/dispatch/leaderlease.go
@@ -23,13 +23,9 @@
 
 // leaderLease is the Raft leader lease: when a quorum confirms this leader, it elects no other leader for the election
 // timeout that follows. Expiry is measured on a clock that also advances while the machine is suspended.
-//
-// In each term a read index confirms the lease first, as it shows that all earlier entries are applied. From then on each
-// heartbeat that a quorum answers renews it, whatever the read index, the entries and other goroutines wait for.
 type leaderLease struct {
-	replica    Replica
 	validFor   time.Duration
-	validUntil atomic.Int64 // by the read indexes; boottime in nanoseconds
+	validUntil atomic.Int64 // boottime in nanoseconds
 	term       atomic.Uint64
 	// revokedThrough is the last term in which the lease must not be held any more.
 	revokedThrough atomic.Uint64
@@ -37,23 +33,13 @@
 	lapsedAt time.Duration
 }
 
-func newLeaderLease(election time.Duration, r Replica) *leaderLease {
-	return &leaderLease{replica: r, validFor: time.Duration(float64(election) * leaseFraction)}
+func newLeaderLease(election time.Duration) *leaderLease {
+	return &leaderLease{validFor: time.Duration(float64(election) * leaseFraction)}
 }
 
 // Held implements leaseHolder.
 func (l *leaderLease) Held() bool {
-	term := l.term.Load()
-	return term > l.revokedThrough.Load() && boottime.Now() < l.end(term)
-}
-
-// end returns when the lease of a term ends, by boottime.
-func (l *leaderLease) end(term uint64) time.Duration {
-	end := time.Duration(l.validUntil.Load())
-	if c := l.replica.Confirmation(); c.Term == term {
-		end = max(end, c.At+l.validFor)
-	}
-	return end
+	return l.term.Load() > l.revokedThrough.Load() && int64(boottime.Now()) < l.validUntil.Load()
 }
 
 // termLease is the leader lease as the session of one term sees it: the lease of a later term of the same instance doesn't
@@ -71,10 +57,10 @@
 func (l *leaderLease) revoke(term uint64) { l.revokedThrough.Store(term) }
 
 // run renews the lease while this instance leads, until ctx ends.
-func (l *leaderLease) run(ctx context.Context) {
+func (l *leaderLease) run(ctx context.Context, r Replica) {
 	for ctx.Err() == nil {
 		pause := leaseRetryDelay
-		if l.confirm(ctx) {
+		if l.confirm(ctx, r) {
 			pause = leaseConfirmInterval
 		}
 		select {
@@ -84,8 +70,7 @@
 	}
 }
 
-func (l *leaderLease) confirm(ctx context.Context) bool {
-	r := l.replica
+func (l *leaderLease) confirm(ctx context.Context, r Replica) bool {
 	status := r.Status()
 	if !status.IsLeader {
 		return false
@@ -107,7 +92,7 @@
 
 // logLapse logs when this instance has lost its lease in a term in which it leads, and when it holds it again.
 func (l *leaderLease) logLapse(status replica.Status, log hclog.Logger) {
-	until := l.end(l.term.Load())
+	until := time.Duration(l.validUntil.Load())
 	lapsed := status.IsLeader && l.term.Load() == status.Term && status.Term > l.revokedThrough.Load() && !l.Held()
 	if lapsed == (l.lapsedAt != 0) {
 		return
--- a/internal/dispatch/virtual_log_test.go
+++ b/internal/dispatch/virtual_log_test.go
@@ -88,9 +88,6 @@
 	return replica.Status{IsLeader: i.believedTerm != 0, Term: max(i.believedTerm, 1)}
 }
 
-// Confirmation implements Replica. Only reads confirm the leader.
-func (i *simInstance) Confirmation() replica.Confirmation { return replica.Confirmation{} }
-
 func (i *simInstance) leadsLocked() bool {
 	return i.up && !i.partitioned && i.w.leader == i.index && i.believedTerm == i.w.term
 }
--- a/internal/leader/own_test.go
+++ b/internal/leader/own_test.go
@@ -31,8 +31,6 @@
 
 func (f *follower) ReadIndex(ctx context.Context) error { return f.readIndex(ctx) }
 
-func (f *follower) Confirmation() replica.Confirmation { return replica.Confirmation{} }
-
 // apply applies a version of the configuration.
 func (f *follower) apply(t *testing.T, version int64) {
 	t.Helper()
--- a/internal/process/replica/core/core.go
+++ b/internal/process/replica/core/core.go
@@ -177,17 +177,14 @@
 	refusals         []Refusal
 	progress         map[string]*progress
 	heartbeatRound   uint64
-	startedRounds    []startedRound // those without answers of a quorum, the oldest first
-	confirmedAt      time.Duration  // when the last round with answers of a quorum began
-	confirmed        bool           // there was such a round in this term
-	sendsDue         bool           // Ready has to look for entries and commit indexes to send
-	tickDue          bool           // a tick has passed since the last Ready: it also sends to paced members, and the commit index alone
-	lastRound        uint64         // last index of the log when rounds was last increased
-	rounds           int            // number of Readys in this tick for which the log had grown
-	roundsLastTick   int            // that of the last whole tick
-	allPromptUntil   uint64         // tick until which no member is paced
-	writeTime        time.Duration  // average time of this replica's writes
-	time             time.Duration  // see SetTime
+	sendsDue         bool          // Ready has to look for entries and commit indexes to send
+	tickDue          bool          // a tick has passed since the last Ready: it also sends to paced members, and the commit index alone
+	lastRound        uint64        // last index of the log when rounds was last increased
+	rounds           int           // number of Readys in this tick for which the log had grown
+	roundsLastTick   int           // that of the last whole tick
+	allPromptUntil   uint64        // tick until which no member is paced
+	writeTime        time.Duration // average time of this replica's writes
+	time             time.Duration // see SetTime
 	transferee       string
 	transferStart    uint64
 	abdicating       bool // the leader steps down if the transfer fails
--- a/internal/process/replica/core/election.go
+++ b/internal/process/replica/core/election.go
@@ -231,7 +231,6 @@
 	c.heartbeatElapsed = 0
 	c.rounds, c.roundsLastTick, c.lastRound, c.allPromptUntil = 0, 0, c.log.last(), 0
 	c.reads = nil
-	c.resetRounds()
 	c.progress = make(map[string]*progress)
 	c.syncProgress()
 	// Entries of earlier terms become committed only with an entry of this leader's own term (see maybeCommit).
--- a/internal/process/replica/core/leader.go
+++ b/internal/process/replica/core/leader.go
@@ -120,14 +120,12 @@
 	return active >= len(voters)/2+1
 }
 
-// broadcastHeartbeat begins a round: it sends a heartbeat to every other member.
+// broadcastHeartbeat sends a heartbeat to every other member.
 func (c *Core) broadcastHeartbeat() {
 	c.heartbeatElapsed = 0
-	c.beginRound()
 	for _, name := range c.peers() {
 		c.sendHeartbeat(name)
 	}
-	c.confirmRounds()
 }
 
 // peers returns the names of the other members in the order of the membership.
@@ -263,7 +261,6 @@
 	p.lastResponse, p.responded = c.now, true
 	if m.Round > p.ackedRound {
 		p.ackedRound = m.Round
-		c.confirmRounds()
 		c.confirmReads()
 	}
 	return p
--- a/internal/process/replica/core/pacing.go
+++ b/internal/process/replica/core/pacing.go
@@ -17,8 +17,8 @@
 // on an idle log all members, get each append at once. So that a quorum is found again after the loss of one of its members,
 // the tick is also the longest time for which a paced member lacks an entry on the wire.
 
-// SetTime sets the time since an arbitrary start. It serves to measure the response times of members and of the own disk, without
-// which all members count as equally fast, and to tell when a quorum confirmed this leader. It may lag, but not run ahead.
+// SetTime sets the time since an arbitrary start. It only serves to measure the response times of members and of the own
+// disk; without it all members count as equally fast.
 func (c *Core) SetTime(now time.Duration) { c.time = now }
 
 // busy reports whether the next append is expected to follow within a tick.
--- a/internal/process/replica/core/read.go
+++ b/internal/process/replica/core/read.go
@@ -31,12 +31,13 @@
 }
 
 func (c *Core) startRead(r pendingRead) {
-	c.broadcastHeartbeat()
+	c.heartbeatRound++
 	r.round = c.heartbeatRound
 	if c.committedInTerm() {
 		r.index = c.log.commit
 	}
 	c.reads = append(c.reads, r)
+	c.broadcastHeartbeat()
 	c.confirmReads()
 }
 
--- a/internal/process/replica/node.go
+++ b/internal/process/replica/node.go
@@ -14,7 +14,6 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/semaphore"
 
-	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/process/journal"
 	"laburnumrouter/internal/process/logging"
 	"laburnumrouter/internal/process/replica/core"
@@ -111,15 +110,14 @@
 // Node is a replica of the log. Only the goroutine of Run uses the consensus state; other goroutines queue functions
 // for it in calls.
 type Node struct {
-	opts         Options
-	journal      *journal.Journal
-	storage      *storage
-	core         *core.Core
-	calls        chan func()
-	status       atomic.Pointer[Status]
-	members      atomic.Pointer[[]*laburnumv1.Member]
-	confirmation atomic.Pointer[Confirmation]
-	stopped      chan struct{} // closed when Run no longer takes calls
+	opts    Options
+	journal *journal.Journal
+	storage *storage
+	core    *core.Core
+	calls   chan func()
+	status  atomic.Pointer[Status]
+	members atomic.Pointer[[]*laburnumv1.Member]
+	stopped chan struct{} // closed when Run no longer takes calls
 	// running ends when stopped is closed.
 	running   context.Context
 	stop      context.CancelFunc
@@ -176,7 +174,6 @@
 		receiving:    semaphore.NewWeighted(int64(opts.Budget.ReceiveBytes)),
 	}
 	n.running, n.stop = context.WithCancel(context.Background())
-	n.confirmation.Store(&Confirmation{})
 	err = n.bootstrap(contents)
 	if err == nil && contents.Applied > 0 {
 		err = n.saveLoaded(contents, loading)
@@ -304,7 +301,7 @@
 // setTime tells the core the time before it handles an event, with which a turn begins.
 func (n *Node) setTime() {
 	n.turn.begin(time.Now())
-	n.core.SetTime(boottime.Now())
+	n.core.SetTime(time.Since(n.started))
 }
 
 // handOver lets this leader hand over to the best of the other replicas, if any is active.
--- a/internal/process/replica/process.go
+++ b/internal/process/replica/process.go
@@ -12,7 +12,6 @@
 
 // processReady does the pending work of the core, in the order that core.Ready requires.
 func (n *Node) processReady() error {
-	n.publishConfirmation()
 	for n.core.HasReady() {
 		r := n.core.Ready()
 		n.send(r.Messages)
--- a/test/measure/session/fakes.go
+++ b/test/measure/session/fakes.go
@@ -38,9 +38,6 @@
 
 func (f *fakeLog) ReadIndex(context.Context) error { return nil }
 
-// Confirmation implements dispatch.Replica. Only reads confirm the leader.
-func (f *fakeLog) Confirmation() replica.Confirmation { return replica.Confirmation{} }
-
 func (f *fakeLog) ProposeLocal(ctx context.Context, command []byte) ([]byte, uint64, error) {
 	p := &proposal{command: command, due: time.Now().Add(commitLatency), result: make(chan []byte, 1)}
 	f.proposals <- p
