Count chunks against the disk's room only

Once the staged chunks of a large configuration had as many bytes as records may take up in memory, submissions were answered with overload until the chunks were used or expired, up to 60 s later. Ledger.Bytes has the chunks, and reserve compared it with Limits.RecordBytes.

Staged and former chunks have bounds of the format.

Evidence: TestStagedChunksTakeNoRoomOfRecordsInMemory failed with overload without the change of reserve. With it, it passes; with -race, the tests about room, records and chunks of the package pass, and those of the ledger.

--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -42,12 +42,12 @@
 	}
 }
 
-// records returns the size of all records beyond which new ones are rejected, beside a configuration that has a size in a snapshot.
-func (l Limits) records(config int64) int64 {
+// records returns the size of all records beyond which new ones are rejected, beside configurations that have a size in a snapshot.
+func (l Limits) records(configs int64) int64 {
 	if l.StateBytes == 0 {
 		return l.RecordBytes
 	}
-	limit := max(1, l.StateBytes-l.StateBytes/growthFraction-config)
+	limit := max(1, l.StateBytes-l.StateBytes/growthFraction-configs)
 	if l.RecordBytes > 0 {
 		limit = min(limit, l.RecordBytes)
 	}
@@ -71,8 +71,8 @@
 	}
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	limit := s.limits.records(int64(s.engine.ledger.ConfigBytes()))
-	if limit > 0 && int64(s.engine.ledger.Bytes())+s.proposedBytes+size > limit {
+	limit := s.limits.records(int64(s.engine.ledger.ConfigBytes()+s.engine.ledger.ExpiringBytes()) + s.proposedChunkBytes)
+	if limit > 0 && int64(s.engine.ledger.RecordBytes())+s.proposedBytes+size > limit {
 		return nil, overloadedReply(op, errRecordsFull)
 	}
 	s.proposedBytes += size
@@ -102,7 +102,7 @@
 	}
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	if int64(s.engine.ledger.Bytes())+s.proposedBytes+size > s.limits.StateBytes {
+	if int64(s.engine.ledger.Bytes())+s.proposedBytes+s.proposedChunkBytes+size > s.limits.StateBytes {
 		return overloadedReply(OpPutConfig, errConfigFull)
 	}
 	return nil
@@ -127,5 +127,5 @@
 
 // stateBytesLocked returns the size of a snapshot, with what is being committed.
 func (s *session) stateBytesLocked() int64 {
-	return int64(s.engine.ledger.Bytes()+s.engine.ledger.ConfigBytes()) + s.proposedBytes
+	return int64(s.engine.ledger.Bytes()+s.engine.ledger.ConfigBytes()) + s.proposedBytes + s.proposedChunkBytes
 }
--- a/internal/dispatch/room_test.go
+++ b/internal/dispatch/room_test.go
@@ -158,6 +158,30 @@
 	release()
 }
 
+// Guards against submissions that are rejected while a configuration is on its way, and against a disk that its chunks and records fill.
+func TestStagedChunksTakeNoRoomOfRecordsInMemory(t *testing.T) {
+	for state, want := range map[int64]Outcome{0: OK, 8 << 20: OK, 2 << 20: Overload} {
+		r := newRig(t, newFakeServers())
+		r.d.limits = Limits{RecordBytes: 1 << 20, StateBytes: state, CommandBytes: state}
+		r.d.endSession("the limits have changed")
+		r.until(r.d.Leads)
+		_, chunks := split(t, randomConfig(2, 3<<20))
+		for i := range chunks {
+			if r.do(&Call{Op: OpStageConfig, Chunks: chunks[i : i+1]}).Outcome != OK {
+				break
+			}
+		}
+		must.Greater(t, r.d.limits.RecordBytes*3/2, int64(r.engine.ledger.Bytes()))
+		if want == OK {
+			release, refusal := r.d.activeSession().reserveStaged(r.d.limits.RecordBytes)
+			must.Nil(t, refusal)
+			defer release()
+		}
+		job := &ledger.Submission{Spec: "s", Steps: []ledger.Step{small}}
+		must.EqOp(t, want, r.do(&Call{Op: OpSubmit, Host: "h", Path: "/q/job", Job: job}).Outcome, must.Sprint(state))
+	}
+}
+
 // Guards against a configuration that is acknowledged and then leaves no room for snapshots on any disk.
 func TestConfigurationTooLargeForDiskIsRejected(t *testing.T) {
 	const state = 1 << 20
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -110,10 +110,10 @@
 	missingChecks map[string]int
 	// dueServers are the servers, by ID, whose machines still have an upkeep before them.
 	dueServers map[string]bool
-	// proposedBytes is the size of the records that are being committed (reserve).
-	proposedBytes   int64
-	configProposals configProposals
-	configCalls     configCalls
+	// proposedBytes is the size of the records that are being committed (reserve), and proposedChunkBytes that of the chunks.
+	proposedBytes, proposedChunkBytes int64
+	configProposals                   configProposals
+	configCalls                       configCalls
 	// planned counts the planned starts per server that are not yet committed.
 	planned map[string]int
 	// movedAt, movedTo and moveUnanswered record when a machine was last moved, to which pool, and whether the call went
--- a/internal/dispatch/stage.go
+++ b/internal/dispatch/stage.go
@@ -97,10 +97,10 @@
 	if limit := s.limits.StateBytes; limit > 0 && s.stateBytesLocked()+size > limit {
 		return nil, overloadedReply(OpPutConfig, errConfigFull)
 	}
-	s.proposedBytes += size
+	s.proposedChunkBytes += size
 	return func() {
 		s.engine.mu.Lock()
 		defer s.engine.mu.Unlock()
-		s.proposedBytes -= size
+		s.proposedChunkBytes -= size
 	}, nil
 }
--- a/internal/request/ledger/size.go
+++ b/internal/request/ledger/size.go
@@ -32,11 +32,18 @@
 	unpackedFactor = 3
 )
 
-// Bytes returns the approximate size of all records but the configuration in force. It is an upper bound of their size in a snapshot.
-func (l *Ledger) Bytes() int {
-	return l.bytes + l.stagedBytes + l.formerBytes + entryBytes*(len(l.Orders)+len(l.contents.Intents)+len(l.Sizes)) + evacuationBytes*len(l.Evacuations)
+// Bytes returns the approximate size of all records and of the chunks of ExpiringBytes. It is an upper bound of their size in a
+// snapshot, which has the configuration in force beside them.
+func (l *Ledger) Bytes() int { return l.RecordBytes() + l.ExpiringBytes() }
+
+// RecordBytes returns the approximate size of the records of jobs, waves, servers and machines.
+func (l *Ledger) RecordBytes() int {
+	return l.bytes + entryBytes*(len(l.Orders)+len(l.contents.Intents)+len(l.Sizes)) + evacuationBytes*len(l.Evacuations)
 }
 
+// ExpiringBytes returns the approximate size of the staged and the former chunks, at most MaxStagedBytes and maxFormerBytes.
+func (l *Ledger) ExpiringBytes() int { return l.stagedBytes + l.formerBytes }
+
 // Bytes returns the approximate size of the record of a job when it is accepted.
 func (s *Submission) Bytes() int { return (&Job{Submission: *s}).size() }
 
