Read the request limits without the lock of the state

An instance's status answered late while a large configuration was decoded or a plan was made, so that clients could take a working leader for lost: the status has the request limits, and reading them took the engine's lock.

Evidence: TestLimitsAreReadWhileStateIsBusy failed after 5 s for an engine that applied the configuration and for one that restored it; it passes with -race. TestLargeConfigurationOverSlowLinks of internal/jobcontrol, with -race on a machine with a load of 30 on 8 cores, failed in 1 run here, as the leader changed during the transfer; the other tests for large configurations of that package passed.

--- a/internal/dispatch/configs_test.go
+++ b/internal/dispatch/configs_test.go
@@ -101,3 +101,31 @@
 		})
 	}
 }
+
+// Guards against a leader that is taken for dead because its status waits for a long change of the state, and against limits of an
+// earlier configuration after a restart.
+func TestLimitsAreReadWhileStateIsBusy(t *testing.T) {
+	r := newRig(t, newFakeServers())
+	config := randomConfig(2, 0)
+	config.Limits = accepted.Limits{HeaderBytes: 1000, BodyBytes: 2000}
+	config.Raw = nil
+	config.Raw, _ = json.Marshal(config)
+	must.EqOp(t, OK, r.do(&Call{Op: OpPutConfig, Config: config}).Outcome)
+	snapshot, err := r.engine.Snapshot()
+	must.NoError(t, err)
+	restored := NewEngine(hclog.NewNullLogger())
+	must.EqOp(t, accepted.Limits{}, (&Dispatcher{engine: restored}).Limits())
+	must.NoError(t, restored.Restore(1, snapshot))
+	for _, e := range []*Engine{r.engine, restored} {
+		limits := make(chan accepted.Limits, 1)
+		e.mu.Lock()
+		go func() { limits <- (&Dispatcher{engine: e}).Limits() }()
+		select {
+		case got := <-limits:
+			must.EqOp(t, config.Limits, got)
+		case <-time.After(5 * time.Second):
+			t.Error("the limits wait for the state")
+		}
+		e.mu.Unlock()
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -152,12 +152,10 @@
 // Leads reports whether this instance leads and holds the leader lease.
 func (d *Dispatcher) Leads() bool { return d.activeSession() != nil }
 
-// Limits returns the request limits of the configuration applied on this instance; zero if there is none.
+// Limits returns the request limits of the configuration applied on this instance; zero if there is none. It doesn't block.
 func (d *Dispatcher) Limits() accepted.Limits {
-	d.engine.mu.Lock()
-	defer d.engine.mu.Unlock()
-	if index := d.engine.ledger.Index(); index != nil {
-		return index.Config().Limits
+	if limits := d.engine.limits.Load(); limits != nil {
+		return *limits
 	}
 	return accepted.Limits{}
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -4,12 +4,14 @@
 	"encoding/json"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"laburnumrouter/internal/process/boottime"
 	"laburnumrouter/internal/request/ledger"
+	"laburnumrouter/internal/version/accepted"
 )
 
 // Engine applies the replicated log to the ledger. It implements replica.StateMachine.
@@ -18,6 +20,8 @@
 
 	mu     sync.Mutex
 	ledger *ledger.Ledger
+	// limits are those of the configuration in force. They are read without mu, which may be held for long.
+	limits atomic.Pointer[accepted.Limits]
 	// lastOrdered is when this instance last applied a command about the move or upkeep of each machine. observedSince is
 	// when it began to apply such commands itself.
 	lastOrdered   map[string]time.Duration
@@ -83,6 +87,7 @@
 // restart. Every replica breaks off at the same point, as the ledger is deterministic and iterates over lists only; what is
 // derived from its contents is rebuilt, as on a replica that restores a snapshot.
 func (e *Engine) applyLocked(index uint64, c *ledger.Command) (result *ledger.Result) {
+	defer e.publishLimitsLocked()
 	defer func() {
 		if cause := recover(); cause != nil {
 			e.log.Error("log entry can't be applied; the rest of it is skipped", "index", index, "cause", cause, "stack", string(debug.Stack()))
@@ -134,9 +139,20 @@
 	defer e.mu.Unlock()
 	// The snapshot may cover orders that were given just now.
 	e.observedSince = boottime.Now()
+	defer e.publishLimitsLocked()
 	return e.ledger.Restore(data)
 }
 
+// publishLimitsLocked updates limits after a change of the ledger.
+func (e *Engine) publishLimitsLocked() {
+	index := e.ledger.Index()
+	if index == nil {
+		e.limits.Store(nil)
+		return
+	}
+	e.limits.Store(&index.Config().Limits)
+}
+
 // setAfterApply sets the function that is called after each command; nil removes it.
 func (e *Engine) setAfterApply(f func(*ledger.Command, *ledger.Result)) {
 	e.mu.Lock()
