Assemble a configuration without the lock of the state

While the leader assembled a configuration of megabytes (decompression, hashes and decoding), heartbeats' answers, plans and applied entries waited, as putManifest did it with the engine's lock held; on a small share of a processor for long.

Ledger.Assembler collects the data of the chunks under the lock, which are never modified, and returns a function that needs no lock; Keep hands its result to the entry of the manifest. Apply takes it only for an equal manifest whose chunks the log has, as before, so that verdicts depend on the log alone. One configuration is assembled at a time, as the lock ensured before.

Evidence: TestStateIsUnlockedWhileConfigurationIsAssembled doesn't end if the lock is held while a call waits for its turn to assemble; it doesn't see a lock that is held during the assembly alone. TestReplicasAgreeOnChunks also keeps configurations on one replica after later commands were applied. No time under the lock was measured.

--- a/internal/dispatch/configcalls.go
+++ b/internal/dispatch/configcalls.go
@@ -29,6 +29,8 @@
 	decisions singleflight.Group
 	// staging holds the chunks that are being proposed. Guarded by engine.mu.
 	staging map[accepted.Digest]chan struct{}
+	// assembling has a slot for the one configuration that is assembled at a time, as each takes a multiple of its size in memory.
+	assembling chan struct{}
 	// lines limits the lines about chunks.
 	lines logging.Limit
 }
@@ -144,9 +146,7 @@
 	if !s.takesChunks() {
 		return &Reply{Outcome: Unavailable, Reason: "the log takes no chunks", Whole: true}, nil
 	}
-	s.engine.mu.Lock()
-	config, missing, err := s.engine.ledger.Assemble(m)
-	s.engine.mu.Unlock()
+	config, missing, err := s.assemble(m)
 	if err != nil {
 		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
 	}
@@ -170,6 +170,26 @@
 	return verdictReply(result.Config), nil
 }
 
+// assemble returns the configuration that a manifest describes, or the digests of the chunks that the log lacks. It takes long for a
+// large one and leaves the state unlocked meanwhile; the result is kept for the entry of the manifest.
+func (s *session) assemble(m *accepted.Manifest) (c *accepted.Config, missing [][]byte, err error) {
+	s.configCalls.assembling <- struct{}{}
+	defer func() { <-s.configCalls.assembling }()
+	s.engine.mu.Lock()
+	assemble, missing := s.engine.ledger.Assembler(m)
+	s.engine.mu.Unlock()
+	if len(missing) > 0 {
+		return nil, missing, nil
+	}
+	if c, err = assemble(); err != nil {
+		return nil, nil, err
+	}
+	s.engine.mu.Lock()
+	defer s.engine.mu.Unlock()
+	s.engine.ledger.Keep(m, c)
+	return c, nil, nil
+}
+
 // takesChunks reports whether configurations go through the log in chunks.
 func (s *session) takesChunks() bool {
 	return !s.limits.WholeConfigs && s.needFormat(ledger.FormatConfigChunks)
--- a/internal/dispatch/configcalls_test.go
+++ b/internal/dispatch/configcalls_test.go
@@ -293,3 +293,33 @@
 		must.NotEq(t, OK, verdictReply(v).Outcome)
 	}
 }
+
+// Guards against heartbeats, plans and entries that wait while a large configuration is assembled, and against several that are assembled
+// in memory at a time.
+func TestStateIsUnlockedWhileConfigurationIsAssembled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := newSlowLog()
+		d, stop := leadInBubble(t, log, func(context.Context) int { return ledger.NewestFormat })
+		defer stop()
+		m, chunks := split(t, randomConfig(2, 100_000))
+		do := func(c *Call) *Reply {
+			reply, err := d.Do(context.Background(), c)
+			must.NoError(t, err)
+			return reply
+		}
+		for i := range chunks {
+			must.EqOp(t, OK, do(&Call{Op: OpStageConfig, Chunks: chunks[i : i+1]}).Outcome)
+		}
+		assembling := d.activeSession().configCalls.assembling
+		assembling <- struct{}{}
+		var call sync.WaitGroup
+		call.Go(func() { must.EqOp(t, OK, do(&Call{Op: OpPutConfig, Manifest: m}).Outcome) })
+		synctest.Wait()
+		must.True(t, d.engine.mu.TryLock())
+		must.EqOp(t, 1, d.engine.ledger.Config.Version)
+		d.engine.mu.Unlock()
+		<-assembling
+		call.Wait()
+		must.EqOp(t, 2, d.engine.ledger.Config.Version)
+	})
+}
--- a/internal/dispatch/session.go
+++ b/internal/dispatch/session.go
@@ -186,6 +186,7 @@
 		loggedOutlooks: make(map[string]forecast.Outlook), machineDataCentre: make(map[string]string),
 		wake: make(chan struct{}, 1), ctx: ctx, cancel: cancel,
 	}
+	s.configCalls.assembling = make(chan struct{}, 1)
 	s.configCalls.staging, s.configCalls.lines.Lines, s.configCalls.lines.Every = make(map[accepted.Digest]chan struct{}), 50, time.Second
 	s.ends, s.batcher = newEndQueue(s), &batcher{session: s}
 	s.engine.mu.Lock()
--- a/internal/request/ledger/chunks.go
+++ b/internal/request/ledger/chunks.go
@@ -70,21 +70,39 @@
 // MissingChunks returns the digests of the chunks of a manifest that the ledger lacks, each once.
 func (l *Ledger) MissingChunks(m *accepted.Manifest) [][]byte { return m.Missing(l.chunk) }
 
-// Assemble returns the configuration that a manifest describes, or the digests of the chunks that the ledger lacks. The leader calls it
-// before it proposes the manifest; the configuration is kept until a configuration is applied.
-func (l *Ledger) Assemble(m *accepted.Manifest) (c *accepted.Config, missing [][]byte, err error) {
+// Assembler returns a function that assembles the configuration that a manifest describes, or the digests of the chunks that the ledger
+// lacks. The function may be called while the ledger changes: the data of chunks are never modified.
+func (l *Ledger) Assembler(m *accepted.Manifest) (assemble func() (*accepted.Config, error), missing [][]byte) {
 	if missing = l.MissingChunks(m); len(missing) > 0 {
-		return nil, missing, m.Check()
+		return nil, missing
 	}
-	if l.assembled.config == nil || !l.assembled.manifest.Equal(m) {
-		c, missing, err = m.Assemble(l.chunk)
-		if c == nil {
-			return nil, missing, err
-		}
-		l.assembled = assembled{manifest: m, config: c}
+	if kept := l.assembled; kept.config != nil && kept.manifest.Equal(m) {
+		return func() (*accepted.Config, error) { return kept.config, nil }, nil
+	}
+	data := make(map[accepted.Digest][]byte, len(m.Chunks))
+	for _, digest := range m.Chunks {
+		data[accepted.Digest(digest)] = l.chunk(digest)
+	}
+	return func() (*accepted.Config, error) {
+		c, _, err := m.Assemble(func(digest []byte) []byte { return data[accepted.Digest(digest)] })
+		return c, err
+	}, nil
+}
+
+// Keep keeps the configuration that an Assembler for the manifest returned, until a configuration is applied. The leader calls it before
+// it proposes the manifest.
+func (l *Ledger) Keep(m *accepted.Manifest, c *accepted.Config) {
+	l.assembled = assembled{manifest: m, config: c, atMS: l.ClockMS}
+}
+
+// assemble returns the configuration that a manifest describes, or the digests of the chunks that the ledger lacks.
+func (l *Ledger) assemble(m *accepted.Manifest) (c *accepted.Config, missing [][]byte, err error) {
+	assemble, missing := l.Assembler(m)
+	if len(missing) > 0 {
+		return nil, missing, m.Check()
 	}
-	l.assembled.atMS = l.ClockMS
-	return l.assembled.config, nil, nil
+	c, err = assemble()
+	return c, nil, err
 }
 
 // chunk returns the data of a chunk, or nil if the ledger lacks it.
@@ -121,7 +139,7 @@
 	if decided := l.Decided(m); decided != "" {
 		return decided
 	}
-	c, missing, err := l.Assemble(m)
+	c, missing, err := l.assemble(m)
 	if err != nil {
 		return Malformed
 	}
--- a/internal/request/ledger/chunks_test.go
+++ b/internal/request/ledger/chunks_test.go
@@ -46,6 +46,15 @@
 	return m
 }
 
+// assemble assembles a configuration and keeps it, as the leader does before it proposes the manifest.
+func assemble(l *Ledger, m *accepted.Manifest) error {
+	c, _, err := l.assemble(m)
+	if c != nil {
+		l.Keep(m, c)
+	}
+	return err
+}
+
 // decoded returns a command as other replicas read it.
 func decoded(t *testing.T, c *Command) *Command {
 	t.Helper()
@@ -122,8 +131,7 @@
 	m.Version = 8 // the chunks make up version 7
 	before := stateOf(t, l)
 	for _, malformed := range []*accepted.Manifest{m, {Version: 8}, {Version: 8, Chunks: [][]byte{{1}}}} {
-		_, _, err := l.Assemble(malformed)
-		must.ErrorContains(t, err, "configuration")
+		must.ErrorContains(t, assemble(l, malformed), "configuration")
 		must.EqOp(t, Malformed, l.Apply(&Command{Manifest: malformed}).Config)
 		must.EqOp(t, before, stateOf(t, l))
 	}
@@ -186,8 +194,7 @@
 	l, c := chunkLedger(), largeConfig(7, 300)
 	m, first := transfer(t, l, c)
 	l.Apply(&Command{Chunks: first})
-	_, _, err := l.Assemble(m)
-	must.NoError(t, err)
+	must.NoError(t, assemble(l, m))
 	others := randomChunks(t, 130, 50_000)
 	for batch := range slices.Chunk(others, 16) {
 		l.Apply(&Command{Chunks: batch})
@@ -229,8 +236,7 @@
 		l.Apply(&Command{Chunks: chunks})
 		other, chunks := transfer(t, l, largeConfig(version, 200))
 		l.Apply(&Command{Chunks: chunks})
-		_, _, err := l.Assemble(other)
-		must.NoError(t, err)
+		must.NoError(t, assemble(l, other))
 		l.Apply(&Command{Manifest: next})
 		must.Eq(t, largeConfig(1, 300), l.Config)
 		must.Nil(t, l.assembled.config)
@@ -246,6 +252,7 @@
 		version, queues := int64(0), []int{100, 200, 300, 301}
 		var known []accepted.Chunk
 		var earlier *accepted.Manifest
+		late := func() {}
 		apply := func(c *Command) {
 			read := decoded(t, c)
 			want := leader.Apply(c)
@@ -269,13 +276,21 @@
 				command.Chunks = known[rng.IntN(len(known)+1):]
 			case 3:
 				command.Manifest = earlier
-				_, _, _ = leader.Assemble(m)
+				_ = assemble(leader, m)
 			default:
 				apply(&Command{Chunks: missing})
-				_, _, _ = leader.Assemble(m)
+				_ = assemble(leader, m)
 				command.Manifest = m
 			}
-			earlier = m
+			late()
+			earlier, late = m, func() {}
+			if do, missing := leader.Assembler(m); len(missing) == 0 {
+				late = func() { // after another command was applied
+					c, err := do()
+					must.NoError(t, err)
+					leader.Keep(m, c)
+				}
+			}
 			if rng.IntN(4) == 0 {
 				restored = reload(t, restored)
 			}
