Bound the stored form of a configuration before it is assembled

A small manifest could list one staged chunk 1,024 times and give a size of up to 64 MiB: the leader assembled that much before anything was compared with its memory, as only the size as sent is bounded by Limits.ConfigBytes.

putManifest rejects a manifest whose stored form has more than eight times Limits.ConfigBytes, an eighth of the memory, before it assembles anything; a configuration that came whole and goes through the log in chunks, too.

Evidence: TestStoredFormTooLargeForMemoryIsNotAssembled ended with an unknown outcome after its 5 s, as the call waited for its turn to assemble; it passes with -race.

--- a/internal/dispatch/configcalls.go
+++ b/internal/dispatch/configcalls.go
@@ -146,6 +146,9 @@
 	if !s.takesChunks() {
 		return &Reply{Outcome: Unavailable, Reason: "the log takes no chunks", Whole: true}, nil
 	}
+	if refusal := s.refuseAssembly(m); refusal != nil {
+		return refusal, nil
+	}
 	config, missing, err := s.assemble(m)
 	if err != nil {
 		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
--- a/internal/dispatch/configcalls_test.go
+++ b/internal/dispatch/configcalls_test.go
@@ -323,3 +323,27 @@
 		must.EqOp(t, 2, d.engine.ledger.Config.Version)
 	})
 }
+
+// Guards against a small manifest that makes the leader assemble more than its memory has room for.
+func TestStoredFormTooLargeForMemoryIsNotAssembled(t *testing.T) {
+	r := newRig(t, newFakeServers())
+	config := randomConfig(2, 100_000)
+	m, chunks := split(t, config)
+	for i := range chunks {
+		must.EqOp(t, OK, r.do(&Call{Op: OpStageConfig, Chunks: chunks[i : i+1]}).Outcome)
+	}
+	s := r.d.activeSession()
+	s.limits.ConfigBytes = int64(len(config.Raw))
+	repeated := *m
+	repeated.Chunks = slices.Repeat(m.Chunks[:1], 1024)
+	repeated.Bytes = storedFactor*len(config.Raw) + 4<<20
+	s.configCalls.assembling <- struct{}{} // nothing can be assembled
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	reply, err := r.d.Do(ctx, &Call{Op: OpPutConfig, Manifest: &repeated})
+	<-s.configCalls.assembling
+	must.NoError(t, err)
+	must.EqOp(t, Invalid, reply.Outcome)
+	must.StrContains(t, reply.Reason, "this instance has memory for")
+	must.EqOp(t, OK, r.do(&Call{Op: OpPutConfig, Manifest: m}).Outcome)
+}
--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -23,6 +23,8 @@
 const (
 	// configFraction is the part of the memory that a configuration, as sent, may have.
 	configFraction = 64
+	// storedFactor is the size of the largest stored form of a configuration in relation to that of the largest configuration as sent.
+	storedFactor = 8
 	// recordsFraction is the part of the memory that records may take up. A snapshot of them takes as much again.
 	recordsFraction = 10
 	// growthFraction is the part of a snapshot that is left for what accepted records grow by, such as the ends of runs, and for
@@ -91,6 +93,15 @@
 	return &Reply{Outcome: Invalid, Reason: fmt.Sprintf("the configuration has %d bytes; this instance has memory for %d", sent, s.limits.ConfigBytes)}
 }
 
+// refuseAssembly returns the reply that rejects a configuration whose stored form the memory has no room for, or nil.
+func (s *session) refuseAssembly(m *accepted.Manifest) *Reply {
+	limit := storedFactor * s.limits.ConfigBytes
+	if limit == 0 || int64(m.Bytes) <= limit {
+		return nil
+	}
+	return &Reply{Outcome: Invalid, Reason: fmt.Sprintf("the configuration has %d bytes with its decoded parts; this instance has memory for %d", m.Bytes, limit)}
+}
+
 // refuseStored returns the reply that rejects a configuration that a snapshot has no room for, or nil.
 func (s *session) refuseStored(c *ledger.Command) *Reply {
 	if s.limits.StateBytes == 0 {
