--- a/internal/dispatch/room.go
+++ b/internal/dispatch/room.go
@@ -23,6 +23,8 @@
 const (
 	// configFraction is the part of the memory that a configuration, as sent, may have.
 	configFraction = 64
+	// storedFactor is the size of the largest stored form of a configuration in relation to that of the largest configuration as sent.
+	storedFactor = 8
 	// recordsFraction is the part of the memory that records may take up. A snapshot of them takes as much again.
 	recordsFraction = 10
 	// growthFraction is the part of a snapshot that is left for what accepted records grow by, such as the ends of runs, and for
@@ -42,12 +44,12 @@
 	}
 }
 
-// records returns the size of all records beyond which new ones are rejected, beside a configuration that has a size in a snapshot.
-func (l Limits) records(config int64) int64 {
+// records returns the size of all records beyond which new ones are rejected, beside configurations that have a size in a snapshot.
+func (l Limits) records(configs int64) int64 {
 	if l.StateBytes == 0 {
 		return l.RecordBytes
 	}
-	limit := max(1, l.StateBytes-l.StateBytes/growthFraction-config)
+	limit := max(1, l.StateBytes-l.StateBytes/growthFraction-configs)
 	if l.RecordBytes > 0 {
 		limit = min(limit, l.RecordBytes)
 	}
@@ -71,8 +73,8 @@
 	}
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	limit := s.limits.records(int64(s.engine.ledger.ConfigBytes()))
-	if limit > 0 && int64(s.engine.ledger.Bytes())+s.proposedBytes+size > limit {
+	limit := s.limits.records(int64(s.engine.ledger.ConfigBytes()+s.engine.ledger.ExpiringBytes()) + s.proposedChunkBytes)
+	if limit > 0 && int64(s.engine.ledger.RecordBytes())+s.proposedBytes+size > limit {
 		return nil, overloadedReply(op, errRecordsFull)
 	}
 	s.proposedBytes += size
@@ -91,6 +93,15 @@
 	return &Reply{Outcome: Invalid, Reason: fmt.Sprintf("the configuration has %d bytes; this instance has memory for %d", sent, s.limits.ConfigBytes)}
 }
 
+// refuseAssembly returns the reply that rejects a configuration whose stored form the memory has no room for, or nil.
+func (s *session) refuseAssembly(m *accepted.Manifest) *Reply {
+	limit := storedFactor * s.limits.ConfigBytes
+	if limit == 0 || int64(m.Bytes) <= limit {
+		return nil
+	}
+	return &Reply{Outcome: Invalid, Reason: fmt.Sprintf("the configuration has %d bytes with its decoded parts; this instance has memory for %d", m.Bytes, limit)}
+}
+
 // refuseStored returns the reply that rejects a configuration that a snapshot has no room for, or nil.
 func (s *session) refuseStored(c *ledger.Command) *Reply {
 	if s.limits.StateBytes == 0 {
@@ -102,7 +113,7 @@
 	}
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	if int64(s.engine.ledger.Bytes())+s.proposedBytes+size > s.limits.StateBytes {
+	if int64(s.engine.ledger.Bytes())+s.proposedBytes+s.proposedChunkBytes+size > s.limits.StateBytes {
 		return overloadedReply(OpPutConfig, errConfigFull)
 	}
 	return nil
@@ -127,5 +138,5 @@
 
 // stateBytesLocked returns the size of a snapshot, with what is being committed.
 func (s *session) stateBytesLocked() int64 {
-	return int64(s.engine.ledger.Bytes()+s.engine.ledger.ConfigBytes()) + s.proposedBytes
+	return int64(s.engine.ledger.Bytes()+s.engine.ledger.ConfigBytes()) + s.proposedBytes + s.proposedChunkBytes
 }
