--- a/internal/dispatch/configcalls.go
+++ b/internal/dispatch/configcalls.go
@@ -1,11 +1,15 @@
 package dispatch
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"fmt"
+	"time"
 
 	"golang.org/x/sync/singleflight"
 
+	"laburnumrouter/internal/process/logging"
 	"laburnumrouter/internal/process/replica"
 	"laburnumrouter/internal/request/ledger"
 	"laburnumrouter/internal/version/accepted"
@@ -25,6 +29,15 @@
 	decisions singleflight.Group
 	// staging holds the chunks that are being proposed. Guarded by engine.mu.
 	staging map[accepted.Digest]chan struct{}
+	// lines limits the lines about chunks.
+	lines logging.Limit
+}
+
+// logChunks logs a step of a configuration in chunks, within a limit.
+func (s *session) logChunks(message string, fields ...any) {
+	if omitted, ok := s.configCalls.lines.Allow(time.Now()); ok {
+		s.log.Info(message, append(fields, "omitted", omitted)...)
+	}
 }
 
 // putConfig decides a configuration that a call has whole or as a manifest. One that is too large for the memory or the disk of this
@@ -35,16 +48,20 @@
 	if c.Config != nil {
 		sent := c.Config.Digest()
 		m = &accepted.Manifest{Version: c.Config.Version, Sent: sent[:], SentBytes: len(c.Config.Raw)}
+		// An invalid one is rejected whatever its version is.
+		if err := c.Config.Check(); err != nil {
+			return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
+		}
 	} else if err := m.Check(); err != nil {
 		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
 	}
-	if refusal := s.refuseConfig(int64(m.SentBytes)); refusal != nil {
-		return refusal, nil
-	}
 	if reply, err := s.decidedConfig(m); reply != nil || err != nil {
 		return reply, err
 	}
-	key := fmt.Sprintf("%d %x %t", m.Version, m.Sent, c.Config != nil)
+	if refusal := s.refuseConfig(int64(m.SentBytes)); refusal != nil {
+		return refusal, nil
+	}
+	key := fmt.Sprintf("%d %x %d %x", m.Version, m.Sent, m.Bytes, sha256.Sum256(bytes.Join(m.Chunks, nil)))
 	shared := s.configCalls.decisions.DoChan(key, func() (any, error) {
 		var reply *Reply
 		err := Error.New("unexpected error")
@@ -91,21 +108,22 @@
 // verdictReply returns the reply to a configuration that the log has decided.
 func verdictReply(v ledger.Verdict) *Reply {
 	switch v {
+	case ledger.Accepted, ledger.Superseded:
+		return &Reply{Outcome: OK, Reason: string(v)}
 	case ledger.Conflict:
 		return &Reply{Outcome: Conflict, Reason: "other content is in force under this version"}
 	case ledger.Malformed:
 		return &Reply{Outcome: Invalid, Reason: "the chunks don't make up the configuration of the manifest"}
 	}
-	return &Reply{Outcome: OK, Reason: string(v)}
+	return &Reply{Outcome: OutcomeUnknown, Reason: fmt.Sprintf("the log's verdict is %q", v)}
 }
 
-// putWhole commits a configuration that was sent whole.
+// putWhole commits a valid configuration that was sent whole.
 func (s *session) putWhole(c *Call) (*Reply, error) {
-	if err := c.Config.Check(); err != nil {
-		return &Reply{Outcome: Invalid, Reason: err.Error()}, nil
-	}
 	if len(c.Config.Raw) >= MinChunkedBytes && s.takesChunks() {
-		return s.putChunked(c.RequestID, c.Config)
+		if reply, err := s.putChunked(c.RequestID, c.Config); reply != nil || err != nil {
+			return reply, err
+		}
 	}
 	command, err := ledger.ConfigCommand(c.Config, s.format())
 	if err != nil {
@@ -136,7 +154,7 @@
 		return refusal, nil
 	}
 	if len(missing) > 0 {
-		s.log.Info("configuration lacks chunks", "request", request, "version", m.Version, "missing", len(missing), "chunks", len(m.Chunks))
+		s.logChunks("configuration lacks chunks", "request", request, "version", m.Version, "missing", len(missing), "chunks", len(m.Chunks))
 		return missingReply(missing), nil
 	}
 	if err := config.Check(); err != nil {
@@ -164,7 +182,8 @@
 // maxRestages bounds how often the chunks of one configuration are staged for a call that has it whole.
 const maxRestages = 3
 
-// putChunked commits a configuration that was sent whole in chunks, so that no entry of the log is large.
+// putChunked commits a configuration that was sent whole in chunks, so that no entry of the log is large. It returns nil if more is
+// missing than can be staged at a time.
 func (s *session) putChunked(request string, config *accepted.Config) (*Reply, error) {
 	m, parts, err := config.Split()
 	if err != nil {
@@ -182,6 +201,9 @@
 		if refusal := s.refuseChunked(m, size); refusal != nil {
 			return refusal, nil
 		}
+		if size > ledger.MaxStagedBytes {
+			return nil, nil
+		}
 		for len(chunks) > 0 {
 			n := firstChunks(chunks)
 			if refusal, err := s.stage(s.ctx, request, chunks[:n]); refusal != nil || err != nil {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -106,6 +106,7 @@
 func (d *Dispatcher) checkLeadership(ctx context.Context) {
 	d.reportEvacuations()
 	status := d.replica.Status()
+	d.leaderLease.logLapse(status, d.log)
 	current := d.session.Load()
 	if current != nil && (!status.IsLeader || status.Term != current.holder.Fence) {
 		d.endSession(fmt.Sprintf("term %d, leader %q", status.Term, status.Leader))
--- a/internal/dispatch/leaderlease.go
+++ b/internal/dispatch/leaderlease.go
@@ -5,7 +5,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"laburnumrouter/internal/process/boottime"
+	"laburnumrouter/internal/process/replica"
 )
 
 const (
@@ -26,6 +29,8 @@
 	term       atomic.Uint64
 	// revokedThrough is the last term in which the lease must not be held any more.
 	revokedThrough atomic.Uint64
+	// lapsedAt is when the lease lapsed, if it has and that was logged. Only logLapse uses it.
+	lapsedAt time.Duration
 }
 
 func newLeaderLease(election time.Duration) *leaderLease {
@@ -84,3 +89,20 @@
 	l.validUntil.Store(int64(asked + l.validFor))
 	return true
 }
+
+// logLapse logs when this instance has lost its lease in a term in which it leads, and when it holds it again.
+func (l *leaderLease) logLapse(status replica.Status, log hclog.Logger) {
+	until := time.Duration(l.validUntil.Load())
+	lapsed := status.IsLeader && l.term.Load() == status.Term && status.Term > l.revokedThrough.Load() && !l.Held()
+	if lapsed == (l.lapsedAt != 0) {
+		return
+	}
+	now := boottime.Now()
+	if lapsed {
+		l.lapsedAt = until
+		log.Warn("leader lease lapsed", "term", status.Term, "confirmed", now-until+l.validFor)
+		return
+	}
+	log.Info("leader lease no longer lapsed", "term", status.Term, "held", l.Held(), "lapsed_for", now-l.lapsedAt)
+	l.lapsedAt = 0
+}
