--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -194,7 +194,7 @@
 	return op == OpState || op == OpPending || op == OpGetConfig || op == OpWaveState || op == OpExplain || op == OpStatus
 }
 
-// logCall logs the outcome of submissions, cancellations, operators' changes and reads of the configuration, and leaving servers, and of failed state
+// logCall logs the outcome of submissions, cancellations, operators' changes, reads of the configuration, leaving servers, and failed state
 // queries.
 func (s *session) logCall(c *Call, r *Reply, took time.Duration) {
 	switch c.Op {
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -226,8 +226,8 @@
 // errNoLeader is returned when no reachable instance reports that it leads.
 var errNoLeader = Error.New("no control instance leads that can be reached")
 
-// try makes one attempt, the first of which has the number 1, locally if this instance leads. If err is set, mayHaveRun reports whether the call may have been
-// executed nevertheless.
+// try makes one attempt, the first of which has the number 1, locally if this instance leads. If err is set, mayHaveRun reports whether
+// the call may have been executed nevertheless.
 func (c *Client) try(ctx context.Context, call *dispatch.Call, body []byte, number int) (reply *dispatch.Reply, mayHaveRun bool, err error) {
 	if local := c.local.Load(); local != nil && local.Leads() {
 		reply, err := local.Do(ctx, call)
