--- a/review/lab-2/rename.go
+++ b/review/lab-2/rename.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -10,12 +11,16 @@
 	scenarios["route-renamed"] = scenario{prepare: deskConfig, play: routeRenamed}
 }
 
-const visibleTime = 3 * time.Second
+// Bounds of the deployment: visible_ms, and cancel_ms with stop_timeout_ms.
+const (
+	visibleTime = 3 * time.Second
+	cancelTime  = 3900 * time.Millisecond
+)
 
 // routeRenamed hands in jobs and then sends a configuration in which the route at the same host and prefix, to the same service, has
 // another name. Without trouble the configuration changes the route's time-out only.
 func routeRenamed(ctx context.Context, c *cluster, trouble bool) error {
-	const first, second = deskPath + "5c0e7a21d94b36f8", deskPath + "77aa01f2c3d4e5f6"
+	const first, second, lasting = deskPath + "5c0e7a21d94b36f8", deskPath + "77aa01f2c3d4e5f6", "0a1b2c3d4e5f6071"
 	pause(ctx, 4*time.Second)
 	spec := work{CPU: []int64{1000, 1000}, MS: []int64{1500, 1500}}
 	body := jobText(spec, phase{Count: 4, CPU: 1000, MemMB: 512, EstimateMS: 1500}, phase{Count: 2, CPU: 1000, MemMB: 512, EstimateMS: 1500, After: []int{0}})
@@ -29,6 +34,10 @@
 	if state != "completed" {
 		return fmt.Errorf("the first job is %q (%d)", state, status)
 	}
+	if err := c.submit(ctx, labKey, deskPath+lasting, jobText(work{CPU: []int64{1000}, MS: []int64{0}},
+		phase{Count: 2, CPU: 1000, MemMB: 512, EstimateMS: 900, LongRunning: true})); err != nil {
+		return err
+	}
 	if err := c.submit(ctx, labKey, second, body); err != nil {
 		return err
 	}
@@ -65,5 +74,14 @@
 			c.rec.breaks("LOST: job %s is %s after 20 s on idle minions; its tasks take 3 s", path, state)
 		}
 	}
+	if status := c.cancelJob(ctx, 0, labKey, deskPath+lasting); status != 200 && status != 410 {
+		return fmt.Errorf("the cancelling of the lasting job is answered with %d", status)
+	}
+	pause(ctx, cancelTime+time.Second)
+	for _, task := range c.running() {
+		if strings.HasPrefix(task, lasting) {
+			c.rec.breaks("UNASKED: task %s runs on %v after the cancelling of its job was acknowledged", task, cancelTime+time.Second)
+		}
+	}
 	return ctx.Err()
 }
