--- a/review/lab-2/cluster.go
+++ b/review/lab-2/cluster.go
@@ -87,6 +87,9 @@
 	// and machines.
 	network *link.Network
 	relays  []*link.Relay
+
+	gangMu sync.Mutex
+	gangs  map[string]*gang // by step and run
 }
 
 // owner returns the name of the process that has made a connection.
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -211,14 +211,16 @@
 
 // phase is a step of a job.
 type phase struct {
-	Count       int   `json:"count"`
-	CPU         int64 `json:"cpu"`
-	MemMB       int64 `json:"mem_mb"`
-	EstimateMS  int64 `json:"estimate_ms,omitempty"`
-	After       []int `json:"after,omitempty"`
-	LongRunning bool  `json:"long_running,omitempty"`
-	MayMiss     int   `json:"may_miss,omitempty"`
-	Gang        bool  `json:"gang,omitempty"`
+	Count        int    `json:"count"`
+	CPU          int64  `json:"cpu"`
+	MemMB        int64  `json:"mem_mb"`
+	EstimateMS   int64  `json:"estimate_ms,omitempty"`
+	After        []int  `json:"after,omitempty"`
+	LongRunning  bool   `json:"long_running,omitempty"`
+	MayMiss      int    `json:"may_miss,omitempty"`
+	Gang         bool   `json:"gang,omitempty"`
+	Constraints  string `json:"constraints,omitempty"`
+	AntiAffinity int    `json:"anti_affinity,omitempty"`
 }
 
 func jobText(spec work, phases ...phase) []byte {
--- a/review/lab-2/minion.go
+++ b/review/lab-2/minion.go
@@ -18,6 +18,9 @@
 	CPU     []int64 `json:"cpu"`
 	MS      []int64 `json:"ms"` // 0: the task lasts
 	Startup int64   `json:"startup,omitempty"`
+	// Gang is the number of tasks of a gang; 0 for other tasks. Fails is set if each run fails.
+	Gang  int  `json:"gang,omitempty"`
+	Fails bool `json:"fails,omitempty"`
 }
 
 const (
@@ -36,6 +39,8 @@
 	endsAt   time.Time // zero: it lasts
 	stopAt   time.Time // zero: it isn't being stopped
 	workFrom time.Time
+	how      string // how it ends by itself
+	gang     *gang  // nil if it belongs to none
 }
 
 type ended struct {
@@ -114,6 +119,9 @@
 	m.dead = true
 	tasks := make([]string, 0, len(m.running))
 	for _, r := range m.running {
+		if r.gang != nil {
+			r.gang.leave("gone")
+		}
 		tasks = append(tasks, fmt.Sprintf("%s/%d", r.task, r.number))
 	}
 	m.running = nil
@@ -136,7 +144,7 @@
 		}
 		body, _ := json.Marshal(map[string]any{
 			"service": m.pool, "address": m.address, "zone": m.machine.zone, "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
-			"capacity": map[string]int64{"cpu": m.capacity, "mem_mb": 65536, "gpu": 0}, "labels": []string{"a", m.machine.rack},
+			"capacity": map[string]int64{"cpu": m.capacity, "mem_mb": 65536, "gpu": 0}, "labels": []string{m.machine.kind, m.machine.rack},
 			"clock_ms": m.clock(time.Now()), "seq": m.seq, "born": m.bornMS,
 		})
 		m.mu.Unlock()
@@ -177,8 +185,12 @@
 			m.end(r, "lapsed")
 		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
 			m.end(r, "stopped")
+		case r.gang != nil:
+			if how := r.gang.outcome(r, now); how != "" {
+				m.end(r, how)
+			}
 		case !r.endsAt.IsZero() && !now.Before(r.endsAt):
-			m.end(r, "done")
+			m.end(r, r.how)
 		}
 	}
 }
@@ -186,6 +198,9 @@
 func (m *minion) end(r *run, how string) {
 	delete(m.running, r.task)
 	m.highest[r.task] = max(m.highest[r.task], r.number)
+	if r.gang != nil {
+		r.gang.leave(how)
+	}
 	m.number++
 	m.ends = append(m.ends, ended{m.number, r.task, r.number, how})
 	close(m.changed)
@@ -293,10 +308,16 @@
 	if m.guards && used > m.capacity {
 		return 409, "room"
 	}
-	started := &run{task: o.Task, number: o.Run, cpu: spec.CPU[step], began: now, workFrom: now.Add(time.Duration(spec.Startup) * time.Millisecond)}
+	started := &run{how: "done", task: o.Task, number: o.Run, cpu: spec.CPU[step], began: now, workFrom: now.Add(time.Duration(spec.Startup) * time.Millisecond)}
 	if spec.MS[step] > 0 {
 		started.endsAt = now.Add(time.Duration(spec.MS[step]) * time.Millisecond)
 	}
+	if spec.Fails {
+		started.how = "failed"
+	}
+	if spec.Gang > 0 {
+		started.gang = m.c.joinGang(started, spec.Gang, spec.MS[step])
+	}
 	m.running[o.Task] = started
 	m.c.rec.add("minion %s: run %s/%d starts, token %d", m.id, o.Task, o.Run, o.Fence)
 	m.c.rec.started(m, started)
--- a/review/lab-2/platform.go
+++ b/review/lab-2/platform.go
@@ -18,6 +18,7 @@
 // machine carries one minion at a time.
 type machine struct {
 	name, zone, rack string
+	kind             string // the label for the kind of the machine
 	number           int
 	capacity         int64
 	guards           bool
@@ -52,7 +53,7 @@
 		n := len(p.machines)
 		p.machines = append(p.machines, &machine{
 			name: fmt.Sprintf("m-%02d", n+1), zone: fmt.Sprintf("zone-%d", i%controlCount+1), rack: fmt.Sprintf("%s-r%d", pool, i/4),
-			number: n, capacity: capacity, guards: guards, pool: pool, state: "up",
+			kind: "a", number: n, capacity: capacity, guards: guards, pool: pool, state: "up",
 		})
 	}
 }
@@ -126,6 +127,16 @@
 	}
 }
 
+// lose crashes the minion of a machine, which is lost for good.
+func (p *platform) lose(m *machine) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := m.minion; old != nil {
+		m.state, m.minion = "down", nil
+		go old.crash("lost for good")
+	}
+}
+
 // machinesOf returns the machines in a pool.
 func (p *platform) machinesOf(pool string) (list []*machine) {
 	p.mu.Lock()
@@ -162,7 +173,7 @@
 			id = m.minion.id
 		}
 		rows = append(rows, map[string]any{
-			"machine": m.name, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{"a", m.rack},
+			"machine": m.name, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{m.kind, m.rack},
 			"capacity": map[string]int64{"cpu": m.capacity, "mem_mb": 65536, "gpu": 0}, "id": id,
 		})
 	}
