--- a/review/lab-2/cluster.go
+++ b/review/lab-2/cluster.go
@@ -20,16 +20,28 @@
 const (
 	controlCount = 4
 	entryCount   = 2
-	controlPort  = 8345
-	frontPort    = 8340
-	readyPort    = 8343
-	peerPort     = 7000
-	bindPort     = 7001 // where control instances listen for peers behind a relay
-	platformPort = 8344
-	minionPort   = 8080
 	memoryMB     = 280
 )
 
+// Ports, the same on all hosts of the fleet; the kernel chooses them.
+var controlPort, frontPort, readyPort, peerPort, platformPort, minionPort, controlMetricsPort, entryMetricsPort int
+
+// bindPort is where control instances listen for peers behind a relay.
+var bindPort int
+
+// choosePorts finds free ports.
+func choosePorts(host string) error {
+	for _, port := range []*int{&controlPort, &frontPort, &readyPort, &peerPort, &bindPort, &platformPort, &minionPort, &controlMetricsPort, &entryMetricsPort} {
+		l, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return err
+		}
+		defer l.Close() // at the end, so that no port is chosen twice
+		*port = l.Addr().(*net.TCPAddr).Port
+	}
+	return nil
+}
+
 // process is one of the project's programs.
 type process struct {
 	name string
@@ -151,6 +163,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := choosePorts(c.host(254)); err != nil {
+		return nil, err
+	}
 	c.platform = newPlatform(c)
 	var seeds []string
 	for i := range 3 {
@@ -168,7 +183,7 @@
 listen = %q
 peer_listen = "%s:%d"
 peer_bind = "%s:%d"
-metrics_listen = "%s:9465"
+metrics_listen = "%s:%d"
 data_dir = %q
 seeds = %s
 first_start = true
@@ -180,7 +195,7 @@
 [log]
 level = "info"
 stdout = true
-`, name, i+1, c.control(i), c.host(1+i), peerPort, c.host(1+i), bindPort, c.host(1+i), filepath.Join(dir, name), seedList, memoryMB, c.host(200), platformPort)
+`, name, i+1, c.control(i), c.host(1+i), peerPort, c.host(1+i), bindPort, c.host(1+i), controlMetricsPort, filepath.Join(dir, name), seedList, memoryMB, c.host(200), platformPort)
 		p, err := c.program(bin, "laburnum-control", name, text)
 		if err != nil {
 			return nil, err
@@ -197,14 +212,14 @@
 listen = %q
 ready_listen = "%s:%d"
 peer_listen = "%s:%d"
-metrics_listen = "%s:9464"
+metrics_listen = "%s:%d"
 seeds = %s
 memory_mb = %d
 max_fds = 4100
 [log]
 level = "info"
 stdout = true
-`, name, i+1, c.front(i), c.host(10+i), readyPort, c.host(10+i), peerPort, c.host(10+i), seedList, memoryMB)
+`, name, i+1, c.front(i), c.host(10+i), readyPort, c.host(10+i), peerPort, c.host(10+i), entryMetricsPort, seedList, memoryMB)
 		p, err := c.program(bin, "laburnum-entry", name, text)
 		if err != nil {
 			return nil, err
